--- /dev/null
+++ b/src/balance/estimate.ts
@@ -0,0 +1,90 @@
+/** Running estimates that cost a few numbers each. */
+
+/** An exponentially weighted mean whose weight follows the time between samples. */
+export class DecayingMean {
+  #value: number | undefined;
+
+  #at = 0;
+
+  /** @param halfLife time after which an old sample counts half, in milliseconds */
+  constructor(private readonly halfLife: number) {}
+
+  /** Adds a sample taken at time `now`. */
+  add(sample: number, now: number): void {
+    if (this.#value === undefined) {
+      this.#value = sample;
+    } else {
+      const keep = Math.max(MIN_STEP, 1 - 0.5 ** ((now - this.#at) / this.halfLife));
+      this.#value += (sample - this.#value) * keep;
+    }
+    this.#at = now;
+  }
+
+  /** Returns the mean, or `fallback` before the first sample. */
+  read(fallback: number): number {
+    return this.#value ?? fallback;
+  }
+}
+
+const MIN_STEP = 0.05;
+
+/** Follows one quantile of a stream by small steps up and down, with constant memory. */
+export class QuantileEstimate {
+  #value: number | undefined;
+
+  /** @param quantile the quantile to follow, between 0 and 1 */
+  constructor(private readonly quantile: number) {}
+
+  /** Adds a sample. */
+  add(sample: number): void {
+    if (this.#value === undefined) {
+      this.#value = sample;
+      return;
+    }
+    const step = Math.max(this.#value, 1) * STEP;
+    if (sample > this.#value) this.#value += step * this.quantile;
+    else this.#value = Math.max(0, this.#value - step * (1 - this.quantile));
+  }
+
+  /** Returns the estimate, or `fallback` before the first sample. */
+  read(fallback: number): number {
+    return this.#value ?? fallback;
+  }
+}
+
+const STEP = 0.05;
+
+/** Counts events and gives their rate over the recent past. */
+export class RateMeter {
+  #count = 0;
+
+  #rate = 0;
+
+  #since: number;
+
+  constructor(now: number) {
+    this.#since = now;
+  }
+
+  /** Adds `amount` events at time `now`. */
+  add(now: number, amount = 1): void {
+    this.#roll(now);
+    this.#count += amount;
+  }
+
+  /** Returns events a second. */
+  read(now: number): number {
+    this.#roll(now);
+    return this.#rate;
+  }
+
+  #roll(now: number): void {
+    const span = now - this.#since;
+    if (span < RATE_WINDOW) return;
+    this.#rate = (this.#count * 1000) / span;
+    this.#count = 0;
+    this.#since = now;
+  }
+}
+
+const RATE_WINDOW = 1000;
--- /dev/null
+++ b/src/balance/index.ts
@@ -0,0 +1,9 @@
+/** Choosing a target, holding a call, or refusing it: pools, queues, limits, budgets, homes. */
+export * from './estimate.js';
+export * from './limit.js';
+export * from './target.js';
+export * from './strategy.js';
+export * from './queue.js';
+export * from './budget.js';
+export * from './home.js';
+export * from './pool.js';
--- /dev/null
+++ b/src/balance/limit.ts
@@ -0,0 +1,50 @@
+/** How many calls a target is given at once. */
+
+/** A limit on the calls in flight at one target. */
+export interface ConcurrencyLimit {
+  /** The limit now; at least 1. */
+  read(): number;
+  /** Learns from an answer; `full` tells whether the limit was in use. */
+  noteAnswer(latency: number, full: boolean): void;
+  /** Learns that the target refused for want of room. */
+  noteShed(): void;
+}
+
+/** Creates the limit of a target whose slots are known. A shed call lowers nothing. */
+export function createFixedLimit(slots: number): ConcurrencyLimit {
+  return { read: () => slots, noteAnswer: () => undefined, noteShed: () => undefined };
+}
+
+const FIRST_LIMIT = 4;
+const SLOWER = 1.5;
+const BACK_OFF = 0.8;
+const SHED_BACK_OFF = 0.7;
+const BASE_DRIFT = 0.002;
+
+/**
+ * Creates the limit of a target whose slots are not known (additive increase, multiplicative decrease).
+ *
+ * It grows by one for each limit's worth of answers while latency stays near the lowest seen, and
+ * shrinks when latency rises above that or when the target sheds.
+ */
+export function createAdaptiveLimit(max: number): ConcurrencyLimit {
+  let limit = Math.min(FIRST_LIMIT, max);
+  let base = Infinity;
+  let recent = 0;
+  const clamp = (value: number) => Math.min(max, Math.max(1, value));
+  return {
+    read: () => Math.floor(limit),
+    noteAnswer(latency, full) {
+      base = Math.min(latency, base + base * BASE_DRIFT);
+      recent = recent === 0 ? latency : recent + (latency - recent) / limit;
+      if (recent > base * SLOWER + 1) {
+        limit = clamp(limit - (1 - BACK_OFF));
+        return;
+      }
+      if (full) limit = clamp(limit + 1 / limit);
+    },
+    noteShed() {
+      limit = clamp(limit * SHED_BACK_OFF);
+    },
+  };
+}
--- /dev/null
+++ b/src/balance/pool.ts
@@ -0,0 +1,298 @@
+/** A pool in one entry: gives each call a target's slot, lets it wait, or refuses it. */
+import { type Clock, type Random, type Timer, assertInvariant } from '../kernel/index.js';
+import type { ClassConfig } from '../config/index.js';
+import type { Hold } from '../policy/index.js';
+import { DecayingMean, QuantileEstimate } from './estimate.js';
+import { CallQueue } from './queue.js';
+import { type Chooser, type Strategy, createChooser, isBounded } from './strategy.js';
+import type { AttemptEnd, Target } from './target.js';
+
+/** A call that asks for a slot. */
+export interface SlotRequest {
+  readonly class: ClassConfig;
+  readonly caller: string;
+  readonly hold: Hold | undefined;
+  /** When the call's time is over, on the kernel's clock. */
+  readonly deadline: number;
+  readonly signal: AbortSignal;
+  /** Whether the call may be repeated; only such a call is risked on a target under trial. */
+  readonly repeatable: boolean;
+  /** Targets that this call has tried; they are used only if no other is left. */
+  readonly tried: ReadonlySet<Target>;
+}
+
+/** Why no slot was given. In each case nothing was sent to any target. */
+export type RefusalReason =
+  'no-target' | 'queue-full' | 'wait-too-long' | 'deadline' | 'cancelled' | 'stopping';
+
+/** A slot at a target. It must be released once. */
+export interface Slot {
+  readonly kind: 'slot';
+  readonly target: Target;
+  /** Time waited for the slot, in milliseconds. */
+  readonly waited: number;
+  /** Gives the slot back. */
+  release(end: AttemptEnd): void;
+}
+
+/** No slot, and when to ask again, in milliseconds. */
+export interface SlotRefusal {
+  readonly kind: 'refused';
+  readonly reason: RefusalReason;
+  readonly retryAfter: number;
+}
+
+/** What asking for a slot gives. */
+export type SlotResult = Slot | SlotRefusal;
+
+/** What a pool is made from. */
+export interface PoolOptions {
+  readonly strategy: Strategy;
+  readonly queueLimit: number;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+interface Ticket extends SlotRequest {
+  readonly since: number;
+  readonly resolve: (result: SlotResult) => void;
+  timer: Timer | undefined;
+}
+
+/** The load of a pool in one entry. */
+export interface PoolLoad {
+  readonly busy: number;
+  readonly waiting: number;
+  readonly targets: number;
+  readonly ready: number;
+}
+
+const SERVICE_HALF_LIFE = 2000;
+const FIRST_SERVICE_TIME = 20;
+const MAX_EJECTED_SHARE = 0.5;
+const HEDGE_QUANTILE = 0.95;
+const MIN_RETRY_AFTER = 50;
+const PUMP_PERIOD = 25;
+
+const SERVER_ERROR = 500;
+
+function isFailure(end: AttemptEnd): boolean {
+  return end.kind === 'failed' || (end.kind === 'answered' && end.status >= SERVER_ERROR);
+}
+
+/** A pool of targets with its queue. */
+export class Pool {
+  #targets: readonly Target[] = [];
+
+  readonly #queue = new CallQueue<Ticket>();
+
+  readonly #held = new Map<string, number>();
+
+  readonly #choose: Chooser;
+
+  readonly #serviceTime = new DecayingMean(SERVICE_HALF_LIFE);
+
+  readonly #hedgeDelay = new QuantileEstimate(HEDGE_QUANTILE);
+
+  readonly #bounded: boolean;
+
+  #pumping = false;
+
+  constructor(private readonly options: PoolOptions) {
+    this.#choose = createChooser(options.strategy, options.random);
+    this.#bounded = isBounded(options.strategy);
+  }
+
+  /** The targets in use. */
+  get targets(): readonly Target[] {
+    return this.#targets;
+  }
+
+  /** Time to an answer that 95 of 100 calls stay under, in milliseconds. */
+  get hedgeDelay(): number {
+    return this.#hedgeDelay.read(Infinity);
+  }
+
+  /** Replaces the targets; calls in flight at one that is dropped end where they are. */
+  setTargets(targets: readonly Target[]): void {
+    this.#targets = targets;
+    this.pump();
+  }
+
+  /** Measures the load, for policies and status. */
+  readLoad(): PoolLoad {
+    let slots = 0;
+    let busy = 0;
+    let ready = 0;
+    for (const target of this.#targets) {
+      const { limit } = target;
+      slots += limit;
+      busy += Math.min(limit, target.inFlight + target.foreign);
+      if (target.readState().kind === 'ready') ready += 1;
+    }
+    return {
+      busy: slots === 0 ? 1 : busy / slots,
+      waiting: this.#queue.size,
+      targets: this.#targets.length,
+      ready,
+    };
+  }
+
+  /** Gives a slot at once, or nothing: for hedges, which never wait. */
+  takeFreeSlot(request: SlotRequest): Slot | undefined {
+    if (this.#queue.size > 0) return undefined;
+    const target = this.#findTarget(request);
+    if (target === undefined || request.tried.has(target)) return undefined;
+    return this.#open(request, target, this.options.clock.now());
+  }
+
+  /** Gives a slot, now or after waiting, or refuses. */
+  async takeSlot(request: SlotRequest): Promise<SlotResult> {
+    const now = this.options.clock.now();
+    if (request.signal.aborted) return this.#refuse('cancelled');
+    if (request.deadline <= now) return this.#refuse('deadline');
+    if (!this.#hasUsable()) return this.#refuse('no-target');
+    if (this.#queue.size === 0 && this.#allowsHold(request.hold)) {
+      const target = this.#findTarget(request);
+      if (target !== undefined) return this.#open(request, target, now);
+    }
+    return this.#wait(request, now);
+  }
+
+  /** Gives free slots to waiting calls. */
+  pump(): void {
+    while (this.#queue.size > 0) {
+      const free = this.#targets.some((target) => this.#hasRoom(target));
+      if (!free) return;
+      const ticket = this.#queue.take((hold) => this.#allowsHold(hold));
+      if (ticket === undefined) return;
+      const target = this.#findTarget(ticket);
+      assertInvariant(target !== undefined, 'a free slot is found for the call whose turn it is');
+      ticket.timer?.cancel();
+      ticket.resolve(this.#open(ticket, target, ticket.since));
+    }
+  }
+
+  #wait(request: SlotRequest, now: number): Promise<SlotResult> {
+    const left = request.deadline - now;
+    const limit = Math.min(request.class.wait, left);
+    const expected = this.#estimateWait(request);
+    if (this.#queue.size >= this.options.queueLimit) {
+      return Promise.resolve(this.#refuse('queue-full'));
+    }
+    if (expected > limit) return Promise.resolve(this.#refuse('wait-too-long'));
+    return new Promise((resolve) => {
+      const ticket: Ticket = { ...request, since: now, resolve, timer: undefined };
+      const giveUp = (reason: RefusalReason) => {
+        if (!this.#queue.remove(ticket)) return;
+        ticket.timer?.cancel();
+        resolve(this.#refuse(reason));
+      };
+      const reason = limit < left ? 'wait-too-long' : 'deadline';
+      ticket.timer = this.options.clock.schedule(limit, () => giveUp(reason));
+      request.signal.addEventListener('abort', () => giveUp('cancelled'), { once: true });
+      this.#queue.add(ticket);
+      this.pump();
+      this.#keepPumping();
+    });
+  }
+
+  /** Room also appears without a release: a report grows old, a target warms up or gets its trial. */
+  #keepPumping(): void {
+    if (this.#pumping || this.#queue.size === 0) return;
+    this.#pumping = true;
+    this.options.clock.schedule(PUMP_PERIOD, () => {
+      this.#pumping = false;
+      this.pump();
+      this.#keepPumping();
+    });
+  }
+
+  /** Estimates how long a call of this class waits behind the ones that go before it. */
+  #estimateWait(request: SlotRequest): number {
+    let slots = 0;
+    for (const target of this.#targets) slots += target.limit;
+    if (slots === 0) return 0;
+    const ahead = this.#queue.countClass(request.class.name) + 1;
+    return (ahead * this.#serviceTime.read(FIRST_SERVICE_TIME)) / slots;
+  }
+
+  #refuse(reason: RefusalReason): SlotRefusal {
+    const load = this.#queue.size + 1;
+    const slots = Math.max(1, this.#targets.length);
+    const retryAfter = (load * this.#serviceTime.read(FIRST_SERVICE_TIME)) / slots;
+    return { kind: 'refused', reason, retryAfter: Math.max(MIN_RETRY_AFTER, retryAfter) };
+  }
+
+  #open(request: SlotRequest, target: Target, since: number): Slot {
+    const started = this.options.clock.now();
+    const { hold } = request;
+    const roomBefore = this.#hasRoom(target);
+    assertInvariant(roomBefore, `calls in flight at ${target.name} stay within its limit`);
+    target.start();
+    this.#countHold(hold, 1);
+    let released = false;
+    return {
+      kind: 'slot',
+      target,
+      waited: started - since,
+      release: (end) => {
+        assertInvariant(!released, 'a slot is released once');
+        released = true;
+        const latency = this.options.clock.now() - started;
+        target.finish(end, latency);
+        this.#countHold(hold, -1);
+        if (end.kind === 'answered') this.#learn(latency);
+        if (isFailure(end)) this.#pardonIfTooMany();
+        this.pump();
+      },
+    };
+  }
+
+  #learn(latency: number): void {
+    this.#serviceTime.add(latency, this.options.clock.now());
+    this.#hedgeDelay.add(latency);
+  }
+
+  #countHold(hold: Hold | undefined, step: number): void {
+    if (hold === undefined) return;
+    this.#held.set(hold.policy, (this.#held.get(hold.policy) ?? 0) + step);
+  }
+
+  #allowsHold(hold: Hold | undefined): boolean {
+    if (hold === undefined) return true;
+    let slots = 0;
+    for (const target of this.#targets) slots += target.limit;
+    return (this.#held.get(hold.policy) ?? 0) < Math.floor(hold.share * slots);
+  }
+
+  #hasUsable(): boolean {
+    return this.#targets.some((target) => target.limit > 0);
+  }
+
+  #hasRoom(target: Target): boolean {
+    const { limit } = target;
+    if (limit === 0) return false;
+    return !this.#bounded || target.inFlight + target.foreign < limit;
+  }
+
+  #findTarget(request: SlotRequest): Target | undefined {
+    const free = this.#targets.filter((target) => this.#hasRoom(target));
+    if (free.length === 0) return undefined;
+    const fitting = free.filter(
+      (target) =>
+        !request.tried.has(target) && (request.repeatable || target.readState().kind !== 'trial'),
+    );
+    return this.#choose(fitting.length > 0 ? fitting : free, this.options.clock.now());
+  }
+
+  /** With most targets ejected the cause is likelier a shared one: use them all again. */
+  #pardonIfTooMany(): void {
+    const ejected = this.#targets.filter((target) => {
+      const { kind } = target.readState();
+      return kind === 'ejected' || kind === 'trial';
+    });
+    if (ejected.length <= this.#targets.length * MAX_EJECTED_SHARE) return;
+    for (const target of ejected) target.pardon();
+  }
+}
--- /dev/null
+++ b/src/balance/queue.ts
@@ -0,0 +1,114 @@
+/**
+ * The calls that wait in an entry for a slot.
+ *
+ * Calls wait in lanes, one for each class of work and each policy that holds calls back. Lanes share
+ * the slots by weight; inside a lane callers take turns. A lane whose hold is exhausted is passed over.
+ */
+import type { ClassConfig } from '../config/index.js';
+import type { Hold } from '../policy/index.js';
+
+/** What the queue needs to know of a waiting call. */
+export interface Waiting {
+  readonly class: ClassConfig;
+  readonly caller: string;
+  readonly hold: Hold | undefined;
+}
+
+interface Lane<T> {
+  readonly name: string;
+  readonly weight: number;
+  readonly hold: Hold | undefined;
+  /** Waiting calls by caller; the order of the map is the order of their turns. */
+  readonly callers: Map<string, T[]>;
+  /** Service received so far, divided by the weight. */
+  served: number;
+  size: number;
+}
+
+/** A queue with weighted lanes and turns between callers. */
+export class CallQueue<T extends Waiting> {
+  readonly #lanes = new Map<string, Lane<T>>();
+
+  #served = 0;
+
+  #size = 0;
+
+  /** The number of waiting calls. */
+  get size(): number {
+    return this.#size;
+  }
+
+  /** The number of waiting calls of a class, in all its lanes. */
+  countClass(name: string): number {
+    let count = 0;
+    for (const lane of this.#lanes.values()) {
+      if (lane.name === name) count += lane.size;
+    }
+    return count;
+  }
+
+  /** Adds a call at the end of its caller's turns. */
+  add(item: T): void {
+    const lane = this.#findLane(item);
+    if (lane.size === 0) lane.served = Math.max(lane.served, this.#served);
+    const calls = lane.callers.get(item.caller);
+    if (calls === undefined) lane.callers.set(item.caller, [item]);
+    else calls.push(item);
+    lane.size += 1;
+    this.#size += 1;
+  }
+
+  /** Removes a call wherever it waits; false when it does not wait. */
+  remove(item: T): boolean {
+    const lane = this.#findLane(item);
+    const calls = lane.callers.get(item.caller);
+    const index = calls?.indexOf(item) ?? -1;
+    if (calls === undefined || index < 0) return false;
+    calls.splice(index, 1);
+    if (calls.length === 0) lane.callers.delete(item.caller);
+    this.#shrink(lane);
+    return true;
+  }
+
+  /** Takes the call whose turn it is among the lanes that `allows` lets through. */
+  take(allows: (hold: Hold | undefined) => boolean): T | undefined {
+    let best: Lane<T> | undefined;
+    for (const lane of this.#lanes.values()) {
+      if (lane.size === 0 || !allows(lane.hold)) continue;
+      if (best === undefined || lane.served < best.served) best = lane;
+    }
+    if (best === undefined) return undefined;
+    this.#served = best.served;
+    best.served += 1 / best.weight;
+    return this.#takeTurn(best);
+  }
+
+  #takeTurn(lane: Lane<T>): T | undefined {
+    const [first] = lane.callers;
+    if (first === undefined) return undefined;
+    const [caller, calls] = first;
+    const item = calls.shift();
+    lane.callers.delete(caller);
+    if (calls.length > 0) lane.callers.set(caller, calls);
+    this.#shrink(lane);
+    return item;
+  }
+
+  #shrink(lane: Lane<T>): void {
+    lane.size -= 1;
+    this.#size -= 1;
+  }
+
+  #findLane(item: T): Lane<T> {
+    const key = `${item.class.name}\n${item.hold?.policy ?? ''}`;
+    const known = this.#lanes.get(key);
+    if (known !== undefined && known.hold?.share === item.hold?.share) return known;
+    const lane: Lane<T> = {
+      ...{ name: item.class.name, weight: item.class.weight, hold: item.hold },
+      ...{ callers: known?.callers ?? new Map<string, T[]>() },
+      ...{ served: known?.served ?? this.#served, size: known?.size ?? 0 },
+    };
+    this.#lanes.set(key, lane);
+    return lane;
+  }
+}
--- /dev/null
+++ b/src/balance/strategy.ts
@@ -0,0 +1,105 @@
+/** How a target is chosen among those that may be given one more call. */
+import type { Random } from '../kernel/index.js';
+import type { Target } from './target.js';
+
+/** The strategies. All but `fresh` are baselines that the experiment tool measures against. */
+export const STRATEGIES = [
+  ...(['fresh', 'random', 'round-robin', 'least-in-flight'] as const),
+  ...(['two-choices', 'lowest-latency'] as const),
+] as const;
+
+/** One of {@link STRATEGIES}. */
+export type Strategy = (typeof STRATEGIES)[number];
+
+/** Chooses one of the candidates, which are never empty. */
+export type Chooser = (candidates: readonly Target[], now: number) => Target;
+
+/** Returns the item of the lowest cost; ties go to the first one met from a random start. */
+export function findCheapest<T>(
+  items: readonly T[],
+  measure: (item: T) => number,
+  random: Random,
+): T {
+  const start = Math.floor(random.next() * items.length);
+  let best = items[start];
+  let bestCost = measure(best);
+  for (let step = 1; step < items.length; step += 1) {
+    const item = items[(start + step) % items.length];
+    const cost = measure(item);
+    if (cost < bestCost) {
+      best = item;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+const STALL_FACTOR = 3;
+const STALL_FLOOR = 5;
+const STALL_COST = 4;
+const LATENCY_WEIGHT = 0.25;
+const UNKNOWN_LATENCY = 10;
+
+/**
+ * The cost of giving a target one more call, from what this entry itself has seen.
+ *
+ * The share of its slots in use is exact where the entry is the target's only home. A target that
+ * holds calls without ending any for much longer than its usual time is taken to have slowed down,
+ * which shows within a few service times, long before its mean latency does.
+ */
+function measureFreshCost(target: Target, now: number, usual: number): number {
+  const limit = Math.max(1, target.limit);
+  const busy = (target.inFlight + target.foreign) / limit;
+  const slower = (target.readLatency(usual) / usual - 1) * LATENCY_WEIGHT;
+  const stalled = target.readStall(now) > STALL_FACTOR * usual + STALL_FLOOR ? STALL_COST : 0;
+  return busy + Math.min(1, Math.max(0, slower)) + stalled;
+}
+
+function measureUsual(candidates: readonly Target[]): number {
+  let sum = 0;
+  for (const target of candidates) sum += target.readLatency(UNKNOWN_LATENCY);
+  return Math.max(1, sum / candidates.length);
+}
+
+/** Creates the chooser of a strategy. */
+export function createChooser(strategy: Strategy, random: Random): Chooser {
+  const pickAny = (candidates: readonly Target[]) =>
+    candidates[Math.floor(random.next() * candidates.length)];
+  switch (strategy) {
+    case 'random':
+      return pickAny;
+    case 'round-robin': {
+      let turn = 0;
+      return (candidates) => {
+        turn += 1;
+        return candidates[turn % candidates.length];
+      };
+    }
+    case 'least-in-flight':
+      return (candidates) => findCheapest(candidates, (target) => target.inFlight, random);
+    case 'two-choices':
+      return (candidates) => {
+        const [a, b] = [pickAny(candidates), pickAny(candidates)];
+        return a.inFlight <= b.inFlight ? a : b;
+      };
+    case 'lowest-latency':
+      return (candidates) => {
+        const [a, b] = [pickAny(candidates), pickAny(candidates)];
+        const measure = (target: Target) =>
+          target.readLatency(UNKNOWN_LATENCY) * (target.inFlight + 1);
+        return measure(a) <= measure(b) ? a : b;
+      };
+    case 'fresh':
+      return (candidates, now) => {
+        const usual = measureUsual(candidates);
+        return findCheapest(candidates, (target) => measureFreshCost(target, now, usual), random);
+      };
+    default:
+      return strategy satisfies never;
+  }
+}
+
+/** Whether a strategy keeps targets within their slots and lets calls wait in the entry. */
+export function isBounded(strategy: Strategy): boolean {
+  return strategy === 'fresh';
+}
--- /dev/null
+++ b/src/balance/target.ts
@@ -0,0 +1,300 @@
+/**
+ * One target as one entry sees it: what it is given, what it answers, and whether it may be used.
+ *
+ * Several witnesses speak of a target: the platform's list, the target's own word on its answers,
+ * notices from other entries, and the outcome of calls. Each can be wrong, so each has a bounded
+ * effect and each heals: the word by a later word, a notice by its age, an ejection by a trial.
+ */
+import {
+  type Address,
+  type Clock,
+  type Random,
+  assertInvariant,
+  formatAddress,
+} from '../kernel/index.js';
+import { DecayingMean } from './estimate.js';
+import type { ConcurrencyLimit } from './limit.js';
+
+/** What a target says of itself. */
+export type TargetWord = 'ready' | 'cold' | 'draining';
+
+/** What an ordinary answer of a target reports of its load. */
+export interface TargetReport {
+  readonly word: TargetWord | undefined;
+  /** Calls still at the target, from all entries, besides the one answered. */
+  readonly inFlight: number | undefined;
+}
+
+/** How one attempt at a target ended. */
+export type AttemptEnd =
+  | { readonly kind: 'answered'; readonly status: number; readonly report: TargetReport }
+  /** The target said that it did not run the call. */
+  | { readonly kind: 'not-run'; readonly report: TargetReport }
+  | { readonly kind: 'failed'; readonly reason: string }
+  /** The entry ended the attempt itself. */
+  | { readonly kind: 'cancelled' };
+
+/** Whether a target may be used, and why. */
+export type TargetState =
+  | { readonly kind: 'ready' }
+  | { readonly kind: 'cold'; readonly share: number }
+  | { readonly kind: 'leaving'; readonly witness: string }
+  | { readonly kind: 'ejected'; readonly until: number; readonly reason: string }
+  /** Ejected, and one call at a time is let through to see whether it recovered. */
+  | { readonly kind: 'trial'; readonly reason: string };
+
+/** What the platform's list says of a target. */
+export type ListedState = 'live' | 'leaving' | 'gone';
+
+/** What a target is made from. */
+export interface TargetOptions {
+  readonly address: Address;
+  readonly domain: string;
+  readonly limit: ConcurrencyLimit;
+  /** How long the target is eased in after it appears or says it is cold, in milliseconds. */
+  readonly coldStart: number;
+  /** Whether the target appeared while the daemon was running. */
+  readonly isNew: boolean;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+const LATENCY_HALF_LIFE = 1000;
+const REPORT_LIFE = 100;
+const NOTICE_LIFE = 30_000;
+/** A target's word that it is leaving is believed this long while the list says that it is live. */
+const WORD_LIFE = 120_000;
+const CONSECUTIVE_FAILURES = 5;
+const RECENT_CALLS = 20;
+const FAILURE_SHARE = 0.5;
+const FIRST_EJECTION = 1000;
+const MAX_EJECTION = 30_000;
+const TRIAL_SUCCESSES = 3;
+const MIN_COLD_SHARE = 0.2;
+const SERVER_ERROR = 500;
+
+interface Ejection {
+  readonly until: number;
+  readonly reason: string;
+  readonly successes: number;
+}
+
+/** A target in use. */
+export class Target {
+  readonly name: string;
+
+  readonly address: Address;
+
+  readonly domain: string;
+
+  #inFlight = 0;
+
+  #progressAt = 0;
+
+  #foreign = 0;
+
+  #foreignAt = -Infinity;
+
+  #listed: ListedState = 'live';
+
+  #word: TargetWord = 'ready';
+
+  #wordAt = -Infinity;
+
+  #noticeAt = -Infinity;
+
+  #coldSince: number;
+
+  #outcomes: readonly boolean[] = [];
+
+  #ejection: Ejection | undefined;
+
+  #ejections = 0;
+
+  readonly #latency = new DecayingMean(LATENCY_HALF_LIFE);
+
+  /** Attempts by their end, since the start. */
+  readonly counts = { answered: 0, notRun: 0, failed: 0, cancelled: 0, connections: 0 };
+
+  constructor(private readonly options: TargetOptions) {
+    this.name = formatAddress(options.address);
+    this.address = options.address;
+    this.domain = options.domain;
+    this.#coldSince = options.isNew ? options.clock.now() : -Infinity;
+  }
+
+  /** Calls that this entry has in flight at the target. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /** Calls at the target from other entries, as far as a recent answer told. */
+  get foreign(): number {
+    const age = this.options.clock.now() - this.#foreignAt;
+    return age < REPORT_LIFE ? this.#foreign : 0;
+  }
+
+  /** The most calls that the target is given now. */
+  get limit(): number {
+    const full = this.options.limit.read();
+    const state = this.readState();
+    switch (state.kind) {
+      case 'ready':
+        return full;
+      case 'cold':
+        return Math.max(1, Math.floor(full * state.share));
+      case 'trial':
+        return 1;
+      case 'leaving':
+      case 'ejected':
+        return 0;
+      default:
+        return state satisfies never;
+    }
+  }
+
+  /** Mean time to an answer of late, in milliseconds. */
+  readLatency(fallback: number): number {
+    return this.#latency.read(fallback);
+  }
+
+  /** How long the target has had calls in flight without ending one, in milliseconds. */
+  readStall(now: number): number {
+    return this.#inFlight === 0 ? 0 : now - this.#progressAt;
+  }
+
+  /** Whether the target may be used, by the first witness against it. */
+  readState(): TargetState {
+    const now = this.options.clock.now();
+    if (this.#listed !== 'live') return { kind: 'leaving', witness: `list says ${this.#listed}` };
+    if (this.#word === 'draining') {
+      return now - this.#wordAt < WORD_LIFE
+        ? { kind: 'leaving', witness: 'its own word' }
+        : { kind: 'trial', reason: 'it said that it was leaving and is still listed' };
+    }
+    if (now - this.#noticeAt < NOTICE_LIFE) return { kind: 'leaving', witness: 'another entry' };
+    if (this.#ejection !== undefined) {
+      const { until, reason } = this.#ejection;
+      return now < until ? { kind: 'ejected', until, reason } : { kind: 'trial', reason };
+    }
+    const { coldStart } = this.options;
+    const warmed = coldStart === 0 ? 1 : (now - this.#coldSince) / coldStart;
+    if (warmed < 1) return { kind: 'cold', share: Math.max(MIN_COLD_SHARE, warmed) };
+    return { kind: 'ready' };
+  }
+
+  /** Takes what the platform's list says. */
+  noteListed(state: ListedState): void {
+    if (this.#listed !== 'live' && state === 'live') this.#coldSince = this.options.clock.now();
+    this.#listed = state;
+  }
+
+  /** Takes another entry's notice that the target is leaving. */
+  noteNotice(): void {
+    this.#noticeAt = this.options.clock.now();
+  }
+
+  /** Counts a call that starts. The caller has checked {@link limit}. */
+  start(): void {
+    const { kind } = this.readState();
+    assertInvariant(kind !== 'leaving', `no call starts at ${this.name}, known to be leaving`);
+    if (this.#inFlight === 0) this.#progressAt = this.options.clock.now();
+    this.#inFlight += 1;
+  }
+
+  /** Counts a call that ended and learns from how it ended. */
+  finish(end: AttemptEnd, latency: number): void {
+    const now = this.options.clock.now();
+    const full = this.#inFlight >= this.options.limit.read();
+    this.#inFlight -= 1;
+    assertInvariant(this.#inFlight >= 0, `calls in flight at ${this.name} are never negative`);
+    switch (end.kind) {
+      case 'answered':
+        this.counts.answered += 1;
+        this.#progressAt = now;
+        this.#latency.add(latency, now);
+        this.options.limit.noteAnswer(latency, full);
+        this.#noteReport(end.report, now);
+        this.#noteOutcome(end.status < SERVER_ERROR, `status ${end.status}`);
+        return;
+      case 'not-run':
+        this.counts.notRun += 1;
+        this.#progressAt = now;
+        this.options.limit.noteShed();
+        this.#noteReport(end.report, now);
+        return;
+      case 'failed':
+        this.counts.failed += 1;
+        this.#noteOutcome(false, end.reason);
+        return;
+      case 'cancelled':
+        this.counts.cancelled += 1;
+        return;
+      default:
+        end satisfies never;
+    }
+  }
+
+  /** Ends an ejection, because too many targets are ejected to believe it. */
+  pardon(): void {
+    this.#ejection = undefined;
+    this.#outcomes = [];
+  }
+
+  /** Learns the outcome of a probe while the target is ejected. */
+  noteProbe(healthy: boolean): void {
+    if (this.#ejection === undefined) return;
+    if (healthy) this.#noteOutcome(true, 'probe');
+  }
+
+  #noteReport(report: TargetReport, now: number): void {
+    if (report.inFlight !== undefined) {
+      this.#foreign = Math.max(0, report.inFlight - this.#inFlight);
+      this.#foreignAt = now;
+    }
+    if (report.word === undefined) return;
+    if (report.word === 'cold' && this.#word !== 'cold') this.#coldSince = now;
+    if (report.word === 'ready') this.#noticeAt = -Infinity;
+    this.#word = report.word;
+    this.#wordAt = now;
+  }
+
+  #noteOutcome(success: boolean, reason: string): void {
+    if (this.#ejection !== undefined) {
+      this.#noteTrial(this.#ejection, success, reason);
+      return;
+    }
+    this.#outcomes = [...this.#outcomes.slice(1 - RECENT_CALLS), success];
+    if (success) return;
+    const streak = this.#outcomes.slice(-CONSECUTIVE_FAILURES);
+    const failures = this.#outcomes.filter((outcome) => !outcome).length;
+    const streakOfFailures = streak.length === CONSECUTIVE_FAILURES && !streak.includes(true);
+    const half = this.#outcomes.length === RECENT_CALLS && failures > RECENT_CALLS * FAILURE_SHARE;
+    if (streakOfFailures || half) this.#eject(reason);
+  }
+
+  #noteTrial(ejection: Ejection, success: boolean, reason: string): void {
+    if (!success) {
+      // Calls that started before the ejection still end; they do not prolong it.
+      if (this.options.clock.now() >= ejection.until) this.#eject(reason);
+      return;
+    }
+    const successes = ejection.successes + 1;
+    if (successes < TRIAL_SUCCESSES) {
+      this.#ejection = { ...ejection, successes };
+      return;
+    }
+    this.#ejection = undefined;
+    this.#ejections = 0;
+    this.#outcomes = [];
+    this.#coldSince = this.options.clock.now();
+  }
+
+  #eject(reason: string): void {
+    const { clock, random } = this.options;
+    const span = Math.min(MAX_EJECTION, FIRST_EJECTION * 2 ** this.#ejections);
+    this.#ejections += 1;
+    const until = clock.now() + span * (0.75 + random.next() / 2);
+    this.#ejection = { until, reason, successes: 0 };
+  }
+}
--- /dev/null
+++ b/src/demo/index.ts
@@ -0,0 +1,4 @@
+/** A whole system on one machine: launching it, and calling it as a caller would. */
+export * from './launch.js';
+export * from './caller.js';
+export * from './system.js';
--- /dev/null
+++ b/src/entry/call-handler.ts
@@ -0,0 +1,394 @@
+/** Serves the calls that arrive at one entry, from the head of the request to its end. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { type Clock, type Log, type Metrics, type Random, parseAddress } from '../kernel/index.js';
+import type { Service } from '../config/index.js';
+import type { Claims } from '../once/index.js';
+import type { Member } from '../peer/index.js';
+import { type Ruling, PASSING, applyPolicies } from '../policy/index.js';
+import {
+  AnswerGate,
+  type Body,
+  BufferBudget,
+  CALLER_HEADERS,
+  type Call,
+  type CallEnd,
+  Forwarder,
+  type Outcome,
+  RELAY_HEADER,
+  STOPPING,
+  buildTargetHeaders,
+  createNotRun,
+  createUnknown,
+  findClass,
+  inviteBody,
+  isBufferable,
+  readCall,
+  readCallId,
+  readWhole,
+  startAttempt,
+  viewCall,
+  writeOutcome,
+} from '../proxy/index.js';
+import type { Clients } from './clients.js';
+import type { PoolRuntime } from './pool-runtime.js';
+import type { ServiceRuntime } from './service-runtime.js';
+import type { ServiceTable } from './service-table.js';
+
+/** What the handler is made from. */
+export interface CallHandlerOptions {
+  readonly table: ServiceTable;
+  readonly clients: Clients;
+  readonly claims: Claims;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly maxCalls: number;
+  readonly logCalls: 'all' | 'failed' | 'none';
+  readonly relaySecret: string;
+  readonly selfId: () => string;
+  readonly isConfigured: () => boolean;
+  /** Milliseconds since the configuration was last shown to be current. */
+  readonly readProofAge: () => number;
+  readonly onLeaving: (target: string) => void;
+}
+
+/** A call on its way through the handler. */
+interface Passage {
+  readonly runtime: ServiceRuntime;
+  readonly call: Call;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly signal: AbortSignal;
+  /** Whether another entry handed the call over; it is then served here in any case. */
+  readonly relayed: boolean;
+}
+
+const BUFFER_LIMIT = 64 * 1024 * 1024;
+const RELAY_CONNECTIONS = 256;
+const BUSY_RETRY = 1000;
+
+/** Serves calls. */
+export class CallHandler {
+  #active = 0;
+
+  readonly #buffers = new BufferBudget(BUFFER_LIMIT);
+
+  readonly #endings = new Set<AbortController>();
+
+  constructor(private readonly options: CallHandlerOptions) {}
+
+  /** Calls being served now. */
+  get active(): number {
+    return this.#active;
+  }
+
+  /** Ends all calls in flight; each is told truthfully, or its connection is cut. */
+  abortAll(): void {
+    for (const ending of this.#endings) ending.abort(STOPPING);
+  }
+
+  /** Serves one request. */
+  serve(request: IncomingMessage, response: ServerResponse, relayed: boolean): void {
+    const id = readCallId(request, this.options.random);
+    const gone = new AbortController();
+    response.on('close', () => gone.abort());
+    this.#active += 1;
+    this.#endings.add(gone);
+    this.#serve(request, response, { id, relayed, signal: gone.signal })
+      .catch((error: Error) => {
+        // A broken invariant must not go on serving.
+        this.options.log.error('call.broken', { call: id, error: error.stack ?? error.message });
+        response.destroy();
+        throw error;
+      })
+      .finally(() => {
+        this.#active -= 1;
+        this.#endings.delete(gone);
+        // The rest of a body that nobody wants is read and dropped, so that the answer arrives.
+        if (!request.complete && !request.destroyed) request.resume();
+      });
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    {
+      id,
+      relayed,
+      signal,
+    }: { readonly id: string; readonly relayed: boolean; readonly signal: AbortSignal },
+  ): Promise<void> {
+    const refuse = (outcome: Outcome) => {
+      this.options.metrics.count('call', 1, { end: outcome.kind, reason: outcome.reason });
+      this.#writeOutcome(response, id, outcome);
+    };
+    const found = this.#findRuntime(request);
+    if ('kind' in found) {
+      refuse(found);
+      return;
+    }
+    const { service } = found;
+    const now = this.options.clock.now();
+    const read = readCall(request, { service, id, now });
+    if (read.isLeft()) {
+      refuse(read.swap().unsafeCoerce());
+      return;
+    }
+    const call = read.unsafeCoerce();
+    found.rate.add(now);
+    const passage = { runtime: found, call, request, response, signal, relayed };
+    const end = await this.#pass(passage);
+    this.#conclude(passage, end);
+  }
+
+  #findRuntime(request: IncomingMessage): ServiceRuntime | Outcome {
+    const { options } = this;
+    if (this.#active > options.maxCalls) {
+      return createNotRun('too-many-calls', 'this entry holds its most calls', BUSY_RETRY);
+    }
+    if (!options.isConfigured()) {
+      return createNotRun('no-configuration', 'no configuration is known here yet', BUSY_RETRY);
+    }
+    const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
+    const runtime = options.table.find(request.headers.host ?? '', path);
+    if (runtime === undefined) {
+      return createNotRun('unknown-service', 'no service has this host and path');
+    }
+    return this.#checkCurrency(runtime.service) ?? runtime;
+  }
+
+  #checkCurrency(service: Service): Outcome | undefined {
+    if (service.when_stale === 'serve') return undefined;
+    if (this.options.readProofAge() <= service.stale_after) return undefined;
+    const detail = 'this entry cannot show that its configuration is current';
+    return createNotRun('configuration-not-current', detail, BUSY_RETRY);
+  }
+
+  async #pass(passage: Passage): Promise<CallEnd> {
+    const home = this.#findOtherHome(passage);
+    if (home !== undefined) {
+      const end = await this.#relay(passage, home);
+      if (end !== 'not-reached') return end;
+    }
+    const ruling = this.#rule(passage);
+    if (ruling.refusal !== undefined) {
+      return { kind: 'told', outcome: createNotRun('policy', ruling.refusal, BUSY_RETRY) };
+    }
+    const body = await this.#readBody(passage);
+    if (body === undefined) return { kind: 'gone' };
+    try {
+      return await this.#runOnce(passage, ruling, body);
+    } finally {
+      if (body.kind === 'buffered') this.#buffers.give(body.data.length);
+    }
+  }
+
+  /** Returns the home that serves the call, unless this entry should do so itself. */
+  #findOtherHome({ runtime, relayed }: Passage): Member | undefined {
+    if (relayed || runtime.placement.isHome) return undefined;
+    const homes = runtime.placement.plan.homes.filter(({ state }) => state === 'live');
+    return homes[Math.floor(this.options.random.next() * homes.length)];
+  }
+
+  /** Hands the call over to a home; `not-reached` when nothing was sent to it. */
+  async #relay(passage: Passage, home: Member): Promise<CallEnd | 'not-reached'> {
+    const address = parseAddress(home.relay);
+    if (address === undefined) return 'not-reached';
+    const { call, request, response, signal, runtime } = passage;
+    const { clock } = this.options;
+    const deadline = call.receivedAt + call.timeAllowed;
+    const body: Body = call.bytes === 0 ? { kind: 'none' } : { kind: 'stream', request };
+    if (body.kind === 'stream') inviteBody(request, response);
+    const headers = buildTargetHeaders(request.rawHeaders, {
+      ...{ call: call.id, left: deadline - clock.now(), callerAddress: call.callerAddress },
+      forwardedFor: request.headers['x-forwarded-for'] as string | undefined,
+      isRetry: call.isRetry,
+    });
+    headers.push(RELAY_HEADER, this.options.relaySecret);
+    if (request.headers[CALLER_HEADERS.caller] === undefined) {
+      headers.push(CALLER_HEADERS.caller, call.caller);
+    }
+    let sent = false;
+    const attempt = startAttempt({
+      ...{ client: this.options.clients.find(address, RELAY_CONNECTIONS), call, headers },
+      ...{ body, response, gate: new AnswerGate(), keepsOutcome: true },
+      discards: () => false,
+      isTimely: () => clock.now() < deadline,
+      onSent: () => {
+        sent = true;
+      },
+      onNotRun: () => undefined,
+    });
+    const abort = () => attempt.abort('ended');
+    // The home ends the call at its deadline and says how; this entry waits a little longer.
+    const timer = clock.schedule(deadline - clock.now() + RELAY_GRACE, abort);
+    signal.addEventListener('abort', abort, { once: true });
+    const result = await attempt.done;
+    timer.cancel();
+    signal.removeEventListener('abort', abort);
+    runtime.counts.relayed += 1;
+    if (result.kind === 'relayed') {
+      return { kind: 'answered', status: result.status, target: home.relay };
+    }
+    if (result.kind === 'cut') return { kind: 'cut', target: home.relay, detail: result.detail };
+    if (signal.aborted) return { kind: 'gone' };
+    if (!sent) return 'not-reached';
+    const retriable = call.repeatable && body.kind === 'none' && clock.now() < deadline;
+    if (retriable) return 'not-reached';
+    const reason = result.kind === 'cancelled' ? 'deadline' : 'connection-lost';
+    return {
+      kind: 'told',
+      outcome: createUnknown(reason, 'the entry that had the call is silent'),
+    };
+  }
+
+  #rule({ runtime, call, request }: Passage): Ruling {
+    const { policies } = runtime.service;
+    if (policies.length === 0) return PASSING;
+    const pool = this.#findPool(runtime, undefined).pool.readLoad();
+    const view = { call: viewCall(call, request, this.options.clock.now()), pool };
+    const ruling = applyPolicies(policies, view);
+    for (const name of ruling.failures) {
+      runtime.counts.policyFailures += 1;
+      this.options.metrics.count('policy.failed', 1, {
+        service: runtime.service.name,
+        policy: name,
+      });
+      this.options.log.warn('policy.failed', { call: call.id, policy: name });
+    }
+    return ruling;
+  }
+
+  #findPool(runtime: ServiceRuntime, name: string | undefined): PoolRuntime {
+    return runtime.findPool(name, this.options.table.readVmView(), this.options.selfId());
+  }
+
+  /** Reads a short body whole; undefined when the caller ended it early. */
+  async #readBody({ call, request, response }: Passage): Promise<Body | undefined> {
+    if (call.bytes === 0) return { kind: 'none' };
+    if (!isBufferable(call) || !this.#buffers.take(call.bytes)) return { kind: 'stream', request };
+    inviteBody(request, response);
+    try {
+      return { kind: 'buffered', data: await readWhole(request) };
+    } catch {
+      this.#buffers.give(call.bytes);
+      return undefined;
+    }
+  }
+
+  /** Claims the idempotency key of a call that may not be repeated, then runs the call. */
+  async #runOnce(passage: Passage, ruling: Ruling, body: Body): Promise<CallEnd> {
+    const { runtime, call } = passage;
+    if (call.repeatable || call.idempotencyKey === undefined) {
+      return this.#forward(passage, ruling, body);
+    }
+    const claim = await this.options.claims.claim({
+      service: runtime.service.name,
+      key: call.idempotencyKey,
+      request: `${call.method} ${call.path}`,
+      window: runtime.service.replay_window,
+      deadline: call.receivedAt + call.timeAllowed,
+    });
+    switch (claim.kind) {
+      case 'claimed': {
+        const end = await this.#forward(passage, ruling, body);
+        const freed = end.kind === 'told' && end.outcome.kind === 'not-run';
+        if (freed) await claim.release();
+        return end;
+      }
+      case 'duplicate': {
+        const detail = 'a call with this idempotency key was sent before; it may have run';
+        return { kind: 'told', outcome: createUnknown('duplicate', detail) };
+      }
+      case 'mismatch': {
+        const detail = `the idempotency key belongs to ${claim.request}`;
+        return { kind: 'told', outcome: createNotRun('key-reused', detail) };
+      }
+      case 'unproven': {
+        const detail = `it cannot be shown that the call runs at most once: ${claim.reason}`;
+        return { kind: 'told', outcome: createNotRun('claim-unproven', detail, BUSY_RETRY) };
+      }
+      default:
+        return claim satisfies never;
+    }
+  }
+
+  async #forward(passage: Passage, ruling: Ruling, body: Body): Promise<CallEnd> {
+    const { runtime, call, request, response, signal } = passage;
+    const { clients, clock, metrics } = this.options;
+    const pool = this.#findPool(runtime, ruling.pool);
+    const connections = pool.countConnections(runtime.placement.plan.homes.length);
+    const forwarder = new Forwarder(
+      {
+        pool: pool.pool,
+        class: findClass(runtime.service, ruling.class ?? call.className),
+        hold: ruling.hold,
+        retries: runtime.retries,
+        hedges: runtime.hedges,
+        clientOf: (target) => clients.find(target.address, connections),
+        clock,
+        onLeaving: this.options.onLeaving,
+      },
+      { call, body, request, response, signal },
+    );
+    const end = await forwarder.run();
+    const tags = { service: runtime.service.name };
+    const { retries, hedges, waited } = forwarder.cost;
+    if (retries > 0) metrics.count('call.retry', retries, tags);
+    if (hedges > 0) metrics.count('call.hedge', hedges, tags);
+    if (waited > 0) metrics.time('call.wait', waited, tags);
+    return end;
+  }
+
+  #conclude(passage: Passage, end: CallEnd): void {
+    const { runtime, call, response } = passage;
+    if (end.kind === 'told') this.#writeOutcome(response, call.id, end.outcome);
+    this.#count(runtime, end);
+    const { metrics, clock } = this.options;
+    const took = clock.now() - call.receivedAt;
+    const name = end.kind === 'told' ? end.outcome.kind : end.kind;
+    metrics.count('call', 1, { service: runtime.service.name, end: name });
+    metrics.time('call.time', took, { service: runtime.service.name });
+    this.#log(passage, end, took);
+  }
+
+  #count({ counts }: ServiceRuntime, end: CallEnd): void {
+    switch (end.kind) {
+      case 'answered':
+        counts.answered += 1;
+        return;
+      case 'cut':
+        counts.cut += 1;
+        return;
+      case 'gone':
+        counts.gone += 1;
+        return;
+      case 'told':
+        if (end.outcome.kind === 'not-run') counts.notRun += 1;
+        else counts.unknown += 1;
+        return;
+      default:
+        end satisfies never;
+    }
+  }
+
+  #log({ runtime, call }: Passage, end: CallEnd, took: number): void {
+    const { logCalls, log } = this.options;
+    if (logCalls === 'none' || (logCalls === 'failed' && end.kind === 'answered')) return;
+    const told = end.kind === 'told' ? end.outcome : undefined;
+    log.info('call.end', {
+      ...{ call: call.id, service: runtime.service.name, method: call.method, path: call.path },
+      ...{ end: told?.kind ?? end.kind, reason: told?.reason, took: Math.round(took) },
+      status: end.kind === 'answered' ? end.status : undefined,
+      target: 'target' in end ? end.target : undefined,
+    });
+  }
+
+  #writeOutcome(response: ServerResponse, id: string, outcome: Outcome): void {
+    if (response.destroyed || response.writableEnded) return;
+    writeOutcome(response, id, outcome);
+  }
+}
+
+const RELAY_GRACE = 50;
--- /dev/null
+++ b/src/entry/entry.ts
@@ -0,0 +1,400 @@
+/** The entry daemon: puts the parts together, starts them, and stops them in a planned way. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import {
+  type Address,
+  type Kernel,
+  type KeyPair,
+  assertInvariant,
+  clockService,
+  formatAddress,
+  logService,
+  metricsService,
+  networkService,
+  randomService,
+} from '../kernel/index.js';
+import type { Strategy } from '../balance/index.js';
+import { ConfigStore, type Manifest } from '../config/index.js';
+import { DEFAULT_TIMES, Membership, type MembershipTimes } from '../member/index.js';
+import { Claims } from '../once/index.js';
+import {
+  type ExchangeMessage,
+  type Knowledge,
+  type Member,
+  type PeerHandlers,
+  type PeerServer,
+  peerTransportService,
+} from '../peer/index.js';
+import { type MeteredPlatform, createMeteredPlatform, platformService } from '../platform/index.js';
+import { type HttpListener, RELAY_HEADER, startHttpListener } from '../proxy/index.js';
+import type { EntrySettings } from '../settings/index.js';
+import {
+  ConfigFollower,
+  DEFAULT_FOLLOWER_TIMES,
+  type FollowerTimes,
+  VmsFollower,
+} from '../spread/index.js';
+import { CallHandler } from './call-handler.js';
+import { Clients } from './clients.js';
+import { DISCOVERY_PATH, answerDiscovery } from './discovery.js';
+import { Prober } from './prober.js';
+import { ServiceTable } from './service-table.js';
+import { type EntryStatus, describeService } from './status.js';
+
+/** What can be set besides the settings file. */
+export interface EntryOptions {
+  readonly strategy?: Strategy;
+  readonly membershipTimes?: MembershipTimes;
+  readonly followerTimes?: FollowerTimes;
+  readonly callersKeys?: KeyPair;
+}
+
+const STOP_CHECK = 20;
+const STOP_PUSHES = 50;
+const READY_WAIT = 3000;
+const ENTRY_ROLE = 'entry';
+
+/** One entry daemon. It runs inside any kernel, also several in one process. */
+export class Entry {
+  readonly #platform: MeteredPlatform;
+
+  readonly #clients: Clients;
+
+  readonly #claims: Claims;
+
+  readonly #running = new AbortController();
+
+  /** Reads and writes the configuration; the administration interface uses it too. */
+  readonly store: ConfigStore;
+
+  #membership: Membership | undefined;
+
+  #follower: ConfigFollower | undefined;
+
+  #vms: VmsFollower | undefined;
+
+  #table: ServiceTable | undefined;
+
+  #prober: Prober | undefined;
+
+  #handler: CallHandler | undefined;
+
+  #callers: HttpListener | undefined;
+
+  #relay: HttpListener | undefined;
+
+  #peers: PeerServer | undefined;
+
+  constructor(
+    private readonly kernel: Kernel,
+    readonly settings: EntrySettings,
+    private readonly options: EntryOptions = {},
+  ) {
+    const clock = kernel.find(clockService);
+    const random = kernel.find(randomService);
+    this.#platform = createMeteredPlatform(
+      kernel.find(platformService),
+      settings.platform.calls_per_second,
+      clock,
+    );
+    this.store = new ConfigStore(this.#platform, clock, random);
+    this.#clients = new Clients(kernel.find(networkService));
+    this.#claims = new Claims(this.#platform, clock, random);
+  }
+
+  /** The services at work; only after {@link start}. */
+  get table(): ServiceTable {
+    assertInvariant(this.#table !== undefined, 'the entry was started');
+    return this.#table;
+  }
+
+  get follower(): ConfigFollower {
+    assertInvariant(this.#follower !== undefined, 'the entry was started');
+    return this.#follower;
+  }
+
+  get membership(): Membership {
+    assertInvariant(this.#membership !== undefined, 'the entry was started');
+    return this.#membership;
+  }
+
+  /** Where callers connect; only after {@link start}. */
+  get callersAddress(): Address {
+    assertInvariant(this.#callers !== undefined, 'the entry was started');
+    return this.#callers.address;
+  }
+
+  /** Starts listening, joins the other entries, and begins to follow the configuration. */
+  async start(): Promise<void> {
+    const { settings, kernel } = this;
+    const clock = kernel.find(clockService);
+    const random = kernel.find(randomService);
+    const log = kernel.find(logService);
+    const transport = kernel.find(peerTransportService);
+    const shared = { clock, random, log, transport };
+
+    this.#peers = await transport.serve(settings.entry.peers, this.#createHandlers());
+    this.#relay = await this.#listen(settings.entry.relay, (request, response) =>
+      this.#serveRelay(request, response),
+    );
+    this.#callers = await this.#listen(
+      settings.entry.callers,
+      (request, response) => this.#serveCaller(request, response),
+      this.options.callersKeys,
+    );
+
+    const listCandidates = () => this.membership.listCandidates();
+    const selfId = () => this.membership.self.id;
+    this.#membership = new Membership({
+      ...shared,
+      self: {
+        name: settings.entry.name,
+        domain: settings.entry.failure_domain,
+        callers: formatAddress(this.#callers.address),
+        peers: formatAddress(this.#peers.address),
+        relay: formatAddress(this.#relay.address),
+        admin: formatAddress(settings.entry.admin),
+      },
+      times: this.options.membershipTimes ?? DEFAULT_TIMES,
+      readKnowledge: () => this.#readKnowledge(),
+      onKnowledge: (from, knowledge) => this.#hearKnowledge(from, knowledge),
+      onChange: () => this.#table?.refresh(),
+      onNotice: (target) => this.#table?.noteLeaving(target),
+      listSeeds: () => this.#listSeeds(),
+    });
+    this.#table = new ServiceTable({
+      ...{ strategy: this.options.strategy ?? 'fresh', clock, random },
+      ...{ domain: settings.entry.failure_domain, selfId, listCandidates },
+      onDropped: (address) => this.#clients.release(address),
+    });
+    this.#follower = new ConfigFollower({
+      ...shared,
+      ...{ store: this.store, platform: this.#platform, listCandidates, selfId },
+      times: this.options.followerTimes ?? DEFAULT_FOLLOWER_TIMES,
+      onAdopted: (configuration) => {
+        this.table.setConfiguration(configuration);
+        this.membership.push();
+      },
+    });
+    this.#vms = new VmsFollower({
+      ...shared,
+      ...{ platform: this.#platform, listCandidates, selfId },
+      onChange: (vms) => {
+        this.table.setVms(vms);
+        this.membership.push();
+      },
+    });
+    this.#handler = this.#createHandler();
+    this.#prober = new Prober({
+      ...{ table: this.#table, clients: this.#clients, platform: this.#platform },
+      ...{ clock, log, metrics: kernel.find(metricsService) },
+    });
+    await this.#begin();
+    log.info('entry.started', {
+      ...{ name: settings.entry.name, callers: formatAddress(this.#callers.address) },
+      ...{
+        members: this.membership.listAll().length,
+        revision: this.follower.configuration.revision,
+      },
+    });
+  }
+
+  /**
+   * Stops without cutting a call: leaves the answers to callers, waits until old answers have run
+   * out, closes idle connections, and ends when the last call has ended or `grace` is over.
+   */
+  async stop(grace = this.settings.limits.stop_grace, signal?: AbortSignal): Promise<void> {
+    const clock = this.kernel.find(clockService);
+    const log = this.kernel.find(logService);
+    const limit = clock.now() + grace;
+    log.info('entry.stopping', { name: this.settings.entry.name, active: this.#active() });
+    await this.membership.announceStopping();
+    await clock.sleep(Math.min(this.settings.limits.answer_ttl, grace), signal);
+    await this.#callers?.drain();
+    while (this.#active() > 0 && clock.now() < limit && signal?.aborted !== true) {
+      await clock.sleep(STOP_CHECK, signal);
+    }
+    // Peers hand calls over until they have heard that this entry stops; by now all have.
+    await this.#relay?.drain();
+    while (this.#active() > 0 && clock.now() < limit && signal?.aborted !== true) {
+      await clock.sleep(STOP_CHECK, signal);
+    }
+    const left = this.#active();
+    this.#handler?.abortAll();
+    await clock.sleep(STOP_PUSHES);
+    await this.membership.announceGone();
+    this.destroy();
+    log.info('entry.stopped', { name: this.settings.entry.name, ended: left });
+  }
+
+  /** Ends at once, as a crash would. */
+  destroy(): void {
+    this.#running.abort();
+    this.#callers?.destroy();
+    this.#relay?.destroy();
+    this.#peers?.close();
+    this.#clients.destroy();
+  }
+
+  /** Replaces the certificate for callers without a restart. */
+  replaceCallersKeys(keys: KeyPair): void {
+    this.#callers?.replaceKeys(keys);
+  }
+
+  /** Takes a manifest that the administration interface accepted at time `at`. */
+  takeManifest(manifest: Manifest, at: number): Promise<void> {
+    return this.follower.takeManifest(manifest, at);
+  }
+
+  /** Describes this entry. */
+  describe(): EntryStatus {
+    const now = this.kernel.find(clockService).now();
+    const { proofAge, configuration, fault } = this.follower;
+    return {
+      name: this.settings.entry.name,
+      domain: this.settings.entry.failure_domain,
+      state: this.membership.self.state,
+      revision: configuration.revision,
+      proofAge: Number.isFinite(proofAge) ? Math.round(proofAge) : null,
+      configFault: fault,
+      active: this.#active(),
+      connections: this.#callers?.countConnections() ?? 0,
+      connectionsOpened: this.#clients.opened,
+      memory: process.memoryUsage.rss(),
+      members: this.membership.listAll(),
+      platform: this.#platform.counts(),
+      claims: { ...this.#claims.counts },
+      services: this.table
+        .list()
+        .map((runtime) =>
+          describeService(
+            runtime,
+            now,
+            (pool) => this.#prober?.readSpent(runtime.service.name, pool) ?? 0,
+          ),
+        ),
+    };
+  }
+
+  #active(): number {
+    return this.#handler?.active ?? 0;
+  }
+
+  async #begin(): Promise<void> {
+    const { signal } = this.#running;
+    const clock = this.kernel.find(clockService);
+    await this.#vms?.readPlatform();
+    await this.membership.join();
+    const tasks = [
+      this.membership.run(signal),
+      this.follower.run(signal),
+      this.#vms?.run(signal),
+      this.#prober?.run(signal),
+    ];
+    for (const task of tasks) task?.catch((error: Error) => this.#fail(error));
+    const limit = clock.now() + READY_WAIT;
+    while (!this.follower.isKnown && clock.now() < limit) await clock.sleep(STOP_CHECK);
+  }
+
+  /** A task that ends with an error met a broken invariant: the process must not go on. */
+  #fail(error: Error): void {
+    const text = error.stack ?? error.message;
+    this.kernel.find(logService).error('entry.broken', { error: text });
+    throw error;
+  }
+
+  #listen(
+    address: Address,
+    handle: (request: IncomingMessage, response: ServerResponse) => void,
+    keys?: KeyPair,
+  ): Promise<HttpListener> {
+    const { limits } = this.settings;
+    return startHttpListener({
+      ...{ network: this.kernel.find(networkService), address, handle, keys },
+      ...{ maxConnections: limits.max_connections, maxHeaderBytes: limits.max_header_bytes },
+      ...{ headerTimeout: limits.header_timeout, bodyTimeout: limits.body_timeout },
+      onRefused: (detail) => {
+        this.kernel.find(metricsService).count('door.refused');
+        this.kernel.find(logService).info('door.refused', { detail });
+      },
+    });
+  }
+
+  #createHandler(): CallHandler {
+    const { settings, kernel } = this;
+    return new CallHandler({
+      ...{ table: this.table, clients: this.#clients, claims: this.#claims },
+      ...{ clock: kernel.find(clockService), random: kernel.find(randomService) },
+      ...{ log: kernel.find(logService), metrics: kernel.find(metricsService) },
+      ...{ maxCalls: settings.limits.max_calls, logCalls: settings.log.calls },
+      relaySecret: settings.security.peer_secret,
+      selfId: () => this.membership.self.id,
+      isConfigured: () => this.follower.isKnown,
+      readProofAge: () => this.follower.proofAge,
+      onLeaving: (target) => this.membership.announceLeaving(target),
+    });
+  }
+
+  #createHandlers(): PeerHandlers {
+    return {
+      exchange: async (request): Promise<ExchangeMessage> => this.membership.answer(request),
+      probe: (peers) => this.membership.probe(peers),
+      fetchConfig: async (known) => this.follower.answerFetch(known),
+      fetchVms: async () => (this.#vms as VmsFollower).answerFetch(),
+    };
+  }
+
+  #serveCaller(request: IncomingMessage, response: ServerResponse): void {
+    const url = request.url ?? '/';
+    if (url.startsWith(DISCOVERY_PATH)) {
+      this.#serveDiscovery(url, response);
+      return;
+    }
+    this.#handler?.serve(request, response, false);
+  }
+
+  #serveRelay(request: IncomingMessage, response: ServerResponse): void {
+    if (request.headers[RELAY_HEADER] !== this.settings.security.peer_secret) {
+      response.writeHead(403).end();
+      return;
+    }
+    this.#handler?.serve(request, response, true);
+  }
+
+  #serveDiscovery(url: string, response: ServerResponse): void {
+    const query = new URL(url, 'http://entry').searchParams;
+    const runtime = this.table.findByName(query.get('service') ?? '');
+    const answer = runtime && answerDiscovery(runtime, this.settings.limits.answer_ttl);
+    const found = answer !== undefined && answer.entries.length > 0;
+    const missing = answer === undefined ? 404 : 503;
+    const status = found ? 200 : missing;
+    const body = JSON.stringify(answer ?? { status, title: 'No such service' });
+    response.writeHead(status, {
+      'content-type': status === 404 ? 'application/problem+json' : 'application/json',
+      'cache-control': `max-age=${Math.floor(this.settings.limits.answer_ttl / 1000)}`,
+    });
+    response.end(body);
+  }
+
+  #readKnowledge(): Knowledge {
+    const source = this.#vms?.source;
+    return {
+      revision: this.#follower?.configuration.revision ?? 0,
+      proofAge: this.#follower?.proofAge ?? Infinity,
+      vmsReader: source?.reader ?? '',
+      vmsCount: source?.count ?? 0,
+    };
+  }
+
+  #hearKnowledge(from: Member, knowledge: Knowledge): void {
+    this.#follower?.hearKnowledge(from, knowledge.revision, knowledge.proofAge);
+    this.#vms?.hearKnowledge(from, knowledge.vmsReader, knowledge.vmsCount);
+  }
+
+  #listSeeds(): readonly string[] {
+    const listed = (this.#vms?.vms ?? [])
+      .filter(({ role, state }) => role === ENTRY_ROLE && state === 'live')
+      .map(({ address }) => formatAddress(address));
+    const configured = this.settings.entry.seeds.map(formatAddress);
+    return [...new Set([...configured, ...listed])];
+  }
+}
--- /dev/null
+++ b/src/entry/placement.ts
@@ -0,0 +1,50 @@
+/** Where the calls of a service go: its homes among the entries, seen from this entry. */
+import { type HomePlan, planHomes, readRegion } from '../balance/index.js';
+import type { Service } from '../config/index.js';
+import type { Member } from '../peer/index.js';
+import type { Vm } from '../platform/index.js';
+
+/** The homes of a service, and whether this entry is one of them. */
+export interface Placement {
+  readonly region: string;
+  readonly plan: HomePlan<Member>;
+  readonly isHome: boolean;
+}
+
+/** Returns the VMs that are targets of a pool by role. */
+export function listRole(vms: readonly Vm[], role: string): readonly Vm[] {
+  return role === '' ? [] : vms.filter((vm) => vm.role === role);
+}
+
+/**
+ * Chooses the region whose entries are homes: this entry's own when the service has targets there
+ * or nowhere; else one that has both targets and entries, the same in every entry.
+ */
+function chooseRegion(service: Service, { own, vms, candidates }: PlacementView): string {
+  const roles = new Set(service.pools.map(({ role }) => role).filter((role) => role !== ''));
+  const regions = new Set<string>();
+  for (const vm of vms) {
+    if (vm.state === 'live' && roles.has(vm.role)) regions.add(readRegion(vm.domain));
+  }
+  if (regions.size === 0 || regions.has(own)) return own;
+  const staffed = new Set(candidates.map(({ domain }) => readRegion(domain)));
+  return [...regions].sort().find((region) => staffed.has(region)) ?? own;
+}
+
+/** What placing needs to see. */
+export interface PlacementView {
+  /** Region of this entry. */
+  readonly own: string;
+  readonly selfId: string;
+  readonly vms: readonly Vm[];
+  /** Live and suspected entries. */
+  readonly candidates: readonly Member[];
+}
+
+/** Places a service. */
+export function placeService(service: Service, view: PlacementView): Placement {
+  const region = chooseRegion(service, view);
+  const local = view.candidates.filter(({ domain }) => readRegion(domain) === region);
+  const plan = planHomes(service, local.length > 0 ? local : view.candidates);
+  return { region, plan, isHome: plan.homes.some(({ id }) => id === view.selfId) };
+}
--- /dev/null
+++ b/src/entry/pool-runtime.ts
@@ -0,0 +1,127 @@
+/** One pool of a service at work in this entry: its targets, kept in step with all witnesses. */
+import {
+  type Address,
+  type Clock,
+  type Random,
+  assertInvariant,
+  formatAddress,
+  parseAddress,
+} from '../kernel/index.js';
+import {
+  Pool,
+  type Strategy,
+  Target,
+  assignTargets,
+  createAdaptiveLimit,
+  createFixedLimit,
+} from '../balance/index.js';
+import type { PoolConfig, Service } from '../config/index.js';
+import type { Vm } from '../platform/index.js';
+import { type Placement, listRole } from './placement.js';
+
+/** What a pool at work is made from. */
+export interface PoolRuntimeOptions {
+  readonly service: Service;
+  readonly config: PoolConfig;
+  readonly strategy: Strategy;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly onDropped: (address: Address) => void;
+  /** The same pool under the configuration before, whose targets are kept when they still fit. */
+  readonly previous?: PoolRuntime;
+}
+
+/** The VMs of the list and which of them appeared while this daemon was running. */
+export interface VmView {
+  readonly vms: readonly Vm[];
+  readonly isNew: (address: string) => boolean;
+}
+
+interface ListedTarget {
+  readonly address: Address;
+  readonly domain: string;
+  readonly leaving: boolean;
+}
+
+const RESERVED_CONNECTIONS = 2;
+
+/** A pool at work. */
+export class PoolRuntime {
+  readonly pool: Pool;
+
+  readonly #targets: Map<string, Target>;
+
+  constructor(private readonly options: PoolRuntimeOptions) {
+    const { service, strategy, clock, random, config, previous } = options;
+    const fits =
+      previous !== undefined &&
+      previous.config.slots === config.slots &&
+      previous.config.cold_start === config.cold_start;
+    this.#targets = new Map(fits ? previous.#targets : []);
+    this.pool = new Pool({ strategy, queueLimit: service.queue_limit, clock, random });
+  }
+
+  get config(): PoolConfig {
+    return this.options.config;
+  }
+
+  /** Takes the list and the placement, and chooses the targets that this entry uses. */
+  update({ vms, isNew }: VmView, placement: Placement, self: string): void {
+    const listed = this.#listTargets(vms);
+    for (const [name, target] of this.#targets) {
+      if (listed.has(name)) continue;
+      target.noteListed('gone');
+      this.#targets.delete(name);
+      this.options.onDropped(target.address);
+    }
+    const { homes } = placement.plan;
+    const names = [...listed.keys()];
+    const mine = placement.isHome ? assignTargets(names, homes, self) : new Set(names);
+    const used: Target[] = [];
+    for (const [name, entry] of listed) {
+      if (!mine.has(name)) continue;
+      const target = this.#targets.get(name) ?? this.#createTarget(name, entry, isNew(name));
+      target.noteListed(entry.leaving ? 'leaving' : 'live');
+      used.push(target);
+    }
+    this.pool.setTargets(used);
+  }
+
+  /** Finds a target by its address, also one that this entry has used before. */
+  findTarget(name: string): Target | undefined {
+    return this.#targets.get(name);
+  }
+
+  /** Connections that this entry may open to one target. */
+  countConnections(homes: number): number {
+    const share = Math.floor(this.config.connections / (homes + RESERVED_CONNECTIONS));
+    assertInvariant(share >= 0, 'a share of connections is never negative');
+    return Math.max(1, share);
+  }
+
+  #listTargets(vms: readonly Vm[]): ReadonlyMap<string, ListedTarget> {
+    const listed = new Map<string, ListedTarget>();
+    for (const address of this.config.targets) {
+      listed.set(formatAddress(address), { address, domain: '', leaving: false });
+    }
+    for (const { address, domain, state } of listRole(vms, this.config.role)) {
+      listed.set(formatAddress(address), { address, domain, leaving: state === 'leaving' });
+    }
+    return listed;
+  }
+
+  #createTarget(name: string, entry: ListedTarget, isNew: boolean): Target {
+    const { config, clock, random } = this.options;
+    const address = parseAddress(name) ?? entry.address;
+    const limit =
+      config.slots > 0
+        ? createFixedLimit(config.slots)
+        : createAdaptiveLimit(this.countConnections(1));
+    const target = new Target({
+      ...{ address, domain: entry.domain, limit, coldStart: config.cold_start },
+      ...{ isNew, clock, random },
+    });
+    this.#targets.set(name, target);
+    return target;
+  }
+}
--- /dev/null
+++ b/src/entry/prober.ts
@@ -0,0 +1,84 @@
+/** Probes: the last resort, for ejected targets that no repeatable call can try. */
+import type { Clock, Log, Metrics } from '../kernel/index.js';
+import type { Target } from '../balance/index.js';
+import { MeasuringGrant, buildGrantKey } from '../measure/index.js';
+import type { Platform } from '../platform/index.js';
+import type { Clients } from './clients.js';
+import type { PoolRuntime } from './pool-runtime.js';
+import type { ServiceTable } from './service-table.js';
+
+/** What the prober is made from. */
+export interface ProberOptions {
+  readonly table: ServiceTable;
+  readonly clients: Clients;
+  readonly platform: Platform;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+const PERIOD = 1000;
+const PROBE_TIMEOUT = 1000;
+const PROBE_CONNECTIONS = 2;
+const HEALTHY_BELOW = 400;
+
+/** Probes targets within the measuring budget of each pool. */
+export class Prober {
+  readonly #grants = new Map<string, MeasuringGrant>();
+
+  constructor(private readonly options: ProberOptions) {}
+
+  /** Target milliseconds spent by this entry on probes of a pool. */
+  readSpent(service: string, pool: string): number {
+    return this.#grants.get(buildGrantKey(service, pool))?.spent ?? 0;
+  }
+
+  /** Probes until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.options.clock.sleep(PERIOD, signal);
+      if (signal.aborted) return;
+      for (const runtime of this.options.table.list()) {
+        if (!runtime.placement.isHome) continue;
+        for (const pool of runtime.listPools()) await this.#probePool(runtime.service.name, pool);
+      }
+    }
+  }
+
+  async #probePool(service: string, pool: PoolRuntime): Promise<void> {
+    const { config } = pool;
+    if (config.health_path === '' || config.measuring_budget === 0) return;
+    const key = buildGrantKey(service, config.name);
+    for (const target of pool.pool.targets) {
+      if (target.readState().kind !== 'trial' || target.inFlight > 0) continue;
+      const grant = this.#findGrant(key, config.measuring_budget);
+      if (!(await grant.spend(config.probe_cost))) return;
+      const healthy = await this.#probe(target, config.health_path);
+      target.noteProbe(healthy);
+      this.options.metrics.count('probe', 1, { service, healthy: String(healthy) });
+      this.options.log.info('probe', { service, target: target.name, healthy });
+    }
+  }
+
+  #findGrant(key: string, budget: number): MeasuringGrant {
+    const known = this.#grants.get(key);
+    if (known !== undefined) return known;
+    const { platform, clock } = this.options;
+    const grant = new MeasuringGrant(key, budget, platform, clock);
+    this.#grants.set(key, grant);
+    return grant;
+  }
+
+  async #probe(target: Target, path: string): Promise<boolean> {
+    const client = this.options.clients.find(target.address, PROBE_CONNECTIONS);
+    try {
+      const { statusCode, body } = await client.request({
+        ...{ method: 'GET', path, signal: AbortSignal.timeout(PROBE_TIMEOUT) },
+      });
+      await body.dump();
+      return statusCode < HEALTHY_BELOW;
+    } catch {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/status.ts
@@ -0,0 +1,113 @@
+/** What an entry shows of itself to operators. */
+import type { TargetState } from '../balance/index.js';
+import type { Member } from '../peer/index.js';
+import type { PlatformCounts } from '../platform/index.js';
+import type { CallCounts, ServiceRuntime } from './service-runtime.js';
+
+/** One target and why it is or isn't used. */
+export interface TargetStatus {
+  readonly address: string;
+  readonly domain: string;
+  readonly state: TargetState['kind'];
+  readonly why: string;
+  readonly inFlight: number;
+  readonly limit: number;
+  /** Mean time to an answer, in milliseconds. */
+  readonly latency: number;
+  readonly answered: number;
+  readonly failed: number;
+}
+
+/** One pool as used from this entry. */
+export interface PoolStatus {
+  readonly name: string;
+  readonly busy: number;
+  readonly waiting: number;
+  /** Target milliseconds that this entry has spent on probes. */
+  readonly measured: number;
+  readonly targets: readonly TargetStatus[];
+}
+
+/** One service as seen from this entry. */
+export interface ServiceStatus {
+  readonly name: string;
+  readonly region: string;
+  readonly homes: readonly string[];
+  readonly isHome: boolean;
+  /** Calls a second of late. */
+  readonly rate: number;
+  readonly counts: Readonly<CallCounts>;
+  readonly retries: number;
+  readonly hedges: number;
+  readonly pools: readonly PoolStatus[];
+}
+
+/** The whole of an entry. */
+export interface EntryStatus {
+  readonly name: string;
+  readonly domain: string;
+  readonly state: string;
+  readonly revision: number;
+  /** Milliseconds since the revision was shown to be the newest; null is never. */
+  readonly proofAge: number | null;
+  readonly configFault: string | undefined;
+  readonly active: number;
+  readonly connections: number;
+  readonly connectionsOpened: number;
+  readonly memory: number;
+  readonly members: readonly Member[];
+  readonly platform: PlatformCounts;
+  readonly claims: Readonly<Record<string, number>>;
+  readonly services: readonly ServiceStatus[];
+}
+
+function explainState(state: TargetState, now: number): string {
+  switch (state.kind) {
+    case 'ready':
+      return 'used';
+    case 'cold':
+      return `eased in at ${Math.round(state.share * 100)}%`;
+    case 'leaving':
+      return `leaving: ${state.witness}`;
+    case 'ejected':
+      return `ejected for ${Math.round(state.until - now)} ms: ${state.reason}`;
+    case 'trial':
+      return `one call at a time after: ${state.reason}`;
+    default:
+      return state satisfies never;
+  }
+}
+
+/** Shows one service. */
+export function describeService(
+  runtime: ServiceRuntime,
+  now: number,
+  readMeasured: (pool: string) => number,
+): ServiceStatus {
+  const { placement, service } = runtime;
+  return {
+    name: service.name,
+    region: placement.region,
+    homes: placement.plan.homes.map(({ name }) => name),
+    isHome: placement.isHome,
+    rate: runtime.rate.read(now),
+    counts: { ...runtime.counts },
+    retries: runtime.retries.spent,
+    hedges: runtime.hedges.spent,
+    pools: runtime.listPools().map(({ config, pool }) => {
+      const { busy, waiting } = pool.readLoad();
+      return {
+        ...{ name: config.name, busy, waiting, measured: readMeasured(config.name) },
+        targets: pool.targets.map((target) => {
+          const state = target.readState();
+          return {
+            ...{ address: target.name, domain: target.domain, state: state.kind },
+            ...{ why: explainState(state, now), inFlight: target.inFlight, limit: target.limit },
+            ...{ latency: target.readLatency(0), answered: target.counts.answered },
+            failed: target.counts.failed,
+          };
+        }),
+      };
+    }),
+  };
+}
--- /dev/null
+++ b/src/kernel/clock.ts
@@ -0,0 +1,119 @@
+/** Time as a kernel service, so that a test or a test bench can replace it. */
+import { nameService } from './kernel.js';
+
+/** A pending timer. */
+export interface Timer {
+  /** Cancels the timer; a timer that has fired is left alone. */
+  cancel(): void;
+}
+
+/** The time service. All times are in milliseconds. */
+export interface Clock {
+  /** Monotonic time, from an arbitrary origin. It never goes back. */
+  now(): number;
+  /** Wall-clock time since 1970. It may jump, and differs between VMs. */
+  wall(): number;
+  /** Calls `action` once after `delay` milliseconds. */
+  schedule(delay: number, action: () => void): Timer;
+  /** Resolves after `delay` milliseconds, or at once when `signal` aborts. */
+  sleep(delay: number, signal?: AbortSignal): Promise<void>;
+}
+
+/** The name of the time service. */
+export const clockService = nameService<Clock>('clock');
+
+/** Resolves after `delay` on the given scheduler, or when `signal` aborts, whichever is first. */
+export function sleepOn(
+  schedule: Clock['schedule'],
+  delay: number,
+  signal?: AbortSignal,
+): Promise<void> {
+  if (signal?.aborted) return Promise.resolve();
+  return new Promise((resolve) => {
+    const finish = () => {
+      signal?.removeEventListener('abort', finish);
+
+      timer.cancel();
+      resolve();
+    };
+    const timer = schedule(delay, finish);
+    signal?.addEventListener('abort', finish, { once: true });
+  });
+}
+
+/** Creates the clock of the machine. */
+export function createSystemClock(): Clock {
+  const schedule = (delay: number, action: () => void): Timer => {
+    const handle = setTimeout(action, delay);
+    return { cancel: () => clearTimeout(handle) };
+  };
+  return {
+    now: () => performance.now(),
+    wall: () => Date.now(),
+    schedule,
+    sleep: (delay, signal) => sleepOn(schedule, delay, signal),
+  };
+}
+
+interface Pending {
+  readonly at: number;
+  readonly order: number;
+  readonly action: () => void;
+}
+
+/** A clock that moves only when told to. Timers fire in order of their due time. */
+export class ManualClock implements Clock {
+  #now = 0;
+
+  #order = 0;
+
+  #pending: readonly Pending[] = [];
+
+  readonly #origin: number;
+
+  /** @param origin wall-clock time at the start, in milliseconds since 1970 */
+  constructor(origin = 0) {
+    this.#origin = origin;
+  }
+
+  now(): number {
+    return this.#now;
+  }
+
+  wall(): number {
+    return this.#origin + this.#now;
+  }
+
+  schedule(delay: number, action: () => void): Timer {
+    const entry: Pending = { at: this.#now + Math.max(0, delay), order: this.#order, action };
+    this.#order += 1;
+    this.#pending = [...this.#pending, entry];
+    return {
+      cancel: () => {
+        this.#pending = this.#pending.filter((other) => other !== entry);
+      },
+    };
+  }
+
+  sleep(delay: number, signal?: AbortSignal): Promise<void> {
+    return sleepOn((after, action) => this.schedule(after, action), delay, signal);
+  }
+
+  /** Moves time on by `span`, firing each due timer and letting its continuations run. */
+  async advance(span: number): Promise<void> {
+    const end = this.#now + span;
+    for (;;) {
+      const [next] = this.#pending
+        .filter((entry) => entry.at <= end)
+        .sort((a, b) => a.at - b.at || a.order - b.order);
+      if (next === undefined) break;
+      this.#pending = this.#pending.filter((entry) => entry !== next);
+      this.#now = next.at;
+      next.action();
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    }
+    this.#now = end;
+  }
+}
--- /dev/null
+++ b/src/kernel/random.ts
@@ -0,0 +1,44 @@
+/** Randomness as a kernel service, so that a run can be repeated from its seed. */
+import { randomBytes } from 'node:crypto';
+import { nameService } from './kernel.js';
+
+/** The randomness service. */
+export interface Random {
+  /** Returns a number in [0, 1). */
+  next(): number;
+  /** Returns an identifier of 24 hexadecimal digits. */
+  id(): string;
+}
+
+/** The name of the randomness service. */
+export const randomService = nameService<Random>('random');
+
+const ID_BYTES = 12;
+
+/** Creates the randomness of the machine. */
+export function createSystemRandom(): Random {
+  return { next: () => Math.random(), id: () => randomBytes(ID_BYTES).toString('hex') };
+}
+
+/** Creates a repeatable generator (mulberry32) from a 32-bit seed. */
+export function createSeededRandom(seed: number): Random {
+  /* eslint-disable no-bitwise -- the generator is defined on 32-bit words */
+  let state = seed >>> 0;
+  const next = () => {
+    state = (state + 0x6d2b79f5) >>> 0;
+    let word = Math.imul(state ^ (state >>> 15), state | 1);
+    word ^= word + Math.imul(word ^ (word >>> 7), word | 61);
+    return ((word ^ (word >>> 14)) >>> 0) / 2 ** 32;
+  };
+  /* eslint-enable no-bitwise */
+  const digit = () => Math.floor(next() * 16).toString(16);
+  return { next, id: () => Array.from({ length: ID_BYTES * 2 }, digit).join('') };
+}
+
+/** Returns a copy of `items` in random order. */
+export function shuffleItems<T>(items: readonly T[], random: Random): readonly T[] {
+  return items
+    .map((item) => ({ item, rank: random.next() }))
+    .sort((a, b) => a.rank - b.rank)
+    .map(({ item }) => item);
+}
--- /dev/null
+++ b/src/member/index.ts
@@ -0,0 +1,4 @@
+/** Membership among the entries. */
+export * from './roster.js';
+export * from './rumors.js';
+export * from './membership.js';
--- /dev/null
+++ b/src/member/membership.ts
@@ -0,0 +1,404 @@
+/**
+ * Membership among the entries, in the manner of SWIM.
+ *
+ * Every period each entry exchanges a bounded message with one other, so the cost per daemon does
+ * not depend on the size of the fleet. A peer that does not answer is tried through two others before
+ * it is suspected, and a suspected one has time to refute. The platform takes no part, so its outage
+ * is nobody's death.
+ */
+import {
+  type Clock,
+  type Log,
+  type Random,
+  assertInvariant,
+  parseAddress,
+  shuffleItems,
+} from '../kernel/index.js';
+import type {
+  ExchangeMessage,
+  ExchangeRequest,
+  Knowledge,
+  Member,
+  MemberState,
+  Notice,
+  PeerTransport,
+} from '../peer/index.js';
+import { type Roster, forgetGone, listMembers, mergeMember, replaceAtAddress } from './roster.js';
+import { RumorQueue } from './rumors.js';
+
+/** Where this entry is, as others are told. */
+export type Self = Omit<Member, 'id' | 'incarnation' | 'state'>;
+
+/** Times of the protocol, in milliseconds. */
+export interface MembershipTimes {
+  /** Between two exchanges that an entry starts. */
+  readonly period: number;
+  /** Longest wait for a peer. */
+  readonly timeout: number;
+  /** From suspicion to gone, unless refuted. */
+  readonly suspicion: number;
+}
+
+/** The times used unless a test says otherwise. */
+export const DEFAULT_TIMES: MembershipTimes = { period: 1000, timeout: 600, suspicion: 4000 };
+
+/** What the membership is made from. */
+export interface MembershipOptions {
+  readonly self: Self;
+  readonly transport: PeerTransport;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly times: MembershipTimes;
+  /** What this daemon tells about the configuration and the VM list. */
+  readonly readKnowledge: () => Knowledge;
+  /** Called with what a peer knows. */
+  readonly onKnowledge: (from: Member, knowledge: Knowledge) => void;
+  /** Called when the members change. */
+  readonly onChange: () => void;
+  /** Called when a peer says that a target is leaving. */
+  readonly onNotice: (target: string) => void;
+  /** Peer addresses to try besides the known members, such as those of the platform's list. */
+  readonly listSeeds: () => readonly string[];
+}
+
+/** What a member answered when it was asked. */
+export interface PolledMember {
+  readonly member: Member;
+  readonly knowledge: Knowledge | undefined;
+}
+
+const MAX_MEMBERS = 8;
+const MAX_NOTICES = 8;
+const NOTICE_LIFE = 10_000;
+const FORGET_AFTER = 600_000;
+const INDIRECT_PROBES = 2;
+const PUSH_FANOUT = 3;
+const PAUSE_PERIODS = 4;
+const SEED_PERIODS = 5;
+const FULL_SYNC_PERIODS = 30;
+
+/** The membership of one entry. */
+export class Membership {
+  #self: Member;
+
+  #roster: Roster = new Map();
+
+  readonly #rumors = new RumorQueue();
+
+  readonly #notices = new Map<string, number>();
+
+  #turn: readonly string[] = [];
+
+  #lastTick = 0;
+
+  #ticks = 0;
+
+  #paused = false;
+
+  /** Messages sent since the start, and their outcome. */
+  readonly counts = { sent: 0, failed: 0, received: 0 };
+
+  constructor(private readonly options: MembershipOptions) {
+    this.#self = this.#createSelf('live');
+  }
+
+  /** This entry as others are told. */
+  get self(): Member {
+    return this.#self;
+  }
+
+  /** Members that are live or only suspected, with this entry unless it is stopping. */
+  listCandidates(): readonly Member[] {
+    const others = listMembers(this.#roster, ['live', 'suspect']);
+    return this.#self.state === 'live' ? [this.#self, ...others] : others;
+  }
+
+  /** All members that are not gone, with this entry first. */
+  listAll(): readonly Member[] {
+    return [this.#self, ...listMembers(this.#roster, ['live', 'stopping', 'suspect'])];
+  }
+
+  /** Tells all peers that a target is leaving. */
+  announceLeaving(target: string): void {
+    if (this.#notices.has(target)) return;
+    this.#notices.set(target, this.options.clock.now());
+    this.push();
+  }
+
+  /** Says that this entry is stopping, to every member at once. */
+  async announceStopping(): Promise<void> {
+    this.#self = { ...this.#self, state: 'stopping' };
+    this.options.onChange();
+    const members = listMembers(this.#roster, ['live', 'suspect']);
+    await Promise.all(members.map((member) => this.#exchange(member.peers, false)));
+  }
+
+  /** Says that this entry is gone, to a few members, who pass it on. */
+  async announceGone(): Promise<void> {
+    this.#self = { ...this.#self, state: 'gone' };
+    const members = shuffleItems(listMembers(this.#roster, ['live']), this.options.random);
+    const some = members.slice(0, PUSH_FANOUT);
+    await Promise.all(some.map((member) => this.#exchange(member.peers, false)));
+  }
+
+  /** Exchanges with a few members now, because there is news that cannot wait. */
+  push(): void {
+    const members = shuffleItems(listMembers(this.#roster, ['live']), this.options.random);
+    for (const member of members.slice(0, PUSH_FANOUT)) {
+      this.#exchange(member.peers, false).catch(() => undefined);
+    }
+  }
+
+  /**
+   * Asks every member that is not gone for what it knows; undefined when it did not answer.
+   * Its cost grows with the fleet, so it is for the acts of operators only.
+   */
+  async pollAll(): Promise<readonly PolledMember[]> {
+    const { transport, times } = this.options;
+    const members = listMembers(this.#roster, ['live', 'stopping', 'suspect']);
+    return Promise.all(
+      members.map(async (member): Promise<PolledMember> => {
+        const address = parseAddress(member.peers);
+        if (address === undefined) return { member, knowledge: undefined };
+        this.counts.sent += 1;
+        const request = { ...this.#compose(member.id, false), wantAll: false };
+        const result = await transport.connect(address).exchange(request, times.timeout);
+        result.ifRight((reply) => this.#absorb(reply));
+        return {
+          member,
+          knowledge: result
+            .toMaybe()
+            .map((reply) => reply.knowledge)
+            .extract(),
+        };
+      }),
+    );
+  }
+
+  /** Joins through the seeds: asks a few of them for all members. */
+  async join(): Promise<void> {
+    const seeds = this.#listStrangers();
+    const asked = shuffleItems(seeds, this.options.random).slice(0, PUSH_FANOUT);
+    await Promise.all(asked.map((peers) => this.#exchange(peers, true)));
+  }
+
+  /** Runs the protocol until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, random, times } = this.options;
+    this.#lastTick = clock.now();
+    while (!signal.aborted) {
+      await clock.sleep(times.period * (0.9 + random.next() * 0.2), signal);
+      if (signal.aborted) return;
+      await this.#tick();
+    }
+  }
+
+  /** Answers a peer's exchange. */
+  answer(request: ExchangeRequest): ExchangeMessage {
+    this.counts.received += 1;
+    this.#absorb(request);
+    return this.#compose(request.from.id, request.wantAll);
+  }
+
+  /** Reaches a peer on behalf of another one. */
+  async probe(peers: string): Promise<boolean> {
+    return this.#exchange(peers, false);
+  }
+
+  #createSelf(state: MemberState): Member {
+    return { ...this.options.self, id: this.options.random.id(), incarnation: 0, state };
+  }
+
+  async #tick(): Promise<void> {
+    const { clock, times } = this.options;
+    const now = clock.now();
+    // After a pause of this process the others' silence says nothing about them.
+    this.#paused = now - this.#lastTick > times.period * PAUSE_PERIODS;
+    if (this.#paused) this.#excuseSuspects(now);
+    this.#lastTick = now;
+    this.#ticks += 1;
+    this.#expireSuspects(now);
+    this.#roster = forgetGone(this.#roster, now, FORGET_AFTER);
+    const full = this.#ticks % FULL_SYNC_PERIODS === 0;
+    if (this.#ticks % SEED_PERIODS === 0) await this.#tryStranger();
+    const peer = this.#nextPeer();
+    if (peer === undefined) return;
+    if (await this.#exchange(peer.peers, full)) return;
+    if (await this.#reachIndirectly(peer)) return;
+    if (!this.#paused) this.#suspect(peer);
+  }
+
+  #nextPeer(): Member | undefined {
+    const members = new Map(
+      listMembers(this.#roster, ['live', 'stopping', 'suspect']).map((m) => [m.id, m]),
+    );
+    for (;;) {
+      const [id, ...rest] = this.#turn;
+      if (id === undefined) break;
+      this.#turn = rest;
+      const member = members.get(id);
+      if (member !== undefined) return member;
+    }
+    this.#turn = shuffleItems([...members.keys()], this.options.random);
+    const [first] = this.#turn;
+    this.#turn = this.#turn.slice(1);
+    return first === undefined ? undefined : members.get(first);
+  }
+
+  /** Tries an address that no member has: a new entry, or the far side of a healed partition. */
+  async #tryStranger(): Promise<void> {
+    const [stranger] = shuffleItems(this.#listStrangers(), this.options.random);
+    if (stranger !== undefined) await this.#exchange(stranger, true);
+  }
+
+  #listStrangers(): readonly string[] {
+    const known = new Set(
+      listMembers(this.#roster, ['live', 'stopping', 'suspect']).map(({ peers }) => peers),
+    );
+    known.add(this.#self.peers);
+    return this.options.listSeeds().filter((peers) => !known.has(peers));
+  }
+
+  async #exchange(peers: string, wantAll: boolean): Promise<boolean> {
+    const address = parseAddress(peers);
+    if (address === undefined) return false;
+    const { transport, times } = this.options;
+    this.counts.sent += 1;
+    const request = { ...this.#compose(peers, wantAll), wantAll };
+    const result = await transport.connect(address).exchange(request, times.timeout);
+    if (result.isLeft()) {
+      this.counts.failed += 1;
+      return false;
+    }
+    const reply = result.unsafeCoerce();
+    this.#absorb(reply);
+    this.#update(replaceAtAddress(this.#roster, reply.from, this.options.clock.now()));
+    return true;
+  }
+
+  async #reachIndirectly(peer: Member): Promise<boolean> {
+    const { random, transport, times } = this.options;
+    const others = listMembers(this.#roster, ['live']).filter(({ id }) => id !== peer.id);
+    const helpers = shuffleItems(others, random).slice(0, INDIRECT_PROBES);
+    const answers = helpers.map(async (helper) => {
+      const address = parseAddress(helper.peers);
+      if (address === undefined) return false;
+      const result = await transport.connect(address).probe(peer.peers, times.timeout * 2);
+      return result.orDefault(false);
+    });
+    return (await Promise.all(answers)).includes(true);
+  }
+
+  #suspect(peer: Member): void {
+    if (peer.state === 'suspect') return;
+    this.options.log.info('member.suspect', { member: peer.name, id: peer.id });
+    this.#learn({ ...peer, state: 'suspect' });
+  }
+
+  #excuseSuspects(now: number): void {
+    const next = new Map(this.#roster);
+    for (const [id, entry] of this.#roster) {
+      if (entry.member.state === 'suspect') next.set(id, { ...entry, since: now });
+    }
+    this.#roster = next;
+  }
+
+  #expireSuspects(now: number): void {
+    for (const { member, since } of this.#roster.values()) {
+      if (member.state !== 'suspect' || now - since < this.options.times.suspicion) continue;
+      this.options.log.warn('member.gone', { member: member.name, id: member.id });
+      this.#learn({ ...member, state: 'gone' });
+    }
+  }
+
+  #absorb(message: ExchangeMessage): void {
+    for (const report of [message.from, ...message.members]) {
+      if (report.id === this.#self.id) this.#hearOfSelf(report);
+      else this.#learn(report);
+    }
+    for (const notice of message.notices) this.#hearNotice(notice);
+    this.options.onKnowledge(message.from, message.knowledge);
+  }
+
+  /** Refutes a suspicion; a member declared gone comes back as a new one. */
+  #hearOfSelf(report: Member): void {
+    if (this.#self.state === 'gone') return;
+    if (report.state === 'gone') {
+      this.options.log.warn('member.rejoin', { id: this.#self.id });
+      this.#self = this.#createSelf(this.#self.state);
+      this.push();
+      return;
+    }
+    if (report.state !== 'suspect' || report.incarnation < this.#self.incarnation) return;
+    this.#self = { ...this.#self, incarnation: report.incarnation + 1 };
+    this.push();
+  }
+
+  #hearNotice(notice: Notice): void {
+    if (notice.age > NOTICE_LIFE || this.#notices.has(notice.target)) return;
+    this.#notices.set(notice.target, this.options.clock.now() - notice.age);
+    this.options.onNotice(notice.target);
+    this.push();
+  }
+
+  #learn(report: Member): void {
+    this.#update(mergeMember(this.#roster, report, this.options.clock.now()), report.id);
+  }
+
+  #update(next: Roster, changed?: string): void {
+    if (next === this.#roster) return;
+    const known = changed === undefined ? undefined : this.#roster.get(changed)?.member;
+    const current = changed === undefined ? undefined : next.get(changed)?.member;
+    assertInvariant(
+      known?.state !== 'gone' || current?.state === 'gone',
+      'a member that is gone stays gone',
+    );
+    this.#roster = next;
+    if (changed !== undefined) this.#rumors.add(changed, this.#countSendings(next.size));
+    this.options.onChange();
+  }
+
+  /** An epidemic reaches all with a number of sendings that grows with the logarithm of the fleet. */
+  #countSendings(size: number): number {
+    return 3 * Math.ceil(Math.log2(size + 2));
+  }
+
+  #compose(peerKey: string, all: boolean): ExchangeMessage {
+    const members = all ? this.#listEverything() : this.#listNews(peerKey);
+    return {
+      from: this.#self,
+      members,
+      notices: this.#listNotices(),
+      knowledge: this.options.readKnowledge(),
+    };
+  }
+
+  #listEverything(): readonly Member[] {
+    return [...this.#roster.values()].map(({ member }) => member);
+  }
+
+  /** The news, and what is believed of the peer itself, so that it can refute. */
+  #listNews(peerKey: string): readonly Member[] {
+    const news = new Map<string, Member>();
+    for (const { member } of this.#roster.values()) {
+      const isPeer = member.id === peerKey || member.peers === peerKey;
+      if (isPeer && member.state !== 'live') news.set(member.id, member);
+    }
+    for (const id of this.#rumors.take(MAX_MEMBERS)) {
+      const entry = this.#roster.get(id);
+      if (entry !== undefined) news.set(id, entry.member);
+    }
+    return [...news.values()].slice(0, MAX_MEMBERS);
+  }
+
+  #listNotices(): readonly Notice[] {
+    const now = this.options.clock.now();
+    const notices: Notice[] = [];
+    for (const [target, at] of this.#notices) {
+      if (now - at > NOTICE_LIFE) this.#notices.delete(target);
+      else if (notices.length < MAX_NOTICES) notices.push({ target, age: now - at });
+    }
+    return notices;
+  }
+}
--- /dev/null
+++ b/src/once/claims.ts
@@ -0,0 +1,173 @@
+/**
+ * At most once across entries: an idempotency key is claimed in the platform's service before the
+ * call is dispatched, and whoever does not hold the claim does not dispatch.
+ *
+ * The claim is one compare-and-swap that expects no item, so of all entries, also ones that were
+ * paused or restarted, one succeeds. No ownership or clock is needed. When the claim can be neither
+ * made nor shown to exist, the call is not dispatched.
+ */
+import { createHash } from 'node:crypto';
+import { type Clock, type Random } from '../kernel/index.js';
+import type { Platform, Stored, WriteResult } from '../platform/index.js';
+
+/** The call that wants to run under an idempotency key. */
+export interface ClaimRequest {
+  readonly service: string;
+  readonly key: string;
+  /** Method and path: the same key with another one is a mistake of the caller. */
+  readonly request: string;
+  /** How long the key is remembered, in milliseconds. */
+  readonly window: number;
+  /** When the call's time is over, on the kernel's clock. */
+  readonly deadline: number;
+}
+
+/** What asking for a claim gives. */
+export type ClaimResult =
+  | { readonly kind: 'claimed'; readonly release: () => Promise<void> }
+  /** Another call holds the key; it may have run. */
+  | { readonly kind: 'duplicate' }
+  /** The key belongs to a call with another method or path. */
+  | { readonly kind: 'mismatch'; readonly request: string }
+  /** Nobody can say; this call was not dispatched. */
+  | { readonly kind: 'unproven'; readonly reason: string };
+
+interface ClaimRecord {
+  /** Drawn for each claim; a caller's own identifiers could stand on two calls. */
+  readonly token: string;
+  readonly request: string;
+}
+
+interface HeldLease {
+  readonly id: string;
+  readonly until: number;
+}
+
+const ATTEMPTS = 5;
+const RETRY_DELAY = 20;
+const LEASE_SPAN = 600_000;
+
+/** Key under which the claim of an idempotency key is stored. */
+export function buildClaimKey(service: string, key: string): string {
+  const digest = createHash('sha256').update(service).update('\0').update(key).digest('hex');
+  return `once/${digest}`;
+}
+
+/** Makes and releases claims. */
+export class Claims {
+  readonly #leases = new Map<number, Promise<HeldLease | undefined>>();
+
+  /** Claims by outcome, since the start. */
+  readonly counts = { claimed: 0, duplicate: 0, unproven: 0, released: 0 };
+
+  constructor(
+    private readonly platform: Platform,
+    private readonly clock: Clock,
+    private readonly random: Random,
+  ) {}
+
+  /** Claims the key for one call. */
+  async claim(request: ClaimRequest): Promise<ClaimResult> {
+    const result = await this.#attempt(request);
+    if (result.kind === 'claimed') this.counts.claimed += 1;
+    if (result.kind === 'duplicate') this.counts.duplicate += 1;
+    if (result.kind === 'unproven') this.counts.unproven += 1;
+    return result;
+  }
+
+  async #attempt(request: ClaimRequest): Promise<ClaimResult> {
+    const lease = await this.#findLease(request.window);
+    if (lease === undefined) return { kind: 'unproven', reason: 'the platform grants no lease' };
+    const record: ClaimRecord = { token: this.random.id(), request: request.request };
+    const swap = {
+      ...{ key: buildClaimKey(request.service, request.key), value: JSON.stringify(record) },
+      ...{ expect: 0, lease: lease.id },
+    };
+    let reason = '';
+    for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
+      if (this.clock.now() >= request.deadline) break;
+      // A write whose reply was lost is tried again as it was: it takes effect at most once, and
+      // the conflict that the second one meets shows whose call holds the key.
+      const result = await this.platform.swap(swap);
+      const settled = this.#interpret(swap.key, result, record);
+      if (settled !== undefined) return settled;
+      reason = 'reason' in result ? result.reason : result.kind;
+      if (result.kind === 'refused' && attempt === 0) {
+        this.#leases.delete(request.window);
+        return { kind: 'unproven', reason };
+      }
+      await this.clock.sleep(RETRY_DELAY * 2 ** attempt * (0.5 + this.random.next()));
+    }
+    this.#releaseLater(swap.key, record);
+    return { kind: 'unproven', reason: reason === '' ? 'deadline' : reason };
+  }
+
+  #interpret(key: string, result: WriteResult, mine: ClaimRecord): ClaimResult | undefined {
+    switch (result.kind) {
+      case 'written':
+        return { kind: 'claimed', release: () => this.#release(key, mine, result.version) };
+      case 'conflict': {
+        const { current } = result;
+        if (current === undefined) return undefined;
+        const holder = JSON.parse(current.value) as ClaimRecord;
+        if (holder.token === mine.token) {
+          return { kind: 'claimed', release: () => this.#release(key, mine, current.version) };
+        }
+        return holder.request === mine.request
+          ? { kind: 'duplicate' }
+          : { kind: 'mismatch', request: holder.request };
+      }
+      case 'refused':
+      case 'unknown':
+        return undefined;
+      default:
+        return result satisfies never;
+    }
+  }
+
+  /** Frees the key of a call that certainly did not run, so that the caller can send it again. */
+  async #release(key: string, mine: ClaimRecord, version: number): Promise<void> {
+    const result = await this.platform.remove({ key, expect: version });
+    if (result.kind === 'written' || result.kind === 'conflict') {
+      this.counts.released += 1;
+      return;
+    }
+    this.#releaseLater(key, mine);
+  }
+
+  #releaseLater(key: string, mine: ClaimRecord): void {
+    this.#releaseUntilDone(key, mine).catch(() => undefined);
+  }
+
+  async #releaseUntilDone(key: string, mine: ClaimRecord): Promise<void> {
+    for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
+      await this.clock.sleep(1000 * 2 ** attempt);
+      const stored = await this.platform.read(key);
+      if (stored.kind === 'absent') return;
+      if (stored.kind === 'unavailable') continue;
+      if (!this.#isMine(stored.item, mine)) return;
+      const { kind } = await this.platform.remove({ key, expect: stored.item.version });
+      if (kind === 'written') this.counts.released += 1;
+      if (kind === 'written' || kind === 'conflict') return;
+    }
+  }
+
+  #isMine(item: Stored, mine: ClaimRecord): boolean {
+    return (JSON.parse(item.value) as ClaimRecord).token === mine.token;
+  }
+
+  /** Returns a lease that outlives the window; many claims share one, and it is never renewed. */
+  async #findLease(window: number): Promise<HeldLease | undefined> {
+    const held = await this.#leases.get(window);
+    if (held !== undefined && this.clock.now() < held.until) return held;
+    const granting = this.#grantLease(window);
+    this.#leases.set(window, granting);
+    return granting;
+  }
+
+  async #grantLease(window: number): Promise<HeldLease | undefined> {
+    const until = this.clock.now() + LEASE_SPAN;
+    const result = await this.platform.grantLease(window + LEASE_SPAN);
+    return result.kind === 'held' ? { id: result.lease, until } : undefined;
+  }
+}
--- /dev/null
+++ b/src/platform/connector.ts
@@ -0,0 +1,37 @@
+/** Lets `undici` open its connections through the network service. */
+import type { buildConnector } from 'undici';
+import type { Duplex } from 'node:stream';
+import type { Socket } from 'node:net';
+import type { Address, Network } from '../kernel/index.js';
+
+function limitTime(attempt: Promise<Duplex>, limit: number): Promise<Duplex> {
+  return new Promise((resolve, reject) => {
+    const timer = setTimeout(() => {
+      reject(Object.assign(new Error('connect timeout'), { code: 'UND_ERR_CONNECT_TIMEOUT' }));
+      attempt.then((socket) => socket.destroy()).catch(() => undefined);
+    }, limit);
+    attempt.then(resolve, reject).finally(() => clearTimeout(timer));
+  });
+}
+
+/**
+ * Creates a connector to one address.
+ *
+ * @param limit longest wait for a connection, in milliseconds
+ * @param onOpened called for each connection opened, to count them
+ */
+export function createConnector(
+  network: Network,
+  address: Address,
+  limit: number,
+  onOpened: () => void = () => undefined,
+): buildConnector.connector {
+  return (_options, done) => {
+    limitTime(network.connect(address), limit)
+      .then((socket) => {
+        onOpened();
+        done(null, socket as Socket);
+      })
+      .catch((error: Error) => done(error, null));
+  };
+}
--- /dev/null
+++ b/src/platform/metered.ts
@@ -0,0 +1,80 @@
+/** Limits and counts a daemon's calls to the platform, by kind. */
+import type { Clock } from '../kernel/index.js';
+import type { Platform, Unavailable, WriteResult } from './platform.js';
+
+/** The kinds of call that are counted. */
+export type CallKind = keyof Platform;
+
+/** Calls made and calls held back since the start. */
+export interface PlatformCounts {
+  readonly made: Readonly<Record<CallKind, number>>;
+  readonly heldBack: number;
+}
+
+/** A platform whose calls are counted and limited. */
+export interface MeteredPlatform extends Platform {
+  counts(): PlatformCounts;
+}
+
+/** A token bucket: `rate` tokens a second, at most `burst` at once. */
+export class TokenBucket {
+  #tokens: number;
+
+  #at: number;
+
+  constructor(
+    private readonly rate: number,
+    private readonly burst: number,
+    private readonly clock: Clock,
+  ) {
+    this.#tokens = burst;
+    this.#at = clock.now();
+  }
+
+  /** Takes one token if there is one. */
+  take(): boolean {
+    const now = this.clock.now();
+    this.#tokens = Math.min(this.burst, this.#tokens + ((now - this.#at) / 1000) * this.rate);
+    this.#at = now;
+    if (this.#tokens < 1) return false;
+    this.#tokens -= 1;
+    return true;
+  }
+}
+
+const HELD_BACK: Unavailable = { kind: 'unavailable', reason: 'call budget of this daemon spent' };
+const REFUSED: WriteResult = { kind: 'refused', reason: HELD_BACK.reason };
+
+/** Wraps a platform so that at most `callsPerSecond` reach it; more fail at once, unsent. */
+export function createMeteredPlatform(
+  inner: Platform,
+  callsPerSecond: number,
+  clock: Clock,
+): MeteredPlatform {
+  const bucket = new TokenBucket(callsPerSecond, callsPerSecond, clock);
+  const made = {
+    ...{ read: 0, range: 0, swap: 0, remove: 0 },
+    ...{ grantLease: 0, renewLease: 0, watch: 0, vms: 0 },
+  };
+  let heldBack = 0;
+  const spend = (kind: CallKind): boolean => {
+    if (!bucket.take()) {
+      heldBack += 1;
+      return false;
+    }
+    made[kind] += 1;
+    return true;
+  };
+  return {
+    read: async (key) => (spend('read') ? inner.read(key) : HELD_BACK),
+    range: async (prefix) => (spend('range') ? inner.range(prefix) : HELD_BACK),
+    swap: async (swap) => (spend('swap') ? inner.swap(swap) : REFUSED),
+    remove: async (removal) => (spend('remove') ? inner.remove(removal) : REFUSED),
+    grantLease: async (ttl) => (spend('grantLease') ? inner.grantLease(ttl) : HELD_BACK),
+    renewLease: async (lease) => (spend('renewLease') ? inner.renewLease(lease) : HELD_BACK),
+    watch: async (prefix, after, signal) =>
+      spend('watch') ? inner.watch(prefix, after, signal) : HELD_BACK,
+    vms: async () => (spend('vms') ? inner.vms() : HELD_BACK),
+    counts: () => ({ made: { ...made }, heldBack }),
+  };
+}
--- /dev/null
+++ b/src/platform/platform.ts
@@ -0,0 +1,95 @@
+/**
+ * The platform's key-value service and its list of VMs, behind one narrow typed interface.
+ *
+ * Every outcome is a value. A write has four: it took effect, it met another version, it was
+ * certainly not applied, or nobody knows. Callers of a write must decide what each means to them.
+ */
+import { type Address, nameService } from '../kernel/index.js';
+
+/** A stored value with the version that its last write gave it. Versions grow over the whole store. */
+export interface Stored {
+  readonly key: string;
+  readonly value: string;
+  readonly version: number;
+}
+
+/** The platform could not answer; `reason` is for logs. */
+export interface Unavailable {
+  readonly kind: 'unavailable';
+  readonly reason: string;
+}
+
+/** What reading one key gives. */
+export type ReadResult =
+  { readonly kind: 'found'; readonly item: Stored } | { readonly kind: 'absent' } | Unavailable;
+
+/** What reading a range of keys gives; `version` is the store's version at that moment. */
+export type RangeResult =
+  | { readonly kind: 'items'; readonly items: readonly Stored[]; readonly version: number }
+  | Unavailable;
+
+/** What a compare-and-swap gives. */
+export type WriteResult =
+  | { readonly kind: 'written'; readonly version: number }
+  | { readonly kind: 'conflict'; readonly current: Stored | undefined }
+  | { readonly kind: 'refused'; readonly reason: string }
+  | { readonly kind: 'unknown'; readonly reason: string };
+
+/** What asking for or renewing a lease gives; a lapsed lease cannot be renewed. */
+export type LeaseResult =
+  | { readonly kind: 'held'; readonly lease: string; readonly ttl: number }
+  | { readonly kind: 'lapsed' }
+  | Unavailable;
+
+/** What one wait on a prefix gives; after `gap` the reader must read the range again. */
+export type WatchResult =
+  | { readonly kind: 'changed'; readonly version: number }
+  | { readonly kind: 'quiet' }
+  | { readonly kind: 'gap' }
+  | Unavailable;
+
+/** A VM as the platform lists it. The list lags behind the truth. */
+export interface Vm {
+  readonly address: Address;
+  /** What runs there: `entry`, or the role that a pool names. */
+  readonly role: string;
+  readonly domain: string;
+  readonly state: 'live' | 'leaving';
+}
+
+/** What asking for the list of VMs gives. */
+export type VmsResult = { readonly kind: 'vms'; readonly vms: readonly Vm[] } | Unavailable;
+
+/** A compare-and-swap: `value` replaces the item of version `expect`; 0 expects no item. */
+export interface Swap {
+  readonly key: string;
+  readonly value: string;
+  readonly expect: number;
+  /** The item is removed when this lease lapses. */
+  readonly lease?: string;
+}
+
+/** A removal of the item of version `expect`. */
+export interface Removal {
+  readonly key: string;
+  readonly expect: number;
+}
+
+/** The platform service. Each method is one call to it; none retries. */
+export interface Platform {
+  read(key: string): Promise<ReadResult>;
+  range(prefix: string): Promise<RangeResult>;
+  swap(swap: Swap): Promise<WriteResult>;
+  remove(removal: Removal): Promise<WriteResult>;
+  grantLease(ttl: number): Promise<LeaseResult>;
+  renewLease(lease: string): Promise<LeaseResult>;
+  /** Waits until a key of `prefix` changes after store version `after`, or until a quiet time. */
+  watch(prefix: string, after: number, signal: AbortSignal): Promise<WatchResult>;
+  vms(): Promise<VmsResult>;
+}
+
+/** The name of the platform service. */
+export const platformService = nameService<Platform>('platform');
+
+/** The longest value that the platform stores, in bytes. */
+export const MAX_VALUE_BYTES = 1_000_000;
--- /dev/null
+++ b/src/proxy/attempt.ts
@@ -0,0 +1,285 @@
+/**
+ * One attempt at one target: sends the call, and relays the answer or says truthfully what happened.
+ *
+ * The line that matters is `onRequestStart`: before it no byte of the call has been written, so the
+ * call was not run; after it nobody knows, unless the target itself says that it did not run it.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Dispatcher } from 'undici';
+import { assertInvariant } from '../kernel/index.js';
+import type { TargetReport } from '../balance/index.js';
+import type { Body } from './body.js';
+import type { Call } from './call.js';
+import {
+  CALL_HEADER,
+  type FlatHeaders,
+  REPORT_HEADER,
+  buildCallerHeaders,
+  findHeader,
+  readReport,
+} from './headers.js';
+import type { UnknownReason } from './outcome.js';
+
+/** How an attempt ended. */
+export type AttemptResult =
+  /** The whole answer was passed to the caller. */
+  | { readonly kind: 'relayed'; readonly status: number; readonly report: TargetReport }
+  /** The answer broke off after its head; the caller's connection was cut. */
+  | { readonly kind: 'cut'; readonly detail: string }
+  /** No byte was sent, or the target said that it did not run the call. */
+  | { readonly kind: 'not-run'; readonly cause: NotRunCause; readonly report: TargetReport }
+  /** The call was sent and no whole answer came; nothing was passed to the caller. */
+  | { readonly kind: 'lost'; readonly reason: UnknownReason; readonly detail: string }
+  /** A server error that the entry chose not to pass on, because it tries again. */
+  | { readonly kind: 'discarded'; readonly status: number; readonly report: TargetReport }
+  /** The entry gave the attempt up: another attempt won, or the caller went away. */
+  | { readonly kind: 'cancelled'; readonly sent: boolean };
+
+/** Why an attempt certainly did not run. */
+export type NotRunCause =
+  { readonly kind: 'target-shed' } | { readonly kind: 'not-connected'; readonly detail: string };
+
+/** Lets one of several attempts answer the caller. */
+export class AnswerGate {
+  #owner: object | undefined;
+
+  readonly #losers = new Set<(reason: string) => void>();
+
+  /** Registers how an attempt is given up when another one answers. */
+  enter(abort: (reason: string) => void): void {
+    this.#losers.add(abort);
+  }
+
+  /** Takes the right to answer; false when another attempt has it. */
+  own(attempt: object, abort: (reason: string) => void): boolean {
+    if (this.#owner !== undefined) return this.#owner === attempt;
+    this.#owner = attempt;
+    for (const other of this.#losers) {
+      if (other !== abort) other('another attempt answered first');
+    }
+    return true;
+  }
+
+  /** Whether any attempt has answered. */
+  get taken(): boolean {
+    return this.#owner !== undefined;
+  }
+}
+
+/** What an attempt is made from. */
+export interface AttemptOptions {
+  readonly client: Dispatcher;
+  readonly call: Call;
+  readonly headers: readonly string[];
+  readonly body: Body;
+  readonly response: ServerResponse;
+  readonly gate: AnswerGate;
+  /** Whether the answer comes from another entry, whose outcome header passes on. */
+  readonly keepsOutcome?: boolean;
+  /** Whether a server error with this status is kept from the caller to try again. */
+  readonly discards: (status: number) => boolean;
+  /** Whether the call may still be sent; asked right before its first byte. */
+  readonly isTimely: () => boolean;
+  /** Called once when the first byte may have been written. */
+  readonly onSent: () => void;
+  /** Called with what the target reports of itself. */
+  readonly onReport?: (report: TargetReport) => void;
+  /** Called when the attempt shows that nothing was run after all. */
+  readonly onNotRun: () => void;
+}
+
+/** A running attempt. */
+export interface Attempt {
+  readonly done: Promise<AttemptResult>;
+  /** Gives the attempt up; the target sees its connection close. */
+  abort(reason: string): void;
+}
+
+const NO_BODY_STATUS = new Set([204, 304]);
+const EARLY_HINTS = 103;
+const FIRST_FINAL = 200;
+const NO_REPORT: TargetReport = { word: undefined, inFlight: undefined };
+
+/** Gives the attempt up for a reason that the entry chose. */
+class AttemptAborted extends Error {
+  override readonly name = 'AttemptAborted';
+}
+
+function decodeHeaders(raw: Dispatcher.DispatchController['rawHeaders']): FlatHeaders {
+  if (!Array.isArray(raw)) return [];
+  return raw.map((part) => (typeof part === 'string' ? part : part.toString('latin1')));
+}
+
+/** Whether the end of an answer can be told from a broken connection. */
+function isDelimited(method: string, status: number, headers: FlatHeaders): boolean {
+  if (method === 'HEAD' || NO_BODY_STATUS.has(status)) return true;
+  if (findHeader(headers, 'content-length') !== undefined) return true;
+  return findHeader(headers, 'transfer-encoding') !== undefined;
+}
+
+function buildBody(body: Body): Dispatcher.DispatchOptions['body'] {
+  switch (body.kind) {
+    case 'none':
+      return null;
+    case 'buffered':
+      return body.data;
+    case 'stream':
+      // The library would destroy the request itself, and with it the caller's connection.
+      return readStream(body.request) as unknown as Dispatcher.DispatchOptions['body'];
+    default:
+      return body satisfies never;
+  }
+}
+
+function readStream(request: IncomingMessage): AsyncIterable<Buffer> {
+  return request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>;
+}
+
+function writeInformational(response: ServerResponse, status: number, headers: FlatHeaders): void {
+  if (status !== EARLY_HINTS || response.headersSent) return;
+  const link = findHeader(headers, 'link');
+  if (link !== undefined) response.writeEarlyHints({ link });
+}
+
+/** Starts an attempt. */
+export function startAttempt(options: AttemptOptions): Attempt {
+  const { call, response, gate } = options;
+  const identity = {};
+  let starts = 0;
+  let headSent = false;
+  let status = 0;
+  let report = NO_REPORT;
+  let controller: Dispatcher.DispatchController | undefined;
+  let verdict: AttemptResult | undefined;
+  let abortedBeforeStart: string | undefined;
+  let resolveDone: (result: AttemptResult) => void;
+  const done = new Promise<AttemptResult>((resolve) => {
+    resolveDone = resolve;
+  });
+
+  const abort = (reason: string) => {
+    if (controller === undefined) abortedBeforeStart = reason;
+    else controller.abort(new AttemptAborted(reason));
+  };
+  const resume = () => controller?.resume();
+  /** Ends the attempt with a verdict of its own and closes the connection to the target. */
+  const stop = (result: AttemptResult) => {
+    verdict = result;
+    controller?.abort(new AttemptAborted(result.kind));
+  };
+
+  function takeHead(code: number, headers: FlatHeaders): void {
+    const read = readReport(findHeader(headers, REPORT_HEADER));
+    report = read.report;
+    options.onReport?.(report);
+    if (read.notRun) {
+      options.onNotRun();
+      stop({ kind: 'not-run', cause: { kind: 'target-shed' }, report });
+      return;
+    }
+    const echoed = findHeader(headers, CALL_HEADER);
+    if (echoed !== undefined && echoed !== call.id) {
+      const detail = `the answer belongs to call ${echoed}`;
+      stop({ kind: 'lost', reason: 'wrong-answer', detail });
+      return;
+    }
+    if (!isDelimited(call.method, code, headers)) {
+      const detail = 'the answer ends with its connection, so its end cannot be told';
+      stop({ kind: 'lost', reason: 'undelimited-answer', detail });
+      return;
+    }
+    if (options.discards(code)) {
+      stop({ kind: 'discarded', status: code, report });
+      return;
+    }
+    if (!gate.own(identity, abort)) {
+      stop({ kind: 'cancelled', sent: true });
+      return;
+    }
+    status = code;
+    headSent = true;
+    response.writeHead(code, buildCallerHeaders(headers, call.id, options.keepsOutcome));
+    response.on('drain', resume);
+  }
+
+  const handler: Dispatcher.DispatchHandler = {
+    onRequestStart(started) {
+      controller = started;
+      starts += 1;
+      if (abortedBeforeStart !== undefined) {
+        started.abort(new AttemptAborted(abortedBeforeStart));
+        return;
+      }
+      if (starts > 1) {
+        // The library offers to send the call again; whether that may be is not for it to decide.
+        started.abort(new Error('connection lost'));
+        return;
+      }
+      if (!options.isTimely()) {
+        abortedBeforeStart = 'deadline';
+        started.abort(new AttemptAborted(abortedBeforeStart));
+        return;
+      }
+      options.onSent();
+    },
+    onResponseStart(started, code) {
+      const headers = decodeHeaders(started.rawHeaders);
+      if (code < FIRST_FINAL) writeInformational(response, code, headers);
+      else takeHead(code, headers);
+    },
+    onResponseData(started, chunk) {
+      if (verdict !== undefined) return;
+      if (!response.write(chunk)) started.pause();
+    },
+    onResponseEnd(_started, trailers) {
+      if (verdict !== undefined) {
+        resolveDone(verdict);
+        return;
+      }
+      assertInvariant(headSent, 'an answer ends after its head was passed on');
+      response.removeListener('drain', resume);
+      if (Object.keys(trailers).length > 0) response.addTrailers(trailers);
+      response.end();
+      resolveDone({ kind: 'relayed', status, report });
+    },
+    onResponseError(_started, error) {
+      response.removeListener('drain', resume);
+      if (verdict !== undefined) {
+        resolveDone(verdict);
+        return;
+      }
+      if (headSent) {
+        response.destroy();
+        resolveDone({ kind: 'cut', detail: error.message });
+        return;
+      }
+      if (starts === 0 || (starts === 1 && abortedBeforeStart !== undefined)) {
+        resolveDone(
+          abortedBeforeStart !== undefined || error instanceof AttemptAborted
+            ? { kind: 'cancelled', sent: false }
+            : { kind: 'not-run', cause: { kind: 'not-connected', detail: error.message }, report },
+        );
+        return;
+      }
+      resolveDone(
+        error instanceof AttemptAborted
+          ? { kind: 'cancelled', sent: true }
+          : { kind: 'lost', reason: 'connection-lost', detail: error.message },
+      );
+    },
+  };
+
+  gate.enter(abort);
+  options.client.dispatch(
+    {
+      path: call.target,
+      method: call.method,
+      headers: options.headers as string[],
+      body: buildBody(options.body),
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    },
+    handler,
+  );
+  return { done, abort };
+}
--- /dev/null
+++ b/src/proxy/call.ts
@@ -0,0 +1,135 @@
+/** A received call: what it asks for, read from its head with safe defaults. */
+import type { IncomingMessage } from 'node:http';
+import { Either, Left, Right } from 'purify-ts';
+import { type Random } from '../kernel/index.js';
+import { hashPair } from '../balance/index.js';
+import { type ClassConfig, DEFAULT_CLASS, type Service } from '../config/index.js';
+import type { CallView } from '../policy/index.js';
+import { CALLER_HEADERS, CALL_HEADER } from './headers.js';
+import { type Outcome, createNotRun } from './outcome.js';
+
+/** A call with everything that the entry decides on. */
+export interface Call {
+  readonly id: string;
+  readonly method: string;
+  /** Path and query as sent. */
+  readonly target: string;
+  readonly path: string;
+  readonly host: string;
+  readonly caller: string;
+  readonly callerAddress: string;
+  readonly className: string;
+  readonly repeatable: boolean;
+  readonly idempotencyKey: string | undefined;
+  /** Time allowed, in milliseconds, from {@link receivedAt}. */
+  readonly timeAllowed: number;
+  readonly receivedAt: number;
+  /** Declared length of the body; -1 when it is chunked, 0 without a body. */
+  readonly bytes: number;
+  /** Whether the call was made while serving a retry; it is then not retried again. */
+  readonly isRetry: boolean;
+}
+
+const REPEATABLE_METHODS = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'TRACE']);
+const MAX_KEY = 256;
+const MAX_CALLER = 128;
+const CALL_ID = /^[\w.-]{1,64}$/;
+const DRAW_RANGE = 2 ** 48;
+
+function readOne(request: IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name];
+  return Array.isArray(value) ? value.join(', ') : value;
+}
+
+function readRepeatable(request: IncomingMessage): boolean | undefined {
+  const text = readOne(request, CALLER_HEADERS.repeatable);
+  if (text === undefined) return REPEATABLE_METHODS.has(request.method ?? '');
+  if (text === 'yes') return true;
+  return text === 'no' ? false : undefined;
+}
+
+function readBytes(request: IncomingMessage): number {
+  if (request.headers['transfer-encoding'] !== undefined) return -1;
+  return Number(request.headers['content-length'] ?? 0);
+}
+
+function readDeadline(request: IncomingMessage, service: Service): number | undefined {
+  const text = readOne(request, CALLER_HEADERS.deadline);
+  if (text === undefined) return service.deadline;
+  if (!/^\d{1,9}$/.test(text) || Number(text) === 0) return undefined;
+  return Math.min(Number(text), service.deadline_max);
+}
+
+/** Returns the call's identifier: the caller's own when it is well formed, else a new one. */
+export function readCallId(request: IncomingMessage, random: Random): string {
+  const given = readOne(request, CALL_HEADER);
+  return given !== undefined && CALL_ID.test(given) ? given : random.id();
+}
+
+function reject(header: string, expected: string): Either<Outcome, never> {
+  return Left(createNotRun('bad-request', `header ${header}: expected ${expected}`));
+}
+
+/** Reads a call for a service; a header of ours that cannot be read is refused, not guessed. */
+export function readCall(
+  request: IncomingMessage,
+  { service, id, now }: { readonly service: Service; readonly id: string; readonly now: number },
+): Either<Outcome, Call> {
+  const repeatable = readRepeatable(request);
+  if (repeatable === undefined) return reject(CALLER_HEADERS.repeatable, 'yes or no');
+  const timeAllowed = readDeadline(request, service);
+  if (timeAllowed === undefined) {
+    return reject(CALLER_HEADERS.deadline, 'milliseconds, a whole number from 1');
+  }
+  const className = readOne(request, CALLER_HEADERS.class) ?? DEFAULT_CLASS;
+  const idempotencyKey = readOne(request, CALLER_HEADERS.idempotencyKey);
+  if (idempotencyKey !== undefined && (idempotencyKey === '' || idempotencyKey.length > MAX_KEY)) {
+    return reject(CALLER_HEADERS.idempotencyKey, `1 to ${MAX_KEY} characters`);
+  }
+  const target = request.url ?? '/';
+  const callerAddress = request.socket.remoteAddress ?? 'unknown';
+  const caller = (readOne(request, CALLER_HEADERS.caller) ?? callerAddress).slice(0, MAX_CALLER);
+  return Right({
+    id,
+    method: request.method ?? 'GET',
+    target,
+    path: target.split('?', 1)[0] ?? target,
+    host: request.headers.host ?? '',
+    caller,
+    callerAddress,
+    className,
+    repeatable,
+    idempotencyKey,
+    timeAllowed,
+    receivedAt: now,
+    bytes: readBytes(request),
+    isRetry: request.headers[CALLER_HEADERS.retry] !== undefined,
+  });
+}
+
+/** Finds the class of work of a call; an unknown name gets the default class, or the last one. */
+export function findClass(service: Service, name: string): ClassConfig {
+  const { classes } = service;
+  const named = classes.find((candidate) => candidate.name === name);
+  const fallback = classes.find((candidate) => candidate.name === DEFAULT_CLASS);
+  return named ?? fallback ?? (classes.at(-1) as ClassConfig);
+}
+
+/** Shows a call to the policies. */
+export function viewCall(call: Call, request: IncomingMessage, now: number): CallView {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(request.headers)) {
+    if (value !== undefined) headers[name] = Array.isArray(value) ? value.join(', ') : value;
+  }
+  return {
+    method: call.method,
+    path: call.path,
+    caller: call.caller,
+    class: call.className,
+    repeatable: call.repeatable,
+    bytes: call.bytes,
+    deadline: call.timeAllowed - (now - call.receivedAt),
+    draw: hashPair('draw', call.caller) / DRAW_RANGE,
+    headers,
+  };
+}
--- /dev/null
+++ b/src/proxy/door.ts
@@ -0,0 +1,80 @@
+/** What a request must be like before anything looks at it: the checks against hostile input. */
+import type { IncomingMessage } from 'node:http';
+import { listPairs } from './headers.js';
+
+/** Why a request is turned away, as an HTTP status with a reason. */
+export interface Refusal {
+  readonly status: number;
+  readonly detail: string;
+}
+
+/** Most header fields in a request. */
+export const MAX_HEADER_FIELDS = 100;
+
+/** Longest request target, in bytes. */
+export const MAX_TARGET = 8192;
+
+const ONCE = new Set(['host', 'content-length', 'transfer-encoding', 'idempotency-key']);
+const DOT_SEGMENT = /(?:^|[/\\])(?:\.|%2e){1,2}(?:[/\\]|%2f|%5c|$)/i;
+const TOKEN = /^[!#$%&'*+.^_`|~\w-]+$/;
+const HOST = /^[\w.-]+(?::\d{1,5})?$/;
+
+function refuse(status: number, detail: string): Refusal {
+  return { status, detail };
+}
+
+function checkFields(request: IncomingMessage): Refusal | undefined {
+  const seen = new Set<string>();
+  let count = 0;
+  for (const [name, value] of listPairs(request.rawHeaders)) {
+    const lower = name.toLowerCase();
+    count += 1;
+    if (count > MAX_HEADER_FIELDS) return refuse(431, `more than ${MAX_HEADER_FIELDS} headers`);
+    if (!TOKEN.test(name)) return refuse(400, 'a header name is not a token');
+    if (ONCE.has(lower) && seen.has(lower)) return refuse(400, `header ${lower} stands twice`);
+    if (value.includes('\n') || value.includes('\r')) return refuse(400, 'a folded header');
+    seen.add(lower);
+  }
+  if (seen.has('content-length') && seen.has('transfer-encoding')) {
+    return refuse(400, 'both content-length and transfer-encoding');
+  }
+  return undefined;
+}
+
+function checkTarget(target: string): Refusal | undefined {
+  if (target.length > MAX_TARGET) return refuse(414, `a target longer than ${MAX_TARGET} bytes`);
+  if (target === '*') return undefined;
+  if (!target.startsWith('/')) return refuse(400, 'a target that is not a path');
+  const [path = ''] = target.split('?', 1);
+  if (DOT_SEGMENT.test(path)) return refuse(400, 'a path with dot segments');
+  return undefined;
+}
+
+/** Checks the head of a request; undefined lets it in. */
+export function checkHead(request: IncomingMessage): Refusal | undefined {
+  const fields = checkFields(request);
+  if (fields !== undefined) return fields;
+  const { host } = request.headers;
+  if (host === undefined || !HOST.test(host)) return refuse(400, 'no valid Host');
+  const coding = request.headers['transfer-encoding'];
+  if (coding !== undefined && coding.toLowerCase() !== 'chunked') {
+    return refuse(501, 'a transfer coding other than chunked');
+  }
+  const expectation = request.headers.expect;
+  if (expectation !== undefined && expectation.toLowerCase() !== '100-continue') {
+    return refuse(417, 'an expectation other than 100-continue');
+  }
+  return checkTarget(request.url ?? '');
+}
+
+/**
+ * Turns a target in absolute form into its path, and takes the host it names.
+ * Other targets are left as they are.
+ */
+export function normalizeTarget(request: IncomingMessage): void {
+  const match = /^https?:\/\/([^/?#]+)(\/.*)?$/i.exec(request.url ?? '');
+  if (match === null) return;
+  const [, host = '', path = '/'] = match;
+  request.headers.host = host;
+  request.url = path;
+}
--- /dev/null
+++ b/src/proxy/headers.ts
@@ -0,0 +1,142 @@
+/** Headers: the ones of ours, the ones that end at each hop, and what passes on. */
+import { OUTCOME_HEADER } from './outcome.js';
+import type { TargetReport, TargetWord } from '../balance/index.js';
+
+/** Request headers that callers may send. */
+export const CALLER_HEADERS = {
+  /** Time left for the call, in milliseconds. */
+  deadline: 'orchidbeam-deadline',
+  /** The class of work. */
+  class: 'orchidbeam-class',
+  /** Who calls, for fairness and policies. */
+  caller: 'orchidbeam-caller',
+  /** `yes` or `no`: whether the call may be repeated. */
+  repeatable: 'orchidbeam-repeatable',
+  /** Set on a call made while serving another one that was itself a retry. */
+  retry: 'orchidbeam-retry',
+  idempotencyKey: 'idempotency-key',
+} as const;
+
+/** Follows a call through every part; targets may echo it on their answer. */
+export const CALL_HEADER = 'orchidbeam-call';
+
+/** A target's word on an answer: `not-run; state=draining; in-flight=3`. */
+export const REPORT_HEADER = 'orchidbeam-report';
+
+/** The header of calls handed over between entries, on the relay listener only. */
+export const RELAY_HEADER = 'orchidbeam-relay';
+
+const HOP_BY_HOP = new Set([
+  ...['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection'],
+  ...['te', 'trailer', 'transfer-encoding', 'upgrade', 'expect'],
+]);
+
+const OWN_TO_TARGET = new Set<string>([
+  ...[CALL_HEADER, RELAY_HEADER, REPORT_HEADER, CALLER_HEADERS.deadline, OUTCOME_HEADER],
+  ...['orchidbeam-retry', 'x-forwarded-for'],
+]);
+
+const OWN_TO_CALLER = new Set<string>([REPORT_HEADER, OUTCOME_HEADER, CALL_HEADER]);
+
+/** Headers as a flat list: name, value, name, value. */
+export type FlatHeaders = readonly string[];
+
+/** Yields the pairs of a flat list. */
+export function* listPairs(flat: FlatHeaders): Generator<readonly [string, string]> {
+  for (let index = 0; index + 1 < flat.length; index += 2) {
+    yield [flat[index], flat[index + 1]];
+  }
+}
+
+function listConnectionTokens(flat: FlatHeaders): ReadonlySet<string> {
+  const tokens = new Set<string>();
+  for (const [name, value] of listPairs(flat)) {
+    if (name.toLowerCase() !== 'connection') continue;
+    for (const token of value.split(',')) tokens.add(token.trim().toLowerCase());
+  }
+  return tokens;
+}
+
+function filterHeaders(flat: FlatHeaders, drops: (name: string) => boolean): string[] {
+  const tokens = listConnectionTokens(flat);
+  const kept: string[] = [];
+  for (const [name, value] of listPairs(flat)) {
+    const lower = name.toLowerCase();
+    if (HOP_BY_HOP.has(lower) || tokens.has(lower) || drops(lower)) continue;
+    kept.push(name, value);
+  }
+  return kept;
+}
+
+/** What the entry adds to a call on its way to a target. */
+export interface Addition {
+  readonly call: string;
+  /** Time left, in milliseconds. */
+  readonly left: number;
+  readonly callerAddress: string;
+  readonly forwardedFor: string | undefined;
+  readonly isRetry: boolean;
+}
+
+/** Builds the headers of a call for a target: those of the caller that pass on, and ours. */
+export function buildTargetHeaders(flat: FlatHeaders, addition: Addition): string[] {
+  const headers = filterHeaders(flat, (name) => OWN_TO_TARGET.has(name));
+  headers.push(CALL_HEADER, addition.call);
+  headers.push(CALLER_HEADERS.deadline, String(Math.max(1, Math.floor(addition.left))));
+  const { forwardedFor, callerAddress } = addition;
+  headers.push(
+    'x-forwarded-for',
+    forwardedFor === undefined ? callerAddress : `${forwardedFor}, ${callerAddress}`,
+  );
+  if (addition.isRetry) headers.push(CALLER_HEADERS.retry, '1');
+  return headers;
+}
+
+/** Builds the headers of an answer for the caller. */
+export function buildCallerHeaders(
+  flat: FlatHeaders,
+  call: string,
+  keepsOutcome = false,
+): string[] {
+  const headers = filterHeaders(
+    flat,
+    (name) => OWN_TO_CALLER.has(name) && !(keepsOutcome && name === OUTCOME_HEADER),
+  );
+  headers.push(CALL_HEADER, call);
+  return headers;
+}
+
+/** Finds the value of a header in a flat list. */
+export function findHeader(flat: FlatHeaders, wanted: string): string | undefined {
+  for (const [name, value] of listPairs(flat)) {
+    if (name.length === wanted.length && name.toLowerCase() === wanted) return value;
+  }
+  return undefined;
+}
+
+/** A target's report, and whether it says that the call was not run. */
+export interface ReadReport {
+  readonly notRun: boolean;
+  readonly report: TargetReport;
+}
+
+const WORDS: readonly TargetWord[] = ['ready', 'cold', 'draining'];
+const NO_REPORT: ReadReport = {
+  notRun: false,
+  report: { word: undefined, inFlight: undefined },
+};
+
+/** Reads a report header; parts that cannot be read are ignored. */
+export function readReport(value: string | undefined): ReadReport {
+  if (value === undefined) return NO_REPORT;
+  let notRun = false;
+  let word: TargetWord | undefined;
+  let inFlight: number | undefined;
+  for (const part of value.split(';')) {
+    const [name = '', text = ''] = part.trim().split('=');
+    if (name === 'not-run') notRun = true;
+    if (name === 'state') word = WORDS.find((known) => known === text);
+    if (name === 'in-flight' && /^\d{1,6}$/.test(text)) inFlight = Number(text);
+  }
+  return { notRun, report: { word, inFlight } };
+}
--- /dev/null
+++ b/src/proxy/index.ts
@@ -0,0 +1,9 @@
+/** Calls over HTTP: the door, reading a call, attempts at targets, and what a caller is told. */
+export * from './outcome.js';
+export * from './headers.js';
+export * from './call.js';
+export * from './body.js';
+export * from './attempt.js';
+export * from './forwarder.js';
+export * from './door.js';
+export * from './server.js';
--- /dev/null
+++ b/src/proxy/server.ts
@@ -0,0 +1,156 @@
+/** An HTTP listener for callers or for calls handed over between entries. */
+import http, { type IncomingMessage, type ServerResponse } from 'node:http';
+import type { Duplex } from 'node:stream';
+import type { Address, KeyPair, Listener, Network } from '../kernel/index.js';
+import { type Refusal, checkHead, normalizeTarget } from './door.js';
+import { createNotRun } from './outcome.js';
+
+/** What a listener is made from. */
+export interface HttpListenerOptions {
+  readonly network: Network;
+  readonly address: Address;
+  readonly keys?: KeyPair;
+  readonly maxConnections: number;
+  readonly maxHeaderBytes: number;
+  /** Longest wait for the headers of a call, in milliseconds. */
+  readonly headerTimeout: number;
+  /** Longest pause inside the body of a call, in milliseconds. */
+  readonly bodyTimeout: number;
+  readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
+  /** Called for each request that was turned away at the door. */
+  readonly onRefused: (detail: string) => void;
+}
+
+/** A running listener. */
+export interface HttpListener {
+  readonly address: Address;
+  /** Connections open now. */
+  countConnections(): number;
+  replaceKeys(keys: KeyPair): void;
+  /** Stops accepting, closes idle connections, and answers busy ones with `Connection: close`. */
+  drain(): Promise<void>;
+  /** Closes every connection. */
+  destroy(): void;
+}
+
+const PARSER_STATUS: Readonly<Record<string, number>> = {
+  HPE_HEADER_OVERFLOW: 431,
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
+const BAD_REQUEST = 400;
+const NOT_IMPLEMENTED = 501;
+const KEEP_ALIVE = 30_000;
+const CHECK_INTERVAL = 1000;
+
+function writeRawRefusal(socket: Duplex, status: number, detail: string): void {
+  if (!socket.writable) return;
+  const reason = http.STATUS_CODES[status] ?? 'Error';
+  const body = JSON.stringify({ outcome: 'not-run', reason: 'bad-request', status, detail });
+  socket.end(
+    `HTTP/1.1 ${status} ${reason}\r\nconnection: close\r\norchidbeam-outcome: not-run\r\n` +
+      `content-type: application/problem+json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+  );
+}
+
+function refuseRequest(response: ServerResponse, refusal: Refusal): void {
+  // The framing of a refused request is not trusted, so its connection ends with the answer.
+  response.shouldKeepAlive = false;
+  const outcome = createNotRun('bad-request', refusal.detail);
+  const body = JSON.stringify({ ...outcome, outcome: 'not-run', status: refusal.status });
+  response.writeHead(refusal.status, {
+    'content-type': 'application/problem+json',
+    'content-length': Buffer.byteLength(body),
+    'orchidbeam-outcome': 'not-run',
+  });
+  response.end(body);
+}
+
+/** Starts a listener. */
+export async function startHttpListener(options: HttpListenerOptions): Promise<HttpListener> {
+  const sockets = new Set<Duplex>();
+  const busy = new Set<ServerResponse>();
+  let draining = false;
+
+  function admit(request: IncomingMessage, response: ServerResponse): void {
+    normalizeTarget(request);
+    const refusal = checkHead(request);
+    if (refusal !== undefined) {
+      options.onRefused(refusal.detail);
+      refuseRequest(response, refusal);
+      return;
+    }
+    busy.add(response);
+    response.on('close', () => busy.delete(response));
+    if (draining) response.shouldKeepAlive = false;
+    options.handle(request, response);
+  }
+
+  const server = http.createServer({
+    maxHeaderSize: options.maxHeaderBytes,
+    headersTimeout: options.headerTimeout,
+    requestTimeout: 0,
+    connectionsCheckingInterval: CHECK_INTERVAL,
+    keepAliveTimeout: KEEP_ALIVE,
+    noDelay: true,
+    requireHostHeader: false,
+  });
+  server.maxHeadersCount = 0;
+  server.on('request', admit);
+  server.on('checkContinue', admit);
+  server.on('checkExpectation', admit);
+  server.on('connect', (_request: IncomingMessage, socket: Duplex) => {
+    options.onRefused('CONNECT');
+    writeRawRefusal(socket, NOT_IMPLEMENTED, 'CONNECT is not served');
+  });
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    const { code = '' } = error;
+    options.onRefused(code);
+    if (code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    writeRawRefusal(socket, PARSER_STATUS[code] ?? BAD_REQUEST, error.message);
+  });
+  server.setTimeout(options.bodyTimeout, (socket: Duplex) => {
+    // A pause while the target works is not the caller's; only an unfinished body is.
+    const waiting = [...busy].some(
+      (response) => response.socket === socket && response.req.complete,
+    );
+    if (!waiting) socket.destroy();
+  });
+
+  const listener: Listener = await options.network.listen({
+    address: options.address,
+    keys: options.keys,
+    onConnection: (socket) => {
+      if (sockets.size >= options.maxConnections) {
+        options.onRefused('too many connections');
+        socket.destroy();
+        return;
+      }
+      sockets.add(socket);
+      socket.on('close', () => sockets.delete(socket));
+      server.emit('connection', socket);
+    },
+  });
+
+  return {
+    address: listener.address,
+    countConnections: () => sockets.size,
+    replaceKeys: (keys) => listener.replaceKeys(keys),
+    async drain() {
+      draining = true;
+      for (const response of busy) response.shouldKeepAlive = false;
+      await listener.close();
+      const occupied = new Set([...busy].map((response) => response.socket as Duplex | null));
+      for (const socket of sockets) {
+        if (!occupied.has(socket)) socket.end();
+      }
+    },
+    destroy() {
+      listener.close().catch(() => undefined);
+      for (const socket of sockets) socket.destroy();
+      server.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/settings/entry.ts
@@ -0,0 +1,136 @@
+/** The settings of an entry daemon: where it listens, its failure domain, whom it talks to. */
+import { Either, Left, Right } from 'purify-ts';
+import { LOG_LEVELS } from '../kernel/index.js';
+import { type Mistake, readIni } from './ini.js';
+import {
+  type Fields,
+  type Values,
+  checkSection,
+  describeAddress,
+  describeChoice,
+  describeDuration,
+  describeInteger,
+  describeList,
+  describeName,
+  describeOptionalAddress,
+  describeOptionalText,
+  describeText,
+} from './schema.js';
+import { suggestName } from './suggest.js';
+
+const entryFields = {
+  name: describeName('Name of this VM, shown in status and logs'),
+  failure_domain: describeName('Region and failure domain, such as hu/bud1'),
+  callers: describeAddress('Where callers connect'),
+  peers: describeAddress('Where the other entries connect, over gRPC'),
+  relay: describeAddress('Where other entries hand over calls for a service that is at home here'),
+  admin: describeAddress('Where operators connect'),
+  seeds: describeList(
+    describeAddress("Peer addresses of other entries, besides those of the platform's list"),
+    [],
+  ),
+} satisfies Fields;
+
+const platformFields = {
+  address: describeAddress('Address of the platform service'),
+  timeout: describeDuration('Longest wait for one platform call', 2000),
+  calls_per_second: describeInteger('Most platform calls a second, of all kinds', [1, 1000], 50),
+} satisfies Fields;
+
+const securityFields = {
+  peer_secret: describeText('Secret shared by all entries; at least 16 characters'),
+  operator: describeName('Name of the operator who can act before any is configured', 'root'),
+  operator_credential: describeText(
+    'Hash of that operator\'s token, from "orchidbeam operator hash"',
+  ),
+  admin_cert: describeOptionalText(
+    'PEM file of the certificate for operators; empty for plain HTTP',
+  ),
+  admin_key: describeOptionalText('PEM file of the private key for operators'),
+  callers_cert: describeOptionalText(
+    'PEM file of the certificate for callers; empty for plain HTTP',
+  ),
+  callers_key: describeOptionalText('PEM file of the private key for callers'),
+} satisfies Fields;
+
+const limitsFields = {
+  max_calls: describeInteger('Most calls held by this daemon at once', [1, 100_000], 5000),
+  max_connections: describeInteger('Most connections of callers at once', [1, 100_000], 10_000),
+  header_timeout: describeDuration('Longest wait for the headers of a call', 10_000),
+  body_timeout: describeDuration('Longest pause inside the body of a call', 30_000),
+  max_header_bytes: describeInteger('Most bytes of headers in a call', [1024, 65_536], 16_384),
+  answer_ttl: describeDuration('How long callers keep the answer to "which entries"', 5000),
+  stop_grace: describeDuration('Longest planned stop before calls in flight are ended', 60_000),
+} satisfies Fields;
+
+const logFields = {
+  level: describeChoice('The lowest level that is written', LOG_LEVELS, 'info'),
+  calls: describeChoice('Whether each call is logged', ['all', 'failed', 'none'], 'failed'),
+} satisfies Fields;
+
+const metricsFields = {
+  statsd: describeOptionalAddress('Address of a StatsD server'),
+} satisfies Fields;
+
+/** The sections of an entry daemon's settings, in the order of the reference. */
+export const entrySections = {
+  entry: entryFields,
+  platform: platformFields,
+  security: securityFields,
+  limits: limitsFields,
+  log: logFields,
+  metrics: metricsFields,
+} as const;
+
+/** The checked settings of an entry daemon. */
+export type EntrySettings = {
+  readonly [S in keyof typeof entrySections]: Values<(typeof entrySections)[S]>;
+};
+
+const MIN_SECRET = 16;
+
+function checkMeaning(file: string, settings: EntrySettings): readonly Mistake[] {
+  const mistakes: Mistake[] = [];
+  const report = (what: string, expected: string) =>
+    mistakes.push({ file, line: 0, what, expected });
+  if (settings.security.peer_secret.length < MIN_SECRET) {
+    report('[security] peer_secret is too short', `at least ${MIN_SECRET} characters`);
+  }
+  for (const side of ['admin', 'callers'] as const) {
+    const cert = settings.security[`${side}_cert`];
+    const key = settings.security[`${side}_key`];
+    if ((cert === '') !== (key === '')) {
+      report(`[security] has only one of ${side}_cert and ${side}_key`, 'both or neither');
+    }
+  }
+  return mistakes;
+}
+
+/** Checks the text of a settings file; all mistakes of the file come together. */
+export function checkEntrySettings(
+  file: string,
+  text: string,
+): Either<readonly Mistake[], EntrySettings> {
+  const ini = readIni(file, text);
+  const mistakes: Mistake[] = [...ini.mistakes];
+  const known = Object.keys(entrySections);
+  for (const section of ini.sections) {
+    if (known.includes(section.name)) continue;
+    const what = `unknown section [${section.name}]`;
+    mistakes.push({ file, line: section.line, what, expected: suggestName(section.name, known) });
+  }
+  const values: Record<string, unknown> = {};
+  for (const [name, fields] of Object.entries(entrySections)) {
+    const found = ini.sections.find((section) => section.name === name);
+    const section = found ?? { name, line: 0, entries: [] };
+    checkSection(file, section, fields as Fields)
+      .ifLeft((more) => mistakes.push(...more))
+      .ifRight((checked) => {
+        values[name] = checked;
+      });
+  }
+  if (mistakes.length > 0) return Left(mistakes);
+  const settings = values as unknown as EntrySettings;
+  const meaning = checkMeaning(file, settings);
+  return meaning.length > 0 ? Left(meaning) : Right(settings);
+}
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,5 @@
+/** Settings and configuration texts in INI, checked with file and line. */
+export * from './ini.js';
+export * from './suggest.js';
+export * from './schema.js';
+export * from './entry.js';
--- /dev/null
+++ b/src/settings/ini.ts
@@ -0,0 +1,102 @@
+/**
+ * INI texts with places.
+ *
+ * The `ini` library reads the values but keeps no line numbers and drops what it cannot read, so a
+ * scan of the lines finds where each key stands and reports the lines that the library would lose.
+ */
+import { parse } from 'ini';
+
+/** A mistake in a text: what is wrong, where, and what was expected. */
+export interface Mistake {
+  readonly file: string;
+  /** Line number from 1; 0 when the mistake belongs to no line. */
+  readonly line: number;
+  readonly what: string;
+  readonly expected: string;
+}
+
+/** One `key = value` line. */
+export interface IniEntry {
+  readonly key: string;
+  readonly value: string;
+  readonly line: number;
+}
+
+/** One `[section]` with its entries in order. */
+export interface IniSection {
+  readonly name: string;
+  readonly line: number;
+  readonly entries: readonly IniEntry[];
+}
+
+/** A read text: its sections, and the lines that are no INI. */
+export interface IniText {
+  readonly file: string;
+  readonly sections: readonly IniSection[];
+  readonly mistakes: readonly Mistake[];
+}
+
+const COMMENT = /^\s*(?:[;#].*)?$/;
+const SECTION = /^\s*\[([^\]]+)\]\s*$/;
+const ENTRY = /^\s*([^=[\]\s][^=]*?)\s*=(.*)$/;
+
+/** Writes a mistake as `file:line: what; expected …`. */
+export function formatMistake({ file, line, what, expected }: Mistake): string {
+  const place = line > 0 ? `${file}:${line}` : file;
+  return `${place}: ${what}; expected ${expected}`;
+}
+
+function readValue(text: string): string {
+  const parsed = parse(`value =${text}`) as Readonly<Record<string, unknown>>;
+  const { value } = parsed;
+  return value === undefined || value === null ? '' : String(value);
+}
+
+interface OpenSection {
+  readonly name: string;
+  readonly line: number;
+  readonly entries: IniEntry[];
+}
+
+/** Reads an INI text; every line that cannot be read becomes a mistake. */
+export function readIni(file: string, text: string): IniText {
+  const sections: OpenSection[] = [];
+  const mistakes: Mistake[] = [];
+  const report = (line: number, what: string, expected: string) =>
+    mistakes.push({ file, line, what, expected });
+  const lines = text.split(/\r?\n/);
+  for (const [index, content] of lines.entries()) {
+    const line = index + 1;
+    if (COMMENT.test(content)) continue;
+    const header = SECTION.exec(content)?.[1]?.trim();
+    if (header !== undefined) {
+      const earlier = sections.find((section) => section.name === header);
+      if (earlier !== undefined) {
+        report(
+          line,
+          `section [${header}] stands twice`,
+          `one [${header}], as on line ${earlier.line}`,
+        );
+      }
+      sections.push({ name: header, line, entries: [] });
+      continue;
+    }
+    const match = ENTRY.exec(content);
+    if (match === null) {
+      report(line, `"${content.trim()}" cannot be read`, 'a [section], key = value, or ; comment');
+      continue;
+    }
+    const [, key = '', rest = ''] = match;
+    const section = sections.at(-1);
+    if (section === undefined) {
+      report(line, `key "${key}" stands before any section`, 'a [section] line first');
+      continue;
+    }
+    if (section.entries.some((entry) => entry.key === key)) {
+      report(line, `key "${key}" stands twice in [${section.name}]`, 'each key once');
+      continue;
+    }
+    section.entries.push({ key, value: readValue(rest), line });
+  }
+  return { file, sections, mistakes };
+}
--- /dev/null
+++ b/src/spread/config-follower.ts
@@ -0,0 +1,256 @@
+/**
+ * Keeps this daemon's configuration current.
+ *
+ * A few entries, found by rendezvous hashing among the live ones, watch the platform; all others
+ * hear from peers. A daemon that hears nothing fresh for some seconds reads the platform itself, so
+ * being cut off from one side is enough to lose freshness only when the other side is cut off too.
+ * The revision in force never falls while the daemon runs.
+ */
+import {
+  type Clock,
+  type Log,
+  type Random,
+  assertInvariant,
+  parseAddress,
+} from '../kernel/index.js';
+import { type HomeCandidate, rankCandidates } from '../balance/index.js';
+import {
+  type ConfigStore,
+  type Configuration,
+  type Documents,
+  EMPTY_CONFIGURATION,
+  HEAD_KEY,
+  type Manifest,
+  checkConfiguration,
+  formatManifest,
+  parseManifest,
+} from '../config/index.js';
+import type { ConfigReply, Member, PeerTransport } from '../peer/index.js';
+import type { Platform } from '../platform/index.js';
+import { formatMistake } from '../settings/index.js';
+import { type Proof, joinProofs } from './proof.js';
+
+/** Times of the follower, in milliseconds. */
+export interface FollowerTimes {
+  /** Between two reads of the manifest by an entry that watches: a watch can skip a change. */
+  readonly reread: number;
+  /** Age of the proof at which any daemon reads the manifest itself. */
+  readonly doubt: number;
+  /** Longest wait for a peer's reply. */
+  readonly timeout: number;
+}
+
+/** The times used unless a test says otherwise. */
+export const DEFAULT_FOLLOWER_TIMES: FollowerTimes = { reread: 3000, doubt: 8000, timeout: 3000 };
+
+/** What the follower is made from. */
+export interface ConfigFollowerOptions {
+  readonly store: ConfigStore;
+  readonly platform: Platform;
+  readonly transport: PeerTransport;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly times: FollowerTimes;
+  /** The live entries and the identifier of this one. */
+  readonly listCandidates: () => readonly HomeCandidate[];
+  readonly selfId: () => string;
+  /** Called after a newer configuration came into force. */
+  readonly onAdopted: (configuration: Configuration) => void;
+}
+
+/** How many entries watch the platform. */
+export const READERS = 2;
+
+const FIRST_BACK_OFF = 250;
+const MAX_BACK_OFF = 4000;
+const IDLE_PERIOD = 500;
+
+/** Follows the configuration for one daemon. */
+export class ConfigFollower {
+  #configuration = EMPTY_CONFIGURATION;
+
+  #manifest: Manifest | undefined;
+
+  #proof: Proof = { revision: 0, at: -Infinity };
+
+  #fetching: Promise<void> = Promise.resolve();
+
+  #fetchingRevision = 0;
+
+  #storeVersion = 0;
+
+  #fault: string | undefined;
+
+  constructor(private readonly options: ConfigFollowerOptions) {}
+
+  /** The configuration in force here. */
+  get configuration(): Configuration {
+    return this.#configuration;
+  }
+
+  /** Whether any configuration was ever learnt; without one nothing is served. */
+  get isKnown(): boolean {
+    return this.#manifest !== undefined;
+  }
+
+  /** Why a newer revision is not in force here, if one was refused. */
+  get fault(): string | undefined {
+    return this.#fault;
+  }
+
+  /** Milliseconds since the revision in force was last shown to be the newest. */
+  get proofAge(): number {
+    return this.options.clock.now() - this.#proof.at;
+  }
+
+  /** Follows until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    await this.readPlatform();
+    let failures = this.isKnown ? 0 : 1;
+    while (!signal.aborted) {
+      const wait = failures === 0 ? IDLE_PERIOD : this.#measureBackOff(failures);
+      if (this.#isReader()) {
+        if (failures > 0) await this.options.clock.sleep(wait, signal);
+        failures = (await this.#watchOnce(signal)) ? 0 : failures + 1;
+        continue;
+      }
+      await this.options.clock.sleep(wait, signal);
+      if (signal.aborted) return;
+      if (this.proofAge < this.options.times.doubt) {
+        failures = 0;
+        continue;
+      }
+      failures = (await this.readPlatform()) ? 0 : failures + 1;
+    }
+  }
+
+  /** Reads the manifest from the platform; false when the platform did not answer. */
+  async readPlatform(): Promise<boolean> {
+    const asked = this.options.clock.now();
+    const head = await this.options.store.readHead();
+    if (head.kind === 'unavailable') return false;
+    this.#storeVersion = head.item?.version ?? 0;
+    if (head.manifest.revision < this.#configuration.revision) {
+      // The platform's service itself went back; what was in force stays in force.
+      const { revision } = head.manifest;
+      this.options.log.error('config.platform-behind', {
+        revision,
+        own: this.#configuration.revision,
+      });
+      return true;
+    }
+    const documents = await this.options.store.readDocuments(head.manifest);
+    if (documents.kind === 'unavailable') return false;
+    this.#adopt(head.manifest, documents.documents);
+    this.#prove({ revision: head.manifest.revision, at: asked });
+    return true;
+  }
+
+  /** Takes a manifest that this daemon read or wrote in the platform at time `at` or later. */
+  async takeManifest(manifest: Manifest, at: number): Promise<void> {
+    const documents = await this.options.store.readDocuments(manifest);
+    if (documents.kind === 'unavailable') return;
+    this.#adopt(manifest, documents.documents);
+    this.#prove({ revision: manifest.revision, at });
+  }
+
+  /** Takes what a peer says it knows; fetches from it when it knows more. */
+  hearKnowledge(from: Member, revision: number, proofAge: number): void {
+    const own = this.#configuration.revision;
+    if (revision === own) {
+      this.#prove({ revision, at: this.options.clock.now() - proofAge });
+      return;
+    }
+    if (revision < own || revision <= this.#fetchingRevision) return;
+    this.#fetchingRevision = revision;
+    this.#fetching = this.#fetching
+      .then(() => this.#fetchFrom(from))
+      .finally(() => {
+        this.#fetchingRevision = 0;
+      });
+  }
+
+  /** Answers a peer that asks for the configuration. */
+  answerFetch(known: readonly string[]): ConfigReply {
+    if (this.#manifest === undefined) return { manifest: '', texts: [], proofAge: Infinity };
+    const has = new Set(known);
+    const texts = Object.values(this.#manifest.documents)
+      .filter((hash) => !has.has(hash))
+      .map((hash) => ({ hash, text: this.options.store.getText(hash) ?? '' }));
+    return { manifest: formatManifest(this.#manifest), texts, proofAge: this.proofAge };
+  }
+
+  #isReader(): boolean {
+    const ranked = rankCandidates('config-readers', this.options.listCandidates());
+    const self = this.options.selfId();
+    return ranked.slice(0, READERS).some(({ id }) => id === self);
+  }
+
+  /** Waits for a change, but rereads in any case now and then. */
+  async #watchOnce(signal: AbortSignal): Promise<boolean> {
+    const { clock, platform, times } = this.options;
+    const limit = new AbortController();
+    const timer = clock.schedule(times.reread, () => limit.abort());
+    const either = AbortSignal.any([signal, limit.signal]);
+    const result = await platform.watch(HEAD_KEY, this.#storeVersion, either);
+    timer.cancel();
+    if (signal.aborted) return true;
+    // A watch that fails within its time is a fault; one that we ended is not.
+    if (result.kind === 'unavailable' && !limit.signal.aborted) {
+      await this.readPlatform();
+      return false;
+    }
+    return this.readPlatform();
+  }
+
+  #measureBackOff(failures: number): number {
+    const limit = Math.min(MAX_BACK_OFF, FIRST_BACK_OFF * 2 ** failures);
+    return limit * (0.5 + this.options.random.next() / 2);
+  }
+
+  async #fetchFrom(from: Member): Promise<void> {
+    const address = parseAddress(from.peers);
+    if (address === undefined) return;
+    const asked = this.options.clock.now();
+    const known = Object.values(this.#manifest?.documents ?? {});
+    const peer = this.options.transport.connect(address);
+    const result = await peer.fetchConfig(known, this.options.times.timeout);
+    if (result.isLeft()) return;
+    const reply = result.unsafeCoerce();
+    if (reply.manifest === '') return;
+    const manifest = parseManifest(reply.manifest);
+    if (manifest.revision <= this.#configuration.revision) return;
+    for (const { hash, text } of reply.texts) this.options.store.keepText(hash, text);
+    const documents = await this.options.store.readDocuments(manifest);
+    if (documents.kind === 'unavailable') return;
+    this.#adopt(manifest, documents.documents);
+    this.#prove({ revision: manifest.revision, at: asked - reply.proofAge });
+  }
+
+  #prove(proof: Proof): void {
+    if (proof.revision !== this.#configuration.revision) return;
+    this.#proof = joinProofs(this.#proof, proof);
+  }
+
+  #adopt(manifest: Manifest, documents: Documents): void {
+    const before = this.#configuration.revision;
+    if (this.#manifest !== undefined && manifest.revision <= before) return;
+    const checked = checkConfiguration(manifest.revision, documents);
+    checked.ifLeft((mistakes) => {
+      const [first] = mistakes;
+      this.#fault = first === undefined ? 'invalid' : formatMistake(first);
+      this.options.log.error('config.refused', { revision: manifest.revision, fault: this.#fault });
+    });
+    checked.ifRight((configuration) => {
+      assertInvariant(configuration.revision >= before, 'the revision in force never falls');
+      this.#fault = undefined;
+      this.#manifest = manifest;
+      this.#configuration = configuration;
+      this.#proof = { revision: configuration.revision, at: -Infinity };
+      this.options.store.forgetUnused(manifest);
+      this.options.log.info('config.adopted', { revision: configuration.revision });
+      this.options.onAdopted(configuration);
+    });
+  }
+}
--- /dev/null
+++ b/src/spread/index.ts
@@ -0,0 +1,4 @@
+/** How the configuration and the list of VMs reach every daemon. */
+export * from './proof.js';
+export * from './config-follower.js';
+export * from './vms-follower.js';
--- /dev/null
+++ b/src/standin/target.ts
@@ -0,0 +1,228 @@
+/**
+ * A stand-in target: an HTTP server with slots, a service time and faults, for demos, experiments
+ * and tests. It follows `docs/TARGETS.md` as a real target would.
+ */
+import http, { type IncomingMessage, type ServerResponse } from 'node:http';
+import type { Address, Random } from '../kernel/index.js';
+
+/** A fault of a target. */
+export type TargetFault =
+  | { readonly kind: 'none' }
+  /** Each call takes `factor` times as long. */
+  | { readonly kind: 'slow'; readonly factor: number }
+  /** No call is ever answered. */
+  | { readonly kind: 'hang' }
+  /** Each call fails at once with status 500. */
+  | { readonly kind: 'fail-fast' }
+  /** The target says that it is leaving; with `refuses` it also runs nothing new. */
+  | { readonly kind: 'draining'; readonly refuses: boolean }
+  /** Refuses each call as not run. */
+  | { readonly kind: 'shed' }
+  /** Runs the call and resets the connection before it answers. */
+  | { readonly kind: 'reset' }
+  /** Breaks the answer off in its middle. */
+  | { readonly kind: 'cut'; readonly framing: 'length' | 'chunked' | 'close' }
+  /** Answers with the identifier of another call. */
+  | { readonly kind: 'wrong-answer' };
+
+/** The kinds of {@link TargetFault}, for checking input. */
+export const TARGET_FAULT_KINDS: readonly TargetFault['kind'][] = [
+  ...(['none', 'slow', 'hang', 'fail-fast', 'draining', 'shed', 'reset'] as const),
+  ...(['cut', 'wrong-answer'] as const),
+];
+
+/** What a stand-in target is made from. */
+export interface TargetServerOptions {
+  readonly address: Address;
+  readonly slots: number;
+  /** Mean service time in milliseconds; single times are spread around it. */
+  readonly serviceTime: number;
+  /** Calls that wait in the target before it sheds. */
+  readonly queueLimit: number;
+  readonly random: Random;
+  /** Draws a service time in milliseconds; exponential with the mean unless given. */
+  readonly drawTime?: (request: IncomingMessage) => number;
+}
+
+/** What happened at a target. */
+export interface TargetCounts {
+  calls: number;
+  shed: number;
+  probes: number;
+  connections: number;
+  /** Milliseconds of slots spent on calls whose answer nobody waited for any more. */
+  wasted: number;
+}
+
+/** A running stand-in target. */
+export interface TargetServer {
+  readonly address: Address;
+  readonly counts: Readonly<TargetCounts>;
+  /** How often each idempotency key was run. */
+  readonly runs: ReadonlyMap<string, number>;
+  setFault(fault: TargetFault): void;
+  close(): void;
+}
+
+const MIN_TIME_SHARE = 0.5;
+const HEADER_NAME = 'orchidbeam-report';
+const CALL_HEADER = 'orchidbeam-call';
+const STEP = 10;
+
+/** Draws from an exponential distribution above a floor, with the given mean. */
+export function drawServiceTime(mean: number, random: Random): number {
+  return mean * (MIN_TIME_SHARE - (1 - MIN_TIME_SHARE) * Math.log(1 - random.next()));
+}
+
+/** Starts a stand-in target. */
+export function startTarget(options: TargetServerOptions): Promise<TargetServer> {
+  const { random } = options;
+  const counts: TargetCounts = { calls: 0, shed: 0, probes: 0, connections: 0, wasted: 0 };
+  const runs = new Map<string, number>();
+  let fault: TargetFault = { kind: 'none' };
+  let running = 0;
+  let waiting: readonly (() => void)[] = [];
+
+  const releaseSlot = () => {
+    running -= 1;
+    const [next, ...rest] = waiting;
+    waiting = rest;
+    next?.();
+  };
+
+  const takeSlot = async (): Promise<void> => {
+    if (running >= options.slots) {
+      await new Promise<void>((resolve) => {
+        waiting = [...waiting, resolve];
+      });
+    }
+    running += 1;
+  };
+
+  const buildReport = (notRun: boolean): string => {
+    const state = fault.kind === 'draining' ? 'draining' : 'ready';
+    // The call being answered has left its slot already.
+    const report = `state=${state}; in-flight=${running + waiting.length}`;
+    return notRun ? `not-run; ${report}` : report;
+  };
+
+  const shed = (response: ServerResponse) => {
+    counts.shed += 1;
+    response.writeHead(503, { [HEADER_NAME]: buildReport(true), 'content-length': 0 });
+    response.end();
+  };
+
+  const wait = (milliseconds: number) =>
+    new Promise<void>((resolve) => {
+      setTimeout(resolve, milliseconds);
+    });
+
+  const readBody = async (request: IncomingMessage): Promise<number> => {
+    let bytes = 0;
+    for await (const chunk of request) bytes += (chunk as Buffer).length;
+    return bytes;
+  };
+
+  const writeCut = (response: ServerResponse, framing: 'length' | 'chunked' | 'close') => {
+    const { socket } = response;
+    if (framing === 'close') {
+      socket?.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf of the ans');
+      socket?.destroySoon();
+      return;
+    }
+    response.writeHead(200, framing === 'length' ? { 'content-length': 100 } : {});
+    response.write('half of the ans');
+    setTimeout(() => socket?.destroy(), 5);
+  };
+
+  const answer = (request: IncomingMessage, response: ServerResponse, bytes: number) => {
+    const wanted = Number(request.headers['x-answer-bytes'] ?? 0);
+    const body = JSON.stringify({
+      ...{ token: request.headers['x-token'] ?? null, bytes, path: request.url },
+      padding: 'x'.repeat(wanted),
+    });
+    const call = fault.kind === 'wrong-answer' ? 'another-call' : request.headers[CALL_HEADER];
+    response.writeHead(request.method === 'POST' ? 201 : 200, {
+      ...{ 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) },
+      ...{ [HEADER_NAME]: buildReport(false), [CALL_HEADER]: call ?? '' },
+    });
+    response.end(body);
+  };
+
+  /** Runs a call in its slot; returns the length of its body. */
+  async function run(request: IncomingMessage, response: ServerResponse): Promise<number> {
+    const bytes = await readBody(request);
+    const drawn = options.drawTime?.(request) ?? drawServiceTime(options.serviceTime, random);
+    // A slowdown in force at any moment of a call slows the rest of it.
+    let left = drawn;
+    while (left > 0) {
+      const factor = fault.kind === 'slow' ? fault.factor : 1;
+      const step = factor === 1 && fault.kind === 'none' ? left : Math.min(left, STEP);
+      await wait(step * factor);
+      left -= step;
+    }
+    const key = request.headers['idempotency-key'];
+    if (typeof key === 'string') runs.set(key, (runs.get(key) ?? 0) + 1);
+    if (response.destroyed) counts.wasted += drawn;
+    if (fault.kind === 'reset') response.socket?.destroy();
+    else if (fault.kind === 'cut') writeCut(response, fault.framing);
+    return bytes;
+  }
+
+  async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    counts.calls += 1;
+    if (fault.kind === 'fail-fast') {
+      request.resume();
+      response.writeHead(500, { 'content-length': 0 }).end();
+      return;
+    }
+    if (fault.kind === 'hang') return;
+    const refuses = fault.kind === 'shed' || (fault.kind === 'draining' && fault.refuses);
+    if (refuses || waiting.length >= options.queueLimit) {
+      shed(response);
+      return;
+    }
+    await takeSlot();
+    let bytes = 0;
+    try {
+      if (response.destroyed) return;
+      bytes = await run(request, response);
+    } finally {
+      releaseSlot();
+    }
+    const answered = response.destroyed || response.headersSent || fault.kind === 'cut';
+    if (!answered) answer(request, response, bytes);
+  }
+
+  const server = http.createServer((request, response) => {
+    if (request.url === '/health') {
+      counts.probes += 1;
+      response.writeHead(fault.kind === 'fail-fast' ? 500 : 200, { 'content-length': 0 }).end();
+      return;
+    }
+    serve(request, response).catch(() => response.destroy());
+  });
+  server.on('connection', () => {
+    counts.connections += 1;
+  });
+  server.keepAliveTimeout = 60_000;
+  server.headersTimeout = 0;
+  server.requestTimeout = 0;
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(options.address.port, options.address.host, () => {
+      const { port } = server.address() as { readonly port: number };
+      resolve({
+        address: { host: options.address.host, port },
+        ...{ counts, runs },
+        setFault: (next) => {
+          fault = next;
+        },
+        close: () => {
+          server.close();
+          server.closeAllConnections();
+        },
+      });
+    });
+  });
+}
--- /dev/null
+++ b/test/proxy.test.ts
@@ -0,0 +1,151 @@
+/** The targets' interface: what a caller is told for each way in which a target can behave. */
+import { expect } from 'chai';
+import type { Entry } from '../src/entry/index.js';
+import type { TargetFault, TargetServer } from '../src/standin/index.js';
+import { Fleet, type Sending, putDocuments, send, writeService } from './helpers/fleet.js';
+
+const POST: Sending = { method: 'POST', path: '/postings', body: 'x', headers: { 'x-token': 't' } };
+const GET: Sending = { headers: { 'x-token': 't' } };
+
+interface Expected {
+  readonly outcome: string | undefined;
+  readonly reason?: string;
+  readonly status?: number;
+  readonly whole?: boolean;
+}
+
+interface Row {
+  readonly fault: TargetFault;
+  readonly what: string;
+  readonly sending: Sending;
+  readonly expected: Expected;
+}
+
+const ROWS: readonly Row[] = [
+  {
+    what: 'a healthy target, lookup',
+    fault: { kind: 'none' },
+    sending: GET,
+    expected: { outcome: undefined, status: 200, whole: true },
+  },
+  {
+    what: 'a healthy target, posting',
+    fault: { kind: 'none' },
+    sending: POST,
+    expected: { outcome: undefined, status: 201, whole: true },
+  },
+  {
+    what: 'shed by its word',
+    fault: { kind: 'shed' },
+    sending: POST,
+    expected: { outcome: 'not-run', reason: 'target-shed' },
+  },
+  {
+    what: 'draining and refusing',
+    fault: { kind: 'draining', refuses: true },
+    sending: POST,
+    expected: { outcome: 'not-run' },
+  },
+  {
+    what: 'reset after it ran, posting',
+    fault: { kind: 'reset' },
+    sending: POST,
+    expected: { outcome: 'unknown', reason: 'connection-lost' },
+  },
+  {
+    what: 'reset after it ran, lookup',
+    fault: { kind: 'reset' },
+    sending: GET,
+    expected: { outcome: 'unknown', reason: 'connection-lost' },
+  },
+  {
+    what: 'hanging past the deadline',
+    fault: { kind: 'hang' },
+    sending: { ...POST, headers: { 'orchidbeam-deadline': '80' } },
+    expected: { outcome: 'unknown', reason: 'deadline' },
+  },
+  {
+    what: 'an error of its own',
+    fault: { kind: 'fail-fast' },
+    sending: POST,
+    expected: { outcome: undefined, status: 500, whole: true },
+  },
+  {
+    what: 'an answer to another call',
+    fault: { kind: 'wrong-answer' },
+    sending: POST,
+    expected: { outcome: 'unknown', reason: 'wrong-answer' },
+  },
+  {
+    what: 'cut short of its length',
+    fault: { kind: 'cut', framing: 'length' },
+    sending: POST,
+    expected: { outcome: undefined, whole: false },
+  },
+  {
+    what: 'cut without its last chunk',
+    fault: { kind: 'cut', framing: 'chunked' },
+    sending: POST,
+    expected: { outcome: undefined, whole: false },
+  },
+  {
+    what: 'ended by its connection',
+    fault: { kind: 'cut', framing: 'close' },
+    sending: POST,
+    expected: { outcome: 'unknown', reason: 'undelimited-answer' },
+  },
+];
+
+describe('proxy', () => {
+  let fleet: Fleet;
+  let entry: Entry;
+  let target: TargetServer;
+
+  beforeEach(async () => {
+    fleet = new Fleet();
+    target = await fleet.startTarget();
+    putDocuments(fleet.store, { 'service/test': writeService([target.address]) });
+    entry = await fleet.start();
+  });
+
+  afterEach(() => fleet.close());
+
+  describe('what the caller is told', () => {
+    for (const { what, fault, sending, expected } of ROWS) {
+      it(`${what}: ${expected.outcome ?? (expected.whole === false ? 'cut' : 'whole')}`, async () => {
+        target.setFault(fault);
+        const reply = await send(entry.callersAddress, sending);
+        expect(reply.headers['orchidbeam-outcome']).to.equal(expected.outcome);
+        if (expected.status !== undefined) expect(reply.status).to.equal(expected.status);
+        if (expected.whole !== undefined) expect(reply.whole).to.equal(expected.whole);
+        if (expected.reason === undefined) return;
+        expect(JSON.parse(reply.text)).to.include({
+          reason: expected.reason,
+          outcome: expected.outcome,
+        });
+        expect(reply.headers['content-type']).to.equal('application/problem+json');
+      });
+    }
+
+    it('an unknown host: not run', async () => {
+      const reply = await send(entry.callersAddress, { headers: { host: 'other.example' } });
+      expect(reply.status).to.equal(404);
+      expect(reply.headers['orchidbeam-outcome']).to.equal('not-run');
+    });
+  });
+
+  describe('which entries to use', () => {
+    it('names a home and a time to live', async () => {
+      const path = '/.well-known/orchidbeam/entries?service=test';
+      const reply = await send(entry.callersAddress, { path });
+      const answer = JSON.parse(reply.text) as { ttl: number; entries: { address: string }[] };
+      expect(answer.ttl).to.equal(5000);
+      expect(answer.entries).to.have.length(1);
+    });
+
+    it('says so when there is no such service', async () => {
+      const path = '/.well-known/orchidbeam/entries?service=none';
+      expect((await send(entry.callersAddress, { path })).status).to.equal(404);
+    });
+  });
+});
