--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -50,6 +50,8 @@
       '@typescript-eslint/no-unused-expressions': 'off',
       'no-unused-expressions': 'off',
       'import-x/no-extraneous-dependencies': 'off',
+      // Tables of cases share the fixtures of their `describe`.
+      '@typescript-eslint/no-loop-func': 'off',
     },
   },
   {
--- /dev/null
+++ b/test/measure.test.ts
@@ -0,0 +1,106 @@
+/** The measuring budget: one sum for the whole system, whatever fails. */
+import { expect } from 'chai';
+import { InvariantError, ManualClock } from '../src/kernel/index.js';
+import { GRANT_SPAN, MeasuringGrant, buildGrantKey } from '../src/measure/index.js';
+import { Store, createStorePlatform } from '../src/standin/index.js';
+
+const BUDGET = 2;
+const COST = 6;
+const SECONDS = 300;
+
+function open(store: Store, clock: ManualClock): MeasuringGrant {
+  const platform = createStorePlatform(store, clock);
+  return new MeasuringGrant(buildGrantKey('ledger', 'main'), BUDGET, platform, clock);
+}
+
+/** Lets every daemon ask for as much as it can, for a while; returns what was spent. */
+async function spendGreedily(
+  clock: ManualClock,
+  daemons: () => readonly MeasuringGrant[],
+  onSecond: (second: number) => void = () => undefined,
+): Promise<number> {
+  let spent = 0;
+  for (let second = 0; second < SECONDS; second += 1) {
+    onSecond(second);
+    for (const daemon of daemons()) {
+      if (await daemon.spend(COST)) spent += COST;
+    }
+    await clock.advance(1000);
+  }
+  return spent;
+}
+
+describe('measuring budget', () => {
+  let clock: ManualClock;
+  let store: Store;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    store = new Store(clock);
+  });
+
+  // One grant can lie at each end of the time that is looked at.
+  const ceiling = BUDGET * (SECONDS + GRANT_SPAN / 1000);
+
+  describe('is never overspent', () => {
+    it('by seventeen daemons', async () => {
+      const daemons = Array.from({ length: 17 }, () => open(store, clock));
+      const spent = await spendGreedily(clock, () => daemons);
+      expect(spent).to.be.within(1, ceiling);
+    });
+
+    it('by daemons that restart every second', async () => {
+      const spent = await spendGreedily(clock, () => [open(store, clock), open(store, clock)]);
+      expect(spent).to.be.within(1, ceiling);
+    });
+
+    it('while the platform comes and goes', async () => {
+      const daemons = [open(store, clock), open(store, clock)];
+      const spent = await spendGreedily(
+        clock,
+        () => daemons,
+        (second) => {
+          store.setFault({ kind: second % 7 < 3 ? 'down' : 'none' });
+        },
+      );
+      expect(spent).to.be.within(1, ceiling);
+    });
+
+    it('while replies are lost', async () => {
+      const daemons = [open(store, clock), open(store, clock)];
+      const spent = await spendGreedily(
+        clock,
+        () => daemons,
+        (second) => {
+          store.setFault({ kind: second % 5 === 0 ? 'lose-write-replies' : 'none' });
+        },
+      );
+      expect(spent).to.be.within(0, ceiling);
+    });
+
+    it('by a daemon that was paused past its grant', async () => {
+      const paused = open(store, clock);
+      expect(await paused.spend(COST)).to.equal(true);
+      await clock.advance(GRANT_SPAN * 2);
+      const other = open(store, clock);
+      expect(await other.spend(COST)).to.equal(true);
+      expect(await paused.spend(COST)).to.equal(false);
+    });
+  });
+
+  it('is not spent at all without the platform', async () => {
+    store.setFault({ kind: 'down' });
+    expect(await open(store, clock).spend(COST)).to.equal(false);
+  });
+
+  it('stops the process when more was spent than granted', async () => {
+    const daemon = open(store, clock);
+    await daemon.spend(COST);
+    daemon.granted = 0;
+    let caught: unknown;
+    await daemon.spend(COST).catch((error: unknown) => {
+      caught = error;
+    });
+    expect(caught).to.be.instanceOf(InvariantError);
+  });
+});
