The door, checked with raw bytes; membership and spreading under cuts

Cause: a call with a body longer than declared was answered 400 'not run' before its own 201; slow headers were never timed out, because the HTTP library did not know that it listens. Change: bad bytes after a call end the connection only once that call is answered; inside a call's body they cut the connection, since part of the call was passed on; the library's check is started. Conclusion: no answer overtakes another.

--- a/src/proxy/server.ts
+++ b/src/proxy/server.ts
@@ -102,23 +102,34 @@
     options.onRefused('CONNECT');
     writeRawRefusal(socket, NOT_IMPLEMENTED, 'CONNECT is not served');
   });
+  const findBusy = (socket: Duplex) =>
+    [...busy].filter((response) => response.req.socket === socket);
+
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     const { code = '' } = error;
     options.onRefused(code);
-    if (code === 'ECONNRESET') {
+    const calls = findBusy(socket);
+    if (code === 'ECONNRESET' || calls.some((response) => !response.req.complete)) {
+      // Part of a call was passed on already, so nothing true can be said of it here.
       socket.destroy();
       return;
     }
-    writeRawRefusal(socket, PARSER_STATUS[code] ?? BAD_REQUEST, error.message);
+    const last = calls.at(-1);
+    if (last === undefined) {
+      writeRawRefusal(socket, PARSER_STATUS[code] ?? BAD_REQUEST, error.message);
+      return;
+    }
+    // The calls before the bad bytes are answered first: no answer may overtake another.
+    last.shouldKeepAlive = false;
+    last.on('finish', () => socket.end());
   });
   server.setTimeout(options.bodyTimeout, (socket: Duplex) => {
     // A pause while the target works is not the caller's; only an unfinished body is.
-    const waiting = [...busy].some(
-      (response) => response.socket === socket && response.req.complete,
-    );
-    if (!waiting) socket.destroy();
+    if (findBusy(socket).some((response) => !response.req.complete)) socket.destroy();
   });
 
+  // The library checks for slow headers only once it believes that it listens itself.
+  server.emit('listening');
   const listener: Listener = await options.network.listen({
     address: options.address,
     keys: options.keys,
@@ -142,7 +153,7 @@
       draining = true;
       for (const response of busy) response.shouldKeepAlive = false;
       await listener.close();
-      const occupied = new Set([...busy].map((response) => response.socket as Duplex | null));
+      const occupied = new Set<Duplex>([...busy].map((response) => response.req.socket));
       for (const socket of sockets) {
         if (!occupied.has(socket)) socket.end();
       }
--- /dev/null
+++ b/test/member.test.ts
@@ -0,0 +1,219 @@
+/** Membership: joins, deaths, false suspicions, pauses, cuts, and its cost. */
+import { expect } from 'chai';
+import { ManualClock, createSeededRandom, createSilentLog } from '../src/kernel/index.js';
+import { DEFAULT_TIMES, Membership, mergeMember, supersedes } from '../src/member/index.js';
+import { type Knowledge, type Member, MemoryTransports } from '../src/peer/index.js';
+
+const NOTHING: Knowledge = { revision: 0, proofAge: Infinity, vmsReader: '', vmsCount: 0 };
+
+interface Node {
+  readonly name: string;
+  readonly peers: string;
+  readonly membership: Membership;
+  readonly stop: AbortController;
+  readonly notices: string[];
+}
+
+/** Some memberships that share a manual clock and a transport. */
+class Group {
+  readonly clock = new ManualClock();
+
+  readonly transports = new MemoryTransports();
+
+  readonly nodes: Node[] = [];
+
+  /** Nodes that are paused: their links carry nothing and their loop stands still. */
+  readonly paused = new Set<string>();
+
+  cut: (from: string, to: string) => boolean = () => false;
+
+  constructor() {
+    this.transports.cut = (from, to) =>
+      this.paused.has(from) || this.paused.has(to) || this.cut(from, to);
+  }
+
+  async add(name: string, peers = `10.0.0.${this.nodes.length + 1}:1`): Promise<Node> {
+    const transport = this.transports.create(peers);
+    const notices: string[] = [];
+    const seeds = this.nodes.slice(0, 1).map((node) => node.peers);
+    const membership = new Membership({
+      ...{ transport, clock: this.clock, random: createSeededRandom(this.nodes.length + 1) },
+      ...{ log: createSilentLog(), times: DEFAULT_TIMES, readKnowledge: () => NOTHING },
+      self: { name, domain: 'hu/a', callers: peers, peers, relay: peers, admin: peers },
+      onKnowledge: () => undefined,
+      onChange: () => undefined,
+      onNotice: (target) => notices.push(target),
+      listSeeds: () => [...seeds, ...this.nodes.map((node) => node.peers)],
+    });
+    await transport.serve(
+      { host: peers.split(':')[0] ?? '', port: 1 },
+      {
+        exchange: async (request) => membership.answer(request),
+        probe: (address) => membership.probe(address),
+        fetchConfig: async () => ({ manifest: '', texts: [], proofAge: 0 }),
+        fetchVms: async () => ({ reader: '', count: 0, vms: [] }),
+      },
+    );
+    await membership.join();
+    const stop = new AbortController();
+    membership.run(stop.signal).catch(() => undefined);
+    const node = { name, peers, membership, stop, notices };
+    this.nodes.push(node);
+    return node;
+  }
+
+  async run(seconds: number): Promise<void> {
+    await this.clock.advance(seconds * 1000);
+  }
+
+  /** Names that each node that is not paused counts as live. */
+  views(): readonly string[] {
+    return this.nodes
+      .filter(({ peers, stop }) => !this.paused.has(peers) && !stop.signal.aborted)
+      .map(({ membership }) =>
+        membership
+          .listCandidates()
+          .map(({ name }) => name)
+          .sort()
+          .join(' '),
+      );
+  }
+}
+
+async function createGroup(size: number): Promise<Group> {
+  const group = new Group();
+  for (let index = 0; index < size; index += 1) await group.add(`n${index}`);
+  await group.run(8);
+  return group;
+}
+
+function namesOf(count: number): string {
+  return Array.from({ length: count }, (_, index) => `n${index}`)
+    .sort()
+    .join(' ');
+}
+
+function createMember(part: Partial<Member>): Member {
+  return {
+    ...{ id: 'a', name: 'n', domain: 'd', callers: '', peers: 'p', relay: '', admin: '' },
+    ...{ incarnation: 0, state: 'live' as const, ...part },
+  };
+}
+
+describe('membership', () => {
+  describe('reports', () => {
+    const ROWS = [
+      { b: { state: 'suspect' }, a: { state: 'live' }, wins: true },
+      { b: { state: 'live' }, a: { state: 'suspect' }, wins: false },
+      { b: { state: 'live', incarnation: 1 }, a: { state: 'suspect' }, wins: true },
+      { b: { state: 'live', incarnation: 9 }, a: { state: 'gone' }, wins: false },
+      { b: { state: 'gone' }, a: { state: 'live', incarnation: 9 }, wins: true },
+      { b: { state: 'stopping' }, a: { state: 'live' }, wins: true },
+    ] as const;
+    for (const { b, a, wins } of ROWS) {
+      it(`${JSON.stringify(b)} over ${JSON.stringify(a)}: ${wins}`, () => {
+        expect(supersedes(createMember(b), createMember(a))).to.equal(wins);
+      });
+    }
+
+    it('that tell nothing new leave the roster as it is', () => {
+      const roster = mergeMember(new Map(), createMember({}), 0);
+      expect(mergeMember(roster, createMember({}), 5)).to.equal(roster);
+    });
+  });
+
+  it('joins all of seventeen', async () => {
+    const group = await createGroup(17);
+    expect(new Set(group.views())).to.deep.equal(new Set([namesOf(17)]));
+  });
+
+  it('notices a crash within ten seconds, everywhere', async () => {
+    const group = await createGroup(9);
+    const [, , , , , , , , last] = group.nodes;
+    group.paused.add(last?.peers ?? '');
+    await group.run(12);
+    expect(new Set(group.views())).to.deep.equal(new Set([namesOf(8)]));
+  });
+
+  it('takes back a member that was paused for thirty seconds', async () => {
+    const group = await createGroup(5);
+    const [, paused] = group.nodes;
+    group.paused.add(paused?.peers ?? '');
+    await group.run(30);
+    expect(new Set(group.views())).to.deep.equal(new Set(['n0 n2 n3 n4']));
+    group.paused.clear();
+    await group.run(30);
+    expect(new Set(group.views())).to.deep.equal(new Set([namesOf(5)]));
+  });
+
+  it('does not lose a member that only one other cannot reach', async () => {
+    const group = await createGroup(5);
+    const [first, second] = group.nodes;
+    group.cut = (from, to) =>
+      (from === first?.peers && to === second?.peers) ||
+      (from === second?.peers && to === first?.peers);
+    await group.run(30);
+    expect(new Set(group.views())).to.deep.equal(new Set([namesOf(5)]));
+  });
+
+  it('goes on in both halves of a cut, and heals', async () => {
+    const group = await createGroup(6);
+    const half = new Set(group.nodes.slice(0, 3).map(({ peers }) => peers));
+    group.cut = (from, to) => half.has(from) !== half.has(to);
+    await group.run(40);
+    expect(new Set(group.views())).to.deep.equal(new Set(['n0 n1 n2', 'n3 n4 n5']));
+    group.cut = () => false;
+    await group.run(60);
+    expect(new Set(group.views())).to.deep.equal(new Set([namesOf(6)]));
+  });
+
+  it('heals after an hour apart', async () => {
+    const group = await createGroup(4);
+    const half = new Set(group.nodes.slice(0, 2).map(({ peers }) => peers));
+    group.cut = (from, to) => half.has(from) !== half.has(to);
+    await group.run(3600);
+    group.cut = () => false;
+    await group.run(60);
+    expect(new Set(group.views())).to.deep.equal(new Set([namesOf(4)]));
+  }).timeout(60_000);
+
+  it('knows a restart under the same address as a new member', async () => {
+    const group = await createGroup(3);
+    const [, , old] = group.nodes;
+    old?.stop.abort();
+    await group.add('n2', old?.peers);
+    await group.run(15);
+    const [view] = group.nodes;
+    const names = view?.membership.listCandidates().map(({ name }) => name);
+    expect(names?.sort()).to.deep.equal(['n0', 'n1', 'n2']);
+  });
+
+  it('tells all at once that one is stopping', async () => {
+    const group = await createGroup(9);
+    const [, stopping] = group.nodes;
+    await stopping?.membership.announceStopping();
+    const others = group.nodes.filter((node) => node !== stopping);
+    for (const { membership } of others) {
+      expect(membership.listCandidates().map(({ name }) => name)).not.to.include('n1');
+    }
+  });
+
+  it('tells all within two seconds that a target is leaving', async () => {
+    const group = await createGroup(17);
+    group.nodes[3]?.membership.announceLeaving('10.1.1.1:80');
+    await group.run(2);
+    const told = group.nodes.filter(({ notices }) => notices.includes('10.1.1.1:80'));
+    expect(told).to.have.length(16);
+  });
+
+  it('costs each member the same in a fleet of eight and of thirty-two', async () => {
+    const measure = async (size: number) => {
+      const group = await createGroup(size);
+      const before = group.transports.messages;
+      await group.run(30);
+      return (group.transports.messages - before) / size / 30;
+    };
+    const [small, large] = [await measure(8), await measure(32)];
+    expect(large / small).to.be.within(0.8, 1.2);
+  }).timeout(60_000);
+});
--- /dev/null
+++ b/test/spread.test.ts
@@ -0,0 +1,142 @@
+/** The configuration everywhere within seconds and never back, through every kind of cut. */
+import { expect } from 'chai';
+import type { Entry } from '../src/entry/index.js';
+import type { Platform } from '../src/platform/index.js';
+import { ManualClock, createMemoryNetwork } from '../src/kernel/index.js';
+import { Fleet, putDocuments, waitUntil, writeService } from './helpers/fleet.js';
+
+const TARGET = { host: '127.0.0.1', port: 9 };
+const DOWN = { kind: 'unavailable', reason: 'cut' } as const;
+
+/** A platform that can be cut off for one daemon alone. */
+class Link {
+  cut = false;
+
+  wrap = (inner: Platform): Platform => ({
+    read: async (key) => (this.cut ? DOWN : inner.read(key)),
+    range: async (prefix) => (this.cut ? DOWN : inner.range(prefix)),
+    swap: async (swap) => (this.cut ? { kind: 'refused', reason: 'cut' } : inner.swap(swap)),
+    remove: async (removal) =>
+      this.cut ? { kind: 'refused', reason: 'cut' } : inner.remove(removal),
+    grantLease: async (ttl) => (this.cut ? DOWN : inner.grantLease(ttl)),
+    renewLease: async (lease) => (this.cut ? DOWN : inner.renewLease(lease)),
+    watch: async (prefix, after, signal) => (this.cut ? DOWN : inner.watch(prefix, after, signal)),
+    vms: async () => (this.cut ? DOWN : inner.vms()),
+  });
+}
+
+function revisionsOf(entries: readonly Entry[]): readonly number[] {
+  return entries.map(({ follower }) => follower.configuration.revision);
+}
+
+describe('spreading the configuration', () => {
+  let fleet: Fleet;
+
+  beforeEach(() => {
+    fleet = new Fleet();
+    putDocuments(fleet.store, { 'service/a': writeService([TARGET]) });
+  });
+
+  afterEach(() => fleet.close());
+
+  const change = (path: string) =>
+    putDocuments(fleet.store, { 'service/a': writeService([TARGET], `path_prefix = ${path}`) });
+
+  const waitAll = (entries: readonly Entry[], revision: number) =>
+    waitUntil(() => revisionsOf(entries).every((r) => r === revision), `revision ${revision}`);
+
+  it('reaches every daemon', async () => {
+    const entries = [await fleet.start(), await fleet.start('hu/b'), await fleet.start('hu/c')];
+    change('/b');
+    await waitAll(entries, 2);
+  });
+
+  it('reaches a daemon that is cut off from the platform', async () => {
+    const link = new Link();
+    const entries = [
+      await fleet.start(),
+      await fleet.start(),
+      await fleet.start('hu/b', link.wrap),
+    ];
+    link.cut = true;
+    change('/b');
+    await waitAll(entries, 2);
+  });
+
+  it('reaches a daemon that is cut off from its peers', async () => {
+    const entries = [await fleet.start(), await fleet.start(), await fleet.start()];
+    const alone = `127.0.1.3:1`;
+    fleet.transports.cut = (from, to) => from === alone || to === alone;
+    change('/b');
+    await waitAll(entries, 2);
+  });
+
+  it('survives a watch that skips changes', async () => {
+    const entries = [await fleet.start(), await fleet.start()];
+    fleet.store.setFault({ kind: 'skip-watches' });
+    change('/b');
+    await waitAll(entries, 2);
+  });
+
+  it('comes from peers to an empty daemon that starts in an outage', async () => {
+    await fleet.start();
+    const link = new Link();
+    link.cut = true;
+    const fresh = await fleet.start('hu/b', link.wrap);
+    // The list of VMs cannot be read either, so another daemon has to find the new one.
+    await waitUntil(() => fresh.follower.configuration.revision === 1, 'taken from a peer');
+  }).timeout(20_000);
+
+  it('does not go back when a peer or the platform offers an older one', async () => {
+    const [first] = [await fleet.start(), await fleet.start()];
+    const older = fleet.store.read('config/head');
+    change('/b');
+    await waitUntil(() => first?.follower.configuration.revision === 2, 'revision 2');
+    const now = fleet.store.read('config/head');
+    if (older.kind !== 'found' || now.kind !== 'found') throw new Error('no head');
+    fleet.store.swap({ key: 'config/head', value: older.item.value, expect: now.item.version });
+    await first?.follower.readPlatform();
+    expect(first?.follower.configuration.revision).to.equal(2);
+  });
+
+  it('serves nothing while no configuration is known, and says so', async () => {
+    fleet.store.setFault({ kind: 'down' });
+    const entry = await fleet.start();
+    expect(entry.follower.isKnown).to.equal(false);
+  });
+
+  it('keeps the configuration in force through an outage, and shows its age', async () => {
+    const entry = await fleet.start();
+    fleet.store.setFault({ kind: 'down' });
+    const before = entry.follower.proofAge;
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    expect(entry.follower.configuration.revision).to.equal(1);
+    expect(entry.follower.proofAge).to.be.above(before);
+  });
+});
+
+describe('several daemons in one process', () => {
+  it('run under a replaced clock, network and platform', async () => {
+    const clock = new ManualClock(1_000_000);
+    const fleet = new Fleet({ clock, network: createMemoryNetwork() });
+    putDocuments(fleet.store, { 'service/a': writeService([TARGET]) });
+    const starting = Promise.all([fleet.start(), fleet.start('hu/b'), fleet.start('hu/c')]);
+    let started = false;
+    const noting = starting.then(() => {
+      started = true;
+    });
+    while (!started) await clock.advance(50);
+    await noting;
+    await clock.advance(10_000);
+    expect(revisionsOf(fleet.entries)).to.deep.equal([1, 1, 1]);
+    for (const entry of fleet.entries) {
+      expect(entry.membership.listCandidates()).to.have.length(3);
+    }
+    putDocuments(fleet.store, { 'service/a': writeService([TARGET], 'path_prefix = /b') });
+    await clock.advance(5_000);
+    expect(revisionsOf(fleet.entries)).to.deep.equal([2, 2, 2]);
+    fleet.close();
+  });
+});
