Experiment tool; targets' reports are taken at the head of an answer

A report was compared with the calls in flight at the end of the answer, when others had ended too, so an entry saw foreign calls that did not exist and left slots empty. Cancelled hedges went on in the stand-in target. Postings were refused, because control and claims shared one call budget of 50 a second. Change: the report counts at the head and two must agree; the stand-in takes cancellation; claims have a budget of their own.

--- a/src/balance/target.ts
+++ b/src/balance/target.ts
@@ -21,15 +21,15 @@
 /** What an ordinary answer of a target reports of its load. */
 export interface TargetReport {
   readonly word: TargetWord | undefined;
-  /** Calls still at the target, from all entries, besides the one answered. */
+  /** Calls still at the target, from all entries, when it answered; the answered one is not counted. */
   readonly inFlight: number | undefined;
 }
 
 /** How one attempt at a target ended. */
 export type AttemptEnd =
-  | { readonly kind: 'answered'; readonly status: number; readonly report: TargetReport }
+  | { readonly kind: 'answered'; readonly status: number }
   /** The target said that it did not run the call. */
-  | { readonly kind: 'not-run'; readonly report: TargetReport }
+  | { readonly kind: 'not-run' }
   | { readonly kind: 'failed'; readonly reason: string }
   /** The entry ended the attempt itself. */
   | { readonly kind: 'cancelled' };
@@ -95,6 +95,8 @@
 
   #foreignAt = -Infinity;
 
+  #reported = 0;
+
   #listed: ListedState = 'live';
 
   #word: TargetWord = 'ready';
@@ -214,14 +216,12 @@
         this.#progressAt = now;
         this.#latency.add(latency, now);
         this.options.limit.noteAnswer(latency, full);
-        this.#noteReport(end.report, now);
         this.#noteOutcome(end.status < SERVER_ERROR, `status ${end.status}`);
         return;
       case 'not-run':
         this.counts.notRun += 1;
         this.#progressAt = now;
         this.options.limit.noteShed();
-        this.#noteReport(end.report, now);
         return;
       case 'failed':
         this.counts.failed += 1;
@@ -247,9 +247,17 @@
     if (healthy) this.#noteOutcome(true, 'probe');
   }
 
-  #noteReport(report: TargetReport, now: number): void {
+  /**
+   * Takes what the head of an answer reports, while the answered call still counts as in flight.
+   * The body may take longer, and other calls end meanwhile, so a later moment would count wrongly.
+   */
+  noteReport(report: TargetReport): void {
+    const now = this.options.clock.now();
     if (report.inFlight !== undefined) {
-      this.#foreign = Math.max(0, report.inFlight - this.#inFlight);
+      const others = Math.max(0, report.inFlight - (this.#inFlight - 1));
+      // One report can be off by calls that are on their way; two that agree are believed.
+      this.#foreign = Math.min(others, this.#reported);
+      this.#reported = others;
       this.#foreignAt = now;
     }
     if (report.word === undefined) return;
--- a/src/demo/launch.ts
+++ b/src/demo/launch.ts
@@ -12,6 +12,8 @@
 export interface Launched {
   readonly name: string;
   readonly child: ChildProcess;
+  /** The first line it printed. */
+  readonly firstLine: string;
   /** Resolves with the exit code; null after a signal. */
   readonly ended: Promise<number | null>;
 }
@@ -69,7 +71,7 @@
 
   readonly #directory = mkdtempSync(join(tmpdir(), 'orchidbeam-'));
 
-  readonly #launched = new Set<Launched>();
+  readonly #children = new Set<ChildProcess>();
 
   #credential: string | undefined;
 
@@ -79,18 +81,18 @@
   /** Starts a program and waits for the first line it prints. */
   async start(name: string, program: string, args: readonly string[]): Promise<Launched> {
     const child = spawn(process.execPath, [findProgram(program), ...args], {
-      stdio: ['ignore', 'pipe', this.echo ? 'inherit' : 'ignore'],
+      stdio: ['pipe', 'pipe', this.echo ? 'inherit' : 'ignore'],
     });
+    const { stdout } = child;
     const ended = new Promise<number | null>((resolve) => {
       child.once('exit', resolve);
     });
-    const launched = { name, child, ended };
-    this.#launched.add(launched);
-    await new Promise<void>((resolve, reject) => {
-      child.stdout.once('data', () => resolve());
+    this.#children.add(child);
+    const firstLine = await new Promise<string>((resolve, reject) => {
+      stdout.once('data', (data: Buffer) => resolve(data.toString('utf8').trim()));
       ended.then((code) => reject(new Error(`${name} ended with ${code}`))).catch(() => undefined);
     });
-    return launched;
+    return { name, child, firstLine, ended };
   }
 
   /** Starts the platform stand-in. */
@@ -140,8 +142,12 @@
 
   /** Ends every process that is left, and removes the settings files. */
   async close(): Promise<void> {
-    for (const { child } of this.#launched) child.kill('SIGKILL');
-    await Promise.all([...this.#launched].map(({ ended }) => ended));
+    const left = [...this.#children].filter(
+      ({ exitCode, signalCode }) => exitCode === null && signalCode === null,
+    );
+    const ended = left.map((child) => new Promise((resolve) => child.once('exit', resolve)));
+    for (const child of left) child.kill('SIGKILL');
+    await Promise.all(ended);
     rmSync(this.#directory, { recursive: true, force: true });
   }
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -53,10 +53,18 @@
 const READY_WAIT = 3000;
 const ENTRY_ROLE = 'entry';
 
+/** Processor time of this process since its start, in milliseconds. */
+function readCpu(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / 1000;
+}
+
 /** One entry daemon. It runs inside any kernel, also several in one process. */
 export class Entry {
   readonly #platform: MeteredPlatform;
 
+  readonly #claimPlatform: MeteredPlatform;
+
   readonly #clients: Clients;
 
   readonly #claims: Claims;
@@ -98,7 +106,13 @@
     );
     this.store = new ConfigStore(this.#platform, clock, random);
     this.#clients = new Clients(kernel.find(networkService));
-    this.#claims = new Claims(this.#platform, clock, random);
+    // Postings must not starve the control calls, nor the other way round.
+    this.#claimPlatform = createMeteredPlatform(
+      kernel.find(platformService),
+      settings.platform.claims_per_second,
+      clock,
+    );
+    this.#claims = new Claims(this.#claimPlatform, clock, random);
   }
 
   /** The services at work; only after {@link start}. */
@@ -262,6 +276,8 @@
       memory: process.memoryUsage.rss(),
       members: this.membership.listAll(),
       platform: this.#platform.counts(),
+      claimCalls: this.#claimPlatform.counts(),
+      cpu: readCpu(),
       claims: { ...this.#claims.counts },
       services: this.table
         .list()
--- a/src/entry/placement.ts
+++ b/src/entry/placement.ts
@@ -9,6 +9,8 @@
   readonly region: string;
   readonly plan: HomePlan<Member>;
   readonly isHome: boolean;
+  /** Whether each home uses only its share of the targets. */
+  readonly sharesTargets: boolean;
 }
 
 /** Returns the VMs that are targets of a pool by role. */
@@ -39,12 +41,19 @@
   readonly vms: readonly Vm[];
   /** Live and suspected entries. */
   readonly candidates: readonly Member[];
+  /** Makes every entry a home that uses every target: the baseline that homes are measured against. */
+  readonly everywhere: boolean;
 }
 
 /** Places a service. */
 export function placeService(service: Service, view: PlacementView): Placement {
   const region = chooseRegion(service, view);
+  if (view.everywhere) {
+    const plan = { homes: view.candidates, alternates: [] };
+    return { region, plan, isHome: true, sharesTargets: false };
+  }
   const local = view.candidates.filter(({ domain }) => readRegion(domain) === region);
   const plan = planHomes(service, local.length > 0 ? local : view.candidates);
-  return { region, plan, isHome: plan.homes.some(({ id }) => id === view.selfId) };
+  const isHome = plan.homes.some(({ id }) => id === view.selfId);
+  return { region, plan, isHome, sharesTargets: isHome };
 }
--- a/src/entry/pool-runtime.ts
+++ b/src/entry/pool-runtime.ts
@@ -76,7 +76,7 @@
     }
     const { homes } = placement.plan;
     const names = [...listed.keys()];
-    const mine = placement.isHome ? assignTargets(names, homes, self) : new Set(names);
+    const mine = placement.sharesTargets ? assignTargets(names, homes, self) : new Set(names);
     const used: Target[] = [];
     for (const [name, entry] of listed) {
       if (!mine.has(name)) continue;
--- a/src/entry/service-table.ts
+++ b/src/entry/service-table.ts
@@ -1,6 +1,6 @@
 /** All services at work in this entry, rebuilt when the configuration, VMs or members change. */
 import { type Address, type Clock, type Random, formatAddress } from '../kernel/index.js';
-import { type Strategy, readRegion } from '../balance/index.js';
+import { type Strategy, isBounded, readRegion } from '../balance/index.js';
 import {
   type Configuration,
   EMPTY_CONFIGURATION,
@@ -100,6 +100,7 @@
       selfId: this.options.selfId(),
       vms: this.#vms,
       candidates: this.options.listCandidates(),
+      everywhere: !isBounded(this.options.strategy),
     });
   }
 
--- a/src/entry/status.ts
+++ b/src/entry/status.ts
@@ -57,6 +57,9 @@
   readonly memory: number;
   readonly members: readonly Member[];
   readonly platform: PlatformCounts;
+  readonly claimCalls: PlatformCounts;
+  /** Processor time of the process since its start, in milliseconds. */
+  readonly cpu: number;
   readonly claims: Readonly<Record<string, number>>;
   readonly services: readonly ServiceStatus[];
 }
--- a/src/proxy/attempt.ts
+++ b/src/proxy/attempt.ts
@@ -23,15 +23,15 @@
 /** How an attempt ended. */
 export type AttemptResult =
   /** The whole answer was passed to the caller. */
-  | { readonly kind: 'relayed'; readonly status: number; readonly report: TargetReport }
+  | { readonly kind: 'relayed'; readonly status: number }
   /** The answer broke off after its head; the caller's connection was cut. */
   | { readonly kind: 'cut'; readonly detail: string }
   /** No byte was sent, or the target said that it did not run the call. */
-  | { readonly kind: 'not-run'; readonly cause: NotRunCause; readonly report: TargetReport }
+  | { readonly kind: 'not-run'; readonly cause: NotRunCause }
   /** The call was sent and no whole answer came; nothing was passed to the caller. */
   | { readonly kind: 'lost'; readonly reason: UnknownReason; readonly detail: string }
   /** A server error that the entry chose not to pass on, because it tries again. */
-  | { readonly kind: 'discarded'; readonly status: number; readonly report: TargetReport }
+  | { readonly kind: 'discarded'; readonly status: number }
   /** The entry gave the attempt up: another attempt won, or the caller went away. */
   | { readonly kind: 'cancelled'; readonly sent: boolean };
 
@@ -98,7 +98,6 @@
 const NO_BODY_STATUS = new Set([204, 304]);
 const EARLY_HINTS = 103;
 const FIRST_FINAL = 200;
-const NO_REPORT: TargetReport = { word: undefined, inFlight: undefined };
 
 /** Gives the attempt up for a reason that the entry chose. */
 class AttemptAborted extends Error {
@@ -148,7 +147,6 @@
   let starts = 0;
   let headSent = false;
   let status = 0;
-  let report = NO_REPORT;
   let controller: Dispatcher.DispatchController | undefined;
   let verdict: AttemptResult | undefined;
   let abortedBeforeStart: string | undefined;
@@ -170,11 +168,10 @@
 
   function takeHead(code: number, headers: FlatHeaders): void {
     const read = readReport(findHeader(headers, REPORT_HEADER));
-    report = read.report;
-    options.onReport?.(report);
+    options.onReport?.(read.report);
     if (read.notRun) {
       options.onNotRun();
-      stop({ kind: 'not-run', cause: { kind: 'target-shed' }, report });
+      stop({ kind: 'not-run', cause: { kind: 'target-shed' } });
       return;
     }
     const echoed = findHeader(headers, CALL_HEADER);
@@ -189,7 +186,7 @@
       return;
     }
     if (options.discards(code)) {
-      stop({ kind: 'discarded', status: code, report });
+      stop({ kind: 'discarded', status: code });
       return;
     }
     if (!gate.own(identity, abort)) {
@@ -240,7 +237,7 @@
       response.removeListener('drain', resume);
       if (Object.keys(trailers).length > 0) response.addTrailers(trailers);
       response.end();
-      resolveDone({ kind: 'relayed', status, report });
+      resolveDone({ kind: 'relayed', status });
     },
     onResponseError(_started, error) {
       response.removeListener('drain', resume);
@@ -257,7 +254,7 @@
         resolveDone(
           abortedBeforeStart !== undefined || error instanceof AttemptAborted
             ? { kind: 'cancelled', sent: false }
-            : { kind: 'not-run', cause: { kind: 'not-connected', detail: error.message }, report },
+            : { kind: 'not-run', cause: { kind: 'not-connected', detail: error.message } },
         );
         return;
       }
--- a/src/proxy/forwarder.ts
+++ b/src/proxy/forwarder.ts
@@ -93,10 +93,10 @@
   switch (result.kind) {
     case 'relayed':
     case 'discarded':
-      return { kind: 'answered', status: result.status, report: result.report };
+      return { kind: 'answered', status: result.status };
     case 'not-run':
       return result.cause.kind === 'target-shed'
-        ? { kind: 'not-run', report: result.report }
+        ? { kind: 'not-run' }
         : { kind: 'failed', reason: result.cause.detail };
     case 'cut':
       return { kind: 'failed', reason: result.detail };
@@ -231,8 +231,9 @@
       isTimely: () => this.context.clock.now() < this.#deadline,
       onSent: () => this.#ledger.noteSent(),
       onNotRun: () => this.#ledger.noteNotRun(),
-      onReport: ({ word }) => {
-        if (word === 'draining') this.context.onLeaving(slot.target.name);
+      onReport: (report) => {
+        slot.target.noteReport(report);
+        if (report.word === 'draining') this.context.onLeaving(slot.target.name);
       },
     });
     this.#running.add(attempt);
--- a/src/settings/entry.ts
+++ b/src/settings/entry.ts
@@ -34,7 +34,12 @@
 const platformFields = {
   address: describeAddress('Address of the platform service'),
   timeout: describeDuration('Longest wait for one platform call', 2000),
-  calls_per_second: describeInteger('Most platform calls a second, of all kinds', [1, 1000], 50),
+  calls_per_second: describeInteger('Most platform calls a second for control', [1, 1000], 50),
+  claims_per_second: describeInteger(
+    'Most platform calls a second for idempotency keys',
+    [1, 1000],
+    200,
+  ),
 } satisfies Fields;
 
 const securityFields = {
--- a/src/standin/target.ts
+++ b/src/standin/target.ts
@@ -4,6 +4,7 @@
  */
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Address, Random } from '../kernel/index.js';
+import { Pace } from './pace.js';
 
 /** A fault of a target. */
 export type TargetFault =
@@ -50,8 +51,8 @@
   shed: number;
   probes: number;
   connections: number;
-  /** Milliseconds of slots spent on calls whose answer nobody waited for any more. */
-  wasted: number;
+  /** Calls given up by the entry while they ran. */
+  cancelled: number;
 }
 
 /** A running stand-in target. */
@@ -67,7 +68,6 @@
 const MIN_TIME_SHARE = 0.5;
 const HEADER_NAME = 'orchidbeam-report';
 const CALL_HEADER = 'orchidbeam-call';
-const STEP = 10;
 
 /** Draws from an exponential distribution above a floor, with the given mean. */
 export function drawServiceTime(mean: number, random: Random): number {
@@ -77,9 +77,10 @@
 /** Starts a stand-in target. */
 export function startTarget(options: TargetServerOptions): Promise<TargetServer> {
   const { random } = options;
-  const counts: TargetCounts = { calls: 0, shed: 0, probes: 0, connections: 0, wasted: 0 };
+  const counts: TargetCounts = { calls: 0, shed: 0, probes: 0, connections: 0, cancelled: 0 };
   const runs = new Map<string, number>();
   let fault: TargetFault = { kind: 'none' };
+  const pace = new Pace();
   let running = 0;
   let waiting: readonly (() => void)[] = [];
 
@@ -112,11 +113,6 @@
     response.end();
   };
 
-  const wait = (milliseconds: number) =>
-    new Promise<void>((resolve) => {
-      setTimeout(resolve, milliseconds);
-    });
-
   const readBody = async (request: IncomingMessage): Promise<number> => {
     let bytes = 0;
     for await (const chunk of request) bytes += (chunk as Buffer).length;
@@ -153,17 +149,15 @@
   async function run(request: IncomingMessage, response: ServerResponse): Promise<number> {
     const bytes = await readBody(request);
     const drawn = options.drawTime?.(request) ?? drawServiceTime(options.serviceTime, random);
-    // A slowdown in force at any moment of a call slows the rest of it.
-    let left = drawn;
-    while (left > 0) {
-      const factor = fault.kind === 'slow' ? fault.factor : 1;
-      const step = factor === 1 && fault.kind === 'none' ? left : Math.min(left, STEP);
-      await wait(step * factor);
-      left -= step;
+    const cancelled = new AbortController();
+    response.on('close', () => cancelled.abort());
+    await pace.work(drawn, cancelled.signal);
+    if (cancelled.signal.aborted) {
+      counts.cancelled += 1;
+      return bytes;
     }
     const key = request.headers['idempotency-key'];
     if (typeof key === 'string') runs.set(key, (runs.get(key) ?? 0) + 1);
-    if (response.destroyed) counts.wasted += drawn;
     if (fault.kind === 'reset') response.socket?.destroy();
     else if (fault.kind === 'cut') writeCut(response, fault.framing);
     return bytes;
@@ -217,6 +211,7 @@
         ...{ counts, runs },
         setFault: (next) => {
           fault = next;
+          pace.setFactor(next.kind === 'slow' ? next.factor : 1);
         },
         close: () => {
           server.close();
--- /dev/null
+++ b/src/tool/index.ts
@@ -0,0 +1,5 @@
+/** The experiment tool: real daemons under drawn arrivals and scripted faults, and its report. */
+export * from './arrivals.js';
+export * from './scenario.js';
+export * from './rig.js';
+export * from './report.js';
--- a/test/balance.test.ts
+++ b/test/balance.test.ts
@@ -21,11 +21,7 @@
 
 const NORMAL: ClassConfig = { name: 'normal', weight: 4, wait: 1000 };
 const URGENT: ClassConfig = { name: 'urgent', weight: 16, wait: 1000 };
-const ANSWERED = {
-  kind: 'answered',
-  status: 200,
-  report: { word: undefined, inFlight: undefined },
-} as const;
+const ANSWERED = { kind: 'answered', status: 200 } as const;
 const FAILED = { kind: 'failed', reason: 'test' } as const;
 const NOBODY: ReadonlySet<Target> = new Set();
 
@@ -260,7 +256,8 @@
       what: 'its own word',
       sign: (target) => {
         target.start();
-        target.finish({ ...ANSWERED, report: { word: 'draining', inFlight: 0 } }, 1);
+        target.noteReport({ word: 'draining', inFlight: 0 });
+        target.finish(ANSWERED, 1);
       },
     },
   ];
