--- a/src/bin/experiment.ts
+++ b/src/bin/experiment.ts
@@ -63,7 +63,7 @@
   const kinds = deployment.kinds.map((kind) => {
     const times = buildHistogram({ highestTrackableValue: 1e8, numberOfSignificantValueDigits: 3 });
     for (const [index, arrival] of arrivals.entries()) {
-      if (arrival.kind === kind) times.recordValue((latencies[index] as number) * TIME_UNIT);
+      if (arrival.kind === kind) times.recordValue(latencies[index] * TIME_UNIT);
     }
     return {
       ...{ kind: kind.name, p50: readQuantile(times, 50), p99: readQuantile(times, 99) },
--- a/src/demo/launch.ts
+++ b/src/demo/launch.ts
@@ -1,6 +1,7 @@
 /** Starts and ends the processes of a whole system on this machine, for the demo and experiments. */
 import { type ChildProcess, spawn } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { once } from 'node:events';
 import net from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -47,6 +48,11 @@
   return [...ports].map((port) => ({ host: HOST, port }));
 }
 
+/** Options for Node itself, such as `--cpu-prof`, for whoever looks into a process. */
+function readNodeOptions(): readonly string[] {
+  return (process.env.ORCHIDBEAM_NODE_OPTIONS ?? '').split(' ').filter((option) => option !== '');
+}
+
 function findProgram(name: string): string {
   return fileURLToPath(new URL(`../bin/${name}.js`, import.meta.url));
 }
@@ -76,11 +82,16 @@
   #credential: string | undefined;
 
   /** @param echo whether the processes' logs go to standard error */
-  constructor(private readonly echo = false) {}
+  constructor(private readonly echo = false) {
+    // Also when this process ends by an error, none of its processes is left behind.
+    process.once('exit', () => {
+      for (const child of this.#children) child.kill('SIGKILL');
+    });
+  }
 
   /** Starts a program and waits for the first line it prints. */
   async start(name: string, program: string, args: readonly string[]): Promise<Launched> {
-    const child = spawn(process.execPath, [findProgram(program), ...args], {
+    const child = spawn(process.execPath, [...readNodeOptions(), findProgram(program), ...args], {
       stdio: ['pipe', 'pipe', this.echo ? 'inherit' : 'ignore'],
     });
     const { stdout } = child;
@@ -145,7 +156,7 @@
     const left = [...this.#children].filter(
       ({ exitCode, signalCode }) => exitCode === null && signalCode === null,
     );
-    const ended = left.map((child) => new Promise((resolve) => child.once('exit', resolve)));
+    const ended = left.map((child) => once(child, 'exit'));
     for (const child of left) child.kill('SIGKILL');
     await Promise.all(ended);
     rmSync(this.#directory, { recursive: true, force: true });
--- a/src/entry/call-handler.ts
+++ b/src/entry/call-handler.ts
@@ -92,7 +92,9 @@
   serve(request: IncomingMessage, response: ServerResponse, relayed: boolean): void {
     const id = readCallId(request, this.options.random);
     const gone = new AbortController();
-    response.on('close', () => gone.abort());
+    response.on('close', () => {
+      if (!response.writableFinished) gone.abort();
+    });
     this.#active += 1;
     this.#endings.add(gone);
     this.#serve(request, response, { id, relayed, signal: gone.signal })
--- a/src/kernel/random.ts
+++ b/src/kernel/random.ts
@@ -15,9 +15,22 @@
 
 const ID_BYTES = 12;
 
+/** Random bytes are drawn for this many identifiers at once: each draw is a system call. */
+const IDS_DRAWN = 256;
+
 /** Creates the randomness of the machine. */
 export function createSystemRandom(): Random {
-  return { next: () => Math.random(), id: () => randomBytes(ID_BYTES).toString('hex') };
+  let drawn = Buffer.alloc(0);
+  let used = 0;
+  const id = () => {
+    if (used >= drawn.length) {
+      drawn = randomBytes(ID_BYTES * IDS_DRAWN);
+      used = 0;
+    }
+    used += ID_BYTES;
+    return drawn.toString('hex', used - ID_BYTES, used);
+  };
+  return { next: () => Math.random(), id };
 }
 
 /** Creates a repeatable generator (mulberry32) from a 32-bit seed. */
--- a/src/proxy/attempt.ts
+++ b/src/proxy/attempt.ts
@@ -99,11 +99,14 @@
 const EARLY_HINTS = 103;
 const FIRST_FINAL = 200;
 
-/** Gives the attempt up for a reason that the entry chose. */
+/** Gives an attempt up for a reason that the entry chose. */
 class AttemptAborted extends Error {
   override readonly name = 'AttemptAborted';
 }
 
+/** One instance serves all: recording a stack for each attempt that is given up costs too much. */
+const ABORTED = new AttemptAborted('given up by the entry');
+
 function decodeHeaders(raw: Dispatcher.DispatchController['rawHeaders']): FlatHeaders {
   if (!Array.isArray(raw)) return [];
   return raw.map((part) => (typeof part === 'string' ? part : part.toString('latin1')));
@@ -157,13 +160,13 @@
 
   const abort = (reason: string) => {
     if (controller === undefined) abortedBeforeStart = reason;
-    else controller.abort(new AttemptAborted(reason));
+    else controller.abort(ABORTED);
   };
   const resume = () => controller?.resume();
   /** Ends the attempt with a verdict of its own and closes the connection to the target. */
   const stop = (result: AttemptResult) => {
     verdict = result;
-    controller?.abort(new AttemptAborted(result.kind));
+    controller?.abort(ABORTED);
   };
 
   function takeHead(code: number, headers: FlatHeaders): void {
@@ -204,7 +207,7 @@
       controller = started;
       starts += 1;
       if (abortedBeforeStart !== undefined) {
-        started.abort(new AttemptAborted(abortedBeforeStart));
+        started.abort(ABORTED);
         return;
       }
       if (starts > 1) {
@@ -214,7 +217,7 @@
       }
       if (!options.isTimely()) {
         abortedBeforeStart = 'deadline';
-        started.abort(new AttemptAborted(abortedBeforeStart));
+        started.abort(ABORTED);
         return;
       }
       options.onSent();
@@ -252,14 +255,14 @@
       }
       if (starts === 0 || (starts === 1 && abortedBeforeStart !== undefined)) {
         resolveDone(
-          abortedBeforeStart !== undefined || error instanceof AttemptAborted
+          abortedBeforeStart !== undefined || error === ABORTED
             ? { kind: 'cancelled', sent: false }
             : { kind: 'not-run', cause: { kind: 'not-connected', detail: error.message } },
         );
         return;
       }
       resolveDone(
-        error instanceof AttemptAborted
+        error === ABORTED
           ? { kind: 'cancelled', sent: true }
           : { kind: 'lost', reason: 'connection-lost', detail: error.message },
       );
--- a/src/proxy/headers.ts
+++ b/src/proxy/headers.ts
@@ -48,11 +48,18 @@
   }
 }
 
+const NO_TOKENS: ReadonlySet<string> = new Set();
+
+/** Names that a `Connection` header makes hop-by-hop; most messages name none but the usual ones. */
 function listConnectionTokens(flat: FlatHeaders): ReadonlySet<string> {
+  const value = findHeader(flat, 'connection');
+  if (value === undefined || HOP_BY_HOP.has(value.toLowerCase()) || value === 'close') {
+    return NO_TOKENS;
+  }
   const tokens = new Set<string>();
-  for (const [name, value] of listPairs(flat)) {
+  for (const [name, tokenList] of listPairs(flat)) {
     if (name.toLowerCase() !== 'connection') continue;
-    for (const token of value.split(',')) tokens.add(token.trim().toLowerCase());
+    for (const token of tokenList.split(',')) tokens.add(token.trim().toLowerCase());
   }
   return tokens;
 }
--- a/src/tool/arrivals.ts
+++ b/src/tool/arrivals.ts
@@ -40,7 +40,7 @@
     left -= kind.share;
     if (left < 0) return kind;
   }
-  return kinds[0] as CallKind;
+  return kinds[0];
 }
 
 /** Draws arrivals with exponential gaps (a Poisson process). */
@@ -70,7 +70,7 @@
   const free = new Array<number>(slots).fill(0);
   const latencies: number[] = [];
   for (const { at, work } of arrivals) {
-    const start = Math.max(at, free[0] as number);
+    const start = Math.max(at, free[0]);
     const end = start + work;
     replaceSmallest(free, end);
     latencies.push(end - at);
@@ -84,10 +84,9 @@
     const left = 2 * index + 1;
     if (left >= heap.length) break;
     const right = left + 1;
-    const child =
-      right < heap.length && (heap[right] as number) < (heap[left] as number) ? right : left;
-    if ((heap[child] as number) >= value) break;
-    heap[index] = heap[child] as number;
+    const child = right < heap.length && heap[right] < heap[left] ? right : left;
+    if (heap[child] >= value) break;
+    heap[index] = heap[child];
     index = child;
   }
   heap[index] = value;
--- a/src/tool/rig.ts
+++ b/src/tool/rig.ts
@@ -1,11 +1,14 @@
 /** A system for experiments: entries as processes, all targets in one process, calls from this one. */
+import { mkdirSync, mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import type { Writable } from 'node:stream';
 import { Pool } from 'undici';
 import { build as buildHistogram, type Histogram } from 'hdr-histogram-js';
 import { createSeededRandom, formatAddress, parseAddress } from '../kernel/index.js';
 import type { Strategy } from '../balance/index.js';
 import { EXIT } from '../cli/index.js';
-import { System, findExample } from '../demo/index.js';
+import { System, findExample, readExample } from '../demo/index.js';
 import type { EntryAnswer, EntryStatus } from '../entry/index.js';
 import type { Launched } from '../demo/index.js';
 import type { Arrival } from './arrivals.js';
@@ -65,6 +68,18 @@
   return { times, sent: 0, whole: 0, errors: 0, notRun: 0, unknown: 0, wrong: 0 };
 }
 
+/** Baselines choose a target and do nothing else: no hedges and no retries. */
+function writeServiceFile(deployment: Deployment, strategy: Strategy): string {
+  if (strategy === 'fresh') return findExample(deployment.service);
+  const plain = '[service]\nretry_percent = 0\nhedge_percent = 0';
+  const text = readExample(deployment.service).replace('[service]', plain);
+  const directory = join(mkdtempSync(join(tmpdir(), 'orchidbeam-experiment-')), 'service');
+  mkdirSync(directory);
+  const file = join(directory, `${deployment.serviceName}.ini`);
+  writeFileSync(file, text);
+  return file;
+}
+
 const pause = (milliseconds: number) =>
   new Promise<void>((resolve) => {
     setTimeout(resolve, milliseconds);
@@ -98,14 +113,15 @@
     for (const [index, text] of addresses.entries()) {
       const address = parseAddress(text);
       if (address === undefined) continue;
-      const domain = deployment.domains[index % deployment.domains.length] as string;
+      const domain = deployment.domains[index % deployment.domains.length];
       await system.putVm({ address, role: deployment.role, domain, state: 'live' });
     }
     for (let index = 0; index < entries; index += 1) {
-      const domain = deployment.domains[index % deployment.domains.length] as string;
+      const domain = deployment.domains[index % deployment.domains.length];
       await system.startEntry({ name: `entry-${index + 1}`, domain, strategy });
     }
-    const configured = await system.configure([findExample(deployment.service)], 'experiment');
+    const file = writeServiceFile(deployment, strategy);
+    const configured = await system.configure([file], 'experiment');
     if (configured.code !== EXIT.ok) throw new Error(configured.text);
     await pause(SETTLE);
     const rig = new Rig(options, system, targets);
@@ -193,7 +209,7 @@
 
   #choosePool(draw: number): Pool {
     const index = this.#homes[Math.floor(draw * this.#homes.length)] ?? 0;
-    return this.#pools[index] as Pool;
+    return this.#pools[index];
   }
 
   async #findHomes(): Promise<void> {
