--- a/src/bin/bare-relay.ts
+++ b/src/bin/bare-relay.ts
@@ -19,7 +19,7 @@
     response.end(String((user + system) / 1000));
     return;
   }
-  const pool = pools[turn % pools.length] as Pool;
+  const pool = pools[turn % pools.length];
   const { connection: _connection, ...headers } = request.headers;
   pool.stream(
     { method: request.method as 'GET', path: request.url ?? '/', headers },
--- a/src/demo/index.ts
+++ b/src/demo/index.ts
@@ -2,3 +2,4 @@
 export * from './launch.js';
 export * from './caller.js';
 export * from './system.js';
+export * from './fleet.js';
--- a/src/entry/pool-runtime.ts
+++ b/src/entry/pool-runtime.ts
@@ -41,6 +41,8 @@
   readonly address: Address;
   readonly domain: string;
   readonly leaving: boolean;
+  /** Whether the target appeared while this daemon was running; the configured ones are taken as warm. */
+  readonly isNew: boolean;
 }
 
 const RESERVED_CONNECTIONS = 2;
@@ -67,7 +69,7 @@
 
   /** Takes the list and the placement, and chooses the targets that this entry uses. */
   update({ vms, isNew }: VmView, placement: Placement, self: string): void {
-    const listed = this.#listTargets(vms);
+    const listed = this.#listTargets({ vms, isNew });
     for (const [name, target] of this.#targets) {
       if (listed.has(name)) continue;
       target.noteListed('gone');
@@ -80,7 +82,7 @@
     const used: Target[] = [];
     for (const [name, entry] of listed) {
       if (!mine.has(name)) continue;
-      const target = this.#targets.get(name) ?? this.#createTarget(name, entry, isNew(name));
+      const target = this.#targets.get(name) ?? this.#createTarget(name, entry);
       target.noteListed(entry.leaving ? 'leaving' : 'live');
       used.push(target);
     }
@@ -99,18 +101,22 @@
     return Math.max(1, share);
   }
 
-  #listTargets(vms: readonly Vm[]): ReadonlyMap<string, ListedTarget> {
+  #listTargets({ vms, isNew }: VmView): ReadonlyMap<string, ListedTarget> {
     const listed = new Map<string, ListedTarget>();
     for (const address of this.config.targets) {
-      listed.set(formatAddress(address), { address, domain: '', leaving: false });
+      listed.set(formatAddress(address), {
+        ...{ address, domain: '', leaving: false, isNew: false },
+      });
     }
     for (const { address, domain, state } of listRole(vms, this.config.role)) {
-      listed.set(formatAddress(address), { address, domain, leaving: state === 'leaving' });
+      const name = formatAddress(address);
+      const leaving = state === 'leaving';
+      listed.set(name, { address, domain, leaving, isNew: isNew(name) });
     }
     return listed;
   }
 
-  #createTarget(name: string, entry: ListedTarget, isNew: boolean): Target {
+  #createTarget(name: string, entry: ListedTarget): Target {
     const { config, clock, random } = this.options;
     const address = parseAddress(name) ?? entry.address;
     const limit =
@@ -119,7 +125,7 @@
         : createAdaptiveLimit(this.countConnections(1));
     const target = new Target({
       ...{ address, domain: entry.domain, limit, coldStart: config.cold_start },
-      ...{ isNew, clock, random },
+      ...{ isNew: entry.isNew, clock, random },
     });
     this.#targets.set(name, target);
     return target;
--- a/src/tool/index.ts
+++ b/src/tool/index.ts
@@ -3,3 +3,4 @@
 export * from './scenario.js';
 export * from './rig.js';
 export * from './report.js';
+export * from './soak.js';
