--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -49,6 +49,7 @@
     rules: {
       '@typescript-eslint/no-unused-expressions': 'off',
       'no-unused-expressions': 'off',
+      'n/no-sync': 'off',
       'import-x/no-extraneous-dependencies': 'off',
       // Tables of cases share the fixtures of their `describe`.
       '@typescript-eslint/no-loop-func': 'off',
--- a/src/bin/overhead.ts
+++ b/src/bin/overhead.ts
@@ -117,7 +117,7 @@
   ]);
   const bare = [new Pool(`http://${relay.firstLine}`, options)];
   const readBareCpu = async () => {
-    const reply = await (bare[0]).request({ method: 'GET', path: '/cpu' });
+    const reply = await bare[0].request({ method: 'GET', path: '/cpu' });
     return Number(await reply.body.text());
   };
   const through = [new Pool(`http://${formatAddress(entry.callers)}`, options)];
--- a/src/settings/ini.ts
+++ b/src/settings/ini.ts
@@ -46,8 +46,12 @@
   return `${place}: ${what}; expected ${expected}`;
 }
 
+const QUOTED = /^\s*(["']).*\1\s*$/;
+
+/** Comments stand on lines of their own, so the library must not end a value at a `;` or `#`. */
 function readValue(text: string): string {
-  const parsed = parse(`value =${text}`) as Readonly<Record<string, unknown>>;
+  const escaped = QUOTED.test(text) ? text : text.replace(/[;#]/g, '\\$&');
+  const parsed = parse(`value =${escaped}`) as Readonly<Record<string, unknown>>;
   const { value } = parsed;
   return value === undefined || value === null ? '' : String(value);
 }
