--- a/src/cli/config-commands.ts
+++ b/src/cli/config-commands.ts
@@ -157,7 +157,7 @@
   return describeReply(await callAdmin(input, 'GET', `/v1/drafts/${id}`), formatDraft);
 }
 
-async function history(input: CommandInput): Promise<CommandResult> {
+async function showHistory(input: CommandInput): Promise<CommandResult> {
   const { before, count } = input.options;
   const query = new URLSearchParams();
   if (before !== undefined) query.set('before', String(before));
@@ -166,7 +166,7 @@
   return describeReply(reply, (body) => (body as HistoryBody).records.map(formatRecord).join('\n'));
 }
 
-async function exportAudit(input: CommandInput): Promise<CommandResult> {
+async function printAudit(input: CommandInput): Promise<CommandResult> {
   const records: AuditRecord[] = [];
   let before: number | null = null;
   do {
@@ -232,13 +232,13 @@
       before: { type: 'string', doc: 'show revisions before this one' },
       count: { type: 'string', doc: 'how many, 20 unless given' },
     },
-    run: history,
+    run: showHistory,
   },
   {
     name: 'audit export',
     operands: '',
     summary: 'Print every audit record as a line of JSON, oldest first',
     options: CLIENT_OPTIONS,
-    run: exportAudit,
+    run: printAudit,
   },
 ];
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -278,6 +278,7 @@
       platform: this.#platform.counts(),
       claimCalls: this.#claimPlatform.counts(),
       cpu: readCpu(),
+      traffic: this.kernel.find(peerTransportService).traffic(),
       claims: { ...this.#claims.counts },
       services: this.table
         .list()
--- a/src/entry/status.ts
+++ b/src/entry/status.ts
@@ -1,6 +1,6 @@
 /** What an entry shows of itself to operators. */
 import type { TargetState } from '../balance/index.js';
-import type { Member } from '../peer/index.js';
+import type { Member, PeerTraffic } from '../peer/index.js';
 import type { PlatformCounts } from '../platform/index.js';
 import type { CallCounts, ServiceRuntime } from './service-runtime.js';
 
@@ -60,6 +60,8 @@
   readonly claimCalls: PlatformCounts;
   /** Processor time of the process since its start, in milliseconds. */
   readonly cpu: number;
+  /** Messages and bytes exchanged with other entries. */
+  readonly traffic: PeerTraffic;
   readonly claims: Readonly<Record<string, number>>;
   readonly services: readonly ServiceStatus[];
 }
--- a/src/peer/grpc.ts
+++ b/src/peer/grpc.ts
@@ -200,24 +200,50 @@
   return a.length === b.length && timingSafeEqual(a, b);
 }
 
-function defineMethod<Q, A>(method: Method<Q, A>) {
+function defineMethod<Q, A>(method: Method<Q, A>, counter: Counter) {
+  const request = countCodec(method.request, counter);
+  const reply = countCodec(method.reply, counter);
   return {
     path: method.path,
     requestStream: false,
     responseStream: false,
-    requestSerialize: method.request.write,
-    requestDeserialize: method.request.read,
-    responseSerialize: method.reply.write,
-    responseDeserialize: method.reply.read,
+    requestSerialize: request.write,
+    requestDeserialize: request.read,
+    responseSerialize: reply.write,
+    responseDeserialize: reply.read,
   } as const;
 }
 
-const peerDefinition = {
-  exchange: defineMethod(exchangeMethod),
-  probe: defineMethod(probeMethod),
-  fetchConfig: defineMethod(configMethod),
-  fetchVms: defineMethod(vmsMethod),
-};
+function definePeerService(counter: Counter) {
+  return {
+    exchange: defineMethod(exchangeMethod, counter),
+    probe: defineMethod(probeMethod, counter),
+    fetchConfig: defineMethod(configMethod, counter),
+    fetchVms: defineMethod(vmsMethod, counter),
+  };
+}
+
+interface Counter {
+  messages: number;
+  bytesOut: number;
+  bytesIn: number;
+}
+
+/** Counts the bytes that a codec writes and reads. */
+function countCodec<T>(codec: Codec<T>, counter: Counter): Codec<T> {
+  return {
+    write: (message) => {
+      const bytes = codec.write(message);
+      counter.messages += 1;
+      counter.bytesOut += bytes.length;
+      return bytes;
+    },
+    read: (bytes) => {
+      counter.bytesIn += bytes.length;
+      return codec.read(bytes);
+    },
+  };
+}
 
 /** Answers a unary call with an async handler, for callers that know the secret. */
 function createUnary<Q, A>(secret: string, handle: (request: Q) => Promise<A>) {
@@ -237,6 +263,7 @@
 /** Creates the gRPC transport; peers prove themselves with the shared secret. */
 export function createGrpcTransport(secret: string): PeerTransport {
   const clients = new Map<string, Client>();
+  const counter: Counter = { messages: 0, bytesOut: 0, bytesIn: 0 };
   const metadata = new Metadata();
   metadata.set(SECRET_KEY, secret);
 
@@ -264,8 +291,8 @@
       };
       const call: ClientUnaryCall = findClient(address).makeUnaryRequest(
         method.path,
-        method.request.write,
-        method.reply.read,
+        countCodec(method.request, counter).write,
+        countCodec(method.reply, counter).read,
         request,
         metadata,
         { deadline: Date.now() + limit },
@@ -276,6 +303,7 @@
   }
 
   return {
+    traffic: () => ({ ...counter }),
     async serve(address, handlers: PeerHandlers) {
       const server = new Server(CHANNEL_OPTIONS);
       const implementation: UntypedServiceImplementation = {
@@ -284,7 +312,7 @@
         fetchConfig: createUnary(secret, handlers.fetchConfig),
         fetchVms: createUnary(secret, handlers.fetchVms),
       };
-      server.addService(peerDefinition, implementation);
+      server.addService(definePeerService(counter), implementation);
       const port = await new Promise<number>((resolve, reject) => {
         server.bindAsync(
           formatAddress(address),
--- a/src/peer/transport.ts
+++ b/src/peer/transport.ts
@@ -35,8 +35,16 @@
   close(): void;
 }
 
+/** What a transport has carried since the start, without the framing of the protocol below. */
+export interface PeerTraffic {
+  readonly messages: number;
+  readonly bytesOut: number;
+  readonly bytesIn: number;
+}
+
 /** The transport service. */
 export interface PeerTransport {
+  traffic(): PeerTraffic;
   serve(address: Address, handlers: PeerHandlers): Promise<PeerServer>;
   /** Returns the client of a peer; clients of one address are shared. */
   connect(address: Address): PeerClient;
@@ -79,6 +87,7 @@
       return Right(await ask(handlers));
     };
     return {
+      traffic: () => ({ messages: this.messages, bytesOut: 0, bytesIn: 0 }),
       serve: (address, handlers) => {
         const name = formatAddress(address);
         this.#handlers.set(name, handlers);
--- a/src/tool/index.ts
+++ b/src/tool/index.ts
@@ -4,3 +4,4 @@
 export * from './rig.js';
 export * from './report.js';
 export * from './soak.js';
+export * from './fit.js';
--- a/test/config-store.test.ts
+++ b/test/config-store.test.ts
@@ -38,7 +38,7 @@
 
 let ids = 0;
 
-function header(author: string) {
+function createHeader(author: string) {
   ids += 1;
   return { id: `change-${ids}`, author, message: 'test' };
 }
@@ -49,7 +49,7 @@
 }
 
 async function draft(config: ConfigStore, author: string, name: string, text: string) {
-  return takeChange(await config.draft(header(author), new Map([[name, text]])));
+  return takeChange(await config.draft(createHeader(author), new Map([[name, text]])));
 }
 
 function readRevision(result: AcceptResult): number | string {
@@ -160,7 +160,7 @@
     it('brings the earlier text back as a new change', async () => {
       await config.accept(await draft(config, 'anna', 'service/a', SERVICE('/a')), 'anna');
       await config.accept(await draft(config, 'anna', 'service/a', SERVICE('/b')), 'anna');
-      const undo = takeChange(await config.draftUndo(header('bela'), 2));
+      const undo = takeChange(await config.draftUndo(createHeader('bela'), 2));
       expect(readRevision(await config.accept(undo, 'bela'))).to.equal(3);
       const head = await config.readHead();
       const texts = head.kind === 'head' ? await config.readDocuments(head.manifest) : undefined;
@@ -171,7 +171,7 @@
     it('conflicts when the document was changed again since', async () => {
       await config.accept(await draft(config, 'anna', 'service/a', SERVICE('/a')), 'anna');
       await config.accept(await draft(config, 'anna', 'service/a', SERVICE('/b')), 'anna');
-      const undo = takeChange(await config.draftUndo(header('bela'), 1));
+      const undo = takeChange(await config.draftUndo(createHeader('bela'), 1));
       expect((await config.accept(undo, 'bela')).kind).to.equal('conflict');
     });
   });
@@ -202,7 +202,7 @@
           (_, index) => [`service/s${index}`, SERVICE(`/${index}`)] as const,
         ),
       );
-      await config.accept(takeChange(await config.draft(header('anna'), wishes)), 'anna');
+      await config.accept(takeChange(await config.draft(createHeader('anna'), wishes)), 'anna');
       const found = store.read('config/head');
       const size = found.kind === 'found' ? Buffer.byteLength(found.item.value) : Infinity;
       expect(size).to.be.below(100_000);
--- a/test/member.test.ts
+++ b/test/member.test.ts
@@ -87,7 +87,7 @@
   return group;
 }
 
-function namesOf(count: number): string {
+function listNames(count: number): string {
   return Array.from({ length: count }, (_, index) => `n${index}`)
     .sort()
     .join(' ');
@@ -124,7 +124,7 @@
 
   it('joins all of seventeen', async () => {
     const group = await createGroup(17);
-    expect(new Set(group.views())).to.deep.equal(new Set([namesOf(17)]));
+    expect(new Set(group.views())).to.deep.equal(new Set([listNames(17)]));
   });
 
   it('notices a crash within ten seconds, everywhere', async () => {
@@ -132,7 +132,7 @@
     const [, , , , , , , , last] = group.nodes;
     group.paused.add(last?.peers ?? '');
     await group.run(12);
-    expect(new Set(group.views())).to.deep.equal(new Set([namesOf(8)]));
+    expect(new Set(group.views())).to.deep.equal(new Set([listNames(8)]));
   });
 
   it('takes back a member that was paused for thirty seconds', async () => {
@@ -143,7 +143,7 @@
     expect(new Set(group.views())).to.deep.equal(new Set(['n0 n2 n3 n4']));
     group.paused.clear();
     await group.run(30);
-    expect(new Set(group.views())).to.deep.equal(new Set([namesOf(5)]));
+    expect(new Set(group.views())).to.deep.equal(new Set([listNames(5)]));
   });
 
   it('does not lose a member that only one other cannot reach', async () => {
@@ -153,7 +153,7 @@
       (from === first?.peers && to === second?.peers) ||
       (from === second?.peers && to === first?.peers);
     await group.run(30);
-    expect(new Set(group.views())).to.deep.equal(new Set([namesOf(5)]));
+    expect(new Set(group.views())).to.deep.equal(new Set([listNames(5)]));
   });
 
   it('goes on in both halves of a cut, and heals', async () => {
@@ -164,7 +164,7 @@
     expect(new Set(group.views())).to.deep.equal(new Set(['n0 n1 n2', 'n3 n4 n5']));
     group.cut = () => false;
     await group.run(60);
-    expect(new Set(group.views())).to.deep.equal(new Set([namesOf(6)]));
+    expect(new Set(group.views())).to.deep.equal(new Set([listNames(6)]));
   });
 
   it('heals after an hour apart', async () => {
@@ -174,7 +174,7 @@
     await group.run(3600);
     group.cut = () => false;
     await group.run(60);
-    expect(new Set(group.views())).to.deep.equal(new Set([namesOf(4)]));
+    expect(new Set(group.views())).to.deep.equal(new Set([listNames(4)]));
   }).timeout(60_000);
 
   it('knows a restart under the same address as a new member', async () => {
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -1,5 +1,6 @@
 /** Real processes: paused, killed, replaced in turn, under calls. */
 import { expect } from 'chai';
+import { request } from 'undici';
 import { formatAddress } from '../src/kernel/index.js';
 import { EXIT } from '../src/cli/index.js';
 import {
@@ -96,7 +97,7 @@
   const findHome = async () => {
     const [first] = system.entries as [LaunchedEntry];
     const url = `http://${formatAddress(first.callers)}/.well-known/orchidbeam/entries?service=ledger`;
-    const answer = (await (await fetch(url)).json()) as EntryAnswer;
+    const answer = (await (await request(url)).body.json()) as EntryAnswer;
     const home = answer.entries[0]?.address;
     return system.entries.find(({ callers }) => formatAddress(callers) === home) as LaunchedEntry;
   };
--- a/test/spread.test.ts
+++ b/test/spread.test.ts
@@ -25,7 +25,7 @@
   });
 }
 
-function revisionsOf(entries: readonly Entry[]): readonly number[] {
+function listRevisions(entries: readonly Entry[]): readonly number[] {
   return entries.map(({ follower }) => follower.configuration.revision);
 }
 
@@ -43,7 +43,7 @@
     putDocuments(fleet.store, { 'service/a': writeService([TARGET], `path_prefix = ${path}`) });
 
   const waitAll = (entries: readonly Entry[], revision: number) =>
-    waitUntil(() => revisionsOf(entries).every((r) => r === revision), `revision ${revision}`);
+    waitUntil(() => listRevisions(entries).every((r) => r === revision), `revision ${revision}`);
 
   it('reaches every daemon', async () => {
     const entries = [await fleet.start(), await fleet.start('hu/b'), await fleet.start('hu/c')];
@@ -130,13 +130,13 @@
     while (!started) await clock.advance(50);
     await noting;
     await clock.advance(10_000);
-    expect(revisionsOf(fleet.entries)).to.deep.equal([1, 1, 1]);
+    expect(listRevisions(fleet.entries)).to.deep.equal([1, 1, 1]);
     for (const entry of fleet.entries) {
       expect(entry.membership.listCandidates()).to.have.length(3);
     }
     putDocuments(fleet.store, { 'service/a': writeService([TARGET], 'path_prefix = /b') });
     await clock.advance(5_000);
-    expect(revisionsOf(fleet.entries)).to.deep.equal([2, 2, 2]);
+    expect(listRevisions(fleet.entries)).to.deep.equal([2, 2, 2]);
     fleet.close();
   });
 });
