--- a/src/balance/home.ts
+++ b/src/balance/home.ts
@@ -23,18 +23,33 @@
   return slash < 0 ? domain : domain.slice(0, slash);
 }
 
+const MAX_KNOWN_PAIRS = 100_000;
+
+const knownPairs = new Map<string, number>();
+
 /** Returns a number that is random for each pair but the same wherever it is computed. */
 export function hashPair(a: string, b: string): number {
   return createHash('md5').update(a).update('\0').update(b).digest().readUIntBE(0, 6);
 }
 
+/** The same, remembered: every service is ranked again whenever a member or VM changes. */
+function recallPair(a: string, b: string): number {
+  const pair = `${a}\0${b}`;
+  const known = knownPairs.get(pair);
+  if (known !== undefined) return known;
+  if (knownPairs.size >= MAX_KNOWN_PAIRS) knownPairs.clear();
+  const hash = hashPair(a, b);
+  knownPairs.set(pair, hash);
+  return hash;
+}
+
 /** Orders candidates for a key by rendezvous hashing of their names. */
 export function rankCandidates<T extends HomeCandidate>(
   key: string,
   candidates: readonly T[],
 ): readonly T[] {
   return candidates
-    .map((candidate) => ({ candidate, rank: hashPair(key, candidate.name) }))
+    .map((candidate) => ({ candidate, rank: recallPair(key, candidate.name) }))
     .sort((a, b) => b.rank - a.rank || (a.candidate.id < b.candidate.id ? -1 : 1))
     .map(({ candidate }) => candidate);
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -8,6 +8,7 @@
   clockService,
   formatAddress,
   logService,
+  matchSecret,
   metricsService,
   networkService,
   randomService,
@@ -49,6 +50,7 @@
 }
 
 const STOP_CHECK = 20;
+const REFRESH_DELAY = 20;
 const STOP_PUSHES = 50;
 const READY_WAIT = 3000;
 const ENTRY_ROLE = 'entry';
@@ -92,6 +94,8 @@
 
   #peers: PeerServer | undefined;
 
+  #refreshing = false;
+
   constructor(
     private readonly kernel: Kernel,
     readonly settings: EntrySettings,
@@ -171,7 +175,7 @@
       times: this.options.membershipTimes ?? DEFAULT_TIMES,
       readKnowledge: () => this.#readKnowledge(),
       onKnowledge: (from, knowledge) => this.#hearKnowledge(from, knowledge),
-      onChange: () => this.#table?.refresh(),
+      onChange: () => this.#refreshSoon(),
       onNotice: (target) => this.#table?.noteLeaving(target),
       listSeeds: () => this.#listSeeds(),
     });
@@ -292,6 +296,16 @@
     };
   }
 
+  /** Places the services again once for all the changes of a moment. */
+  #refreshSoon(): void {
+    if (this.#refreshing) return;
+    this.#refreshing = true;
+    this.kernel.find(clockService).schedule(REFRESH_DELAY, () => {
+      this.#refreshing = false;
+      this.#table?.refresh();
+    });
+  }
+
   #active(): number {
     return this.#handler?.active ?? 0;
   }
@@ -331,7 +345,7 @@
       ...{ headerTimeout: limits.header_timeout, bodyTimeout: limits.body_timeout },
       onRefused: (detail) => {
         this.kernel.find(metricsService).count('door.refused');
-        this.kernel.find(logService).info('door.refused', { detail });
+        this.kernel.find(logService).debug('door.refused', { detail });
       },
     });
   }
@@ -370,7 +384,8 @@
   }
 
   #serveRelay(request: IncomingMessage, response: ServerResponse): void {
-    if (request.headers[RELAY_HEADER] !== this.settings.security.peer_secret) {
+    const given = String(request.headers[RELAY_HEADER] ?? '');
+    if (!matchSecret(given, this.settings.security.peer_secret)) {
       response.writeHead(403).end();
       return;
     }
--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -5,3 +5,4 @@
 export * from './network.js';
 export * from './log.js';
 export * from './metrics.js';
+export * from './secret.js';
--- a/src/peer/grpc.ts
+++ b/src/peer/grpc.ts
@@ -1,5 +1,4 @@
 /** The transport between entries over gRPC. */
-import { timingSafeEqual } from 'node:crypto';
 import {
   type ChannelOptions,
   Client,
@@ -16,7 +15,7 @@
 } from '@grpc/grpc-js';
 import type { Reader, Writer } from 'protobufjs';
 import { Left, Right } from 'purify-ts';
-import { type Address, formatAddress } from '../kernel/index.js';
+import { type Address, formatAddress, matchSecret } from '../kernel/index.js';
 import { orchidbeam as wire } from './generated/peer.js';
 import {
   type ConfigReply,
@@ -195,11 +194,6 @@
 
 const SECRET_KEY = 'orchidbeam-secret';
 
-function matchSecret(given: string, secret: string): boolean {
-  const [a, b] = [Buffer.from(given), Buffer.from(secret)];
-  return a.length === b.length && timingSafeEqual(a, b);
-}
-
 function defineMethod<Q, A>(method: Method<Q, A>, counter: Counter) {
   const request = countCodec(method.request, counter);
   const reply = countCodec(method.reply, counter);
--- a/src/proxy/forwarder.ts
+++ b/src/proxy/forwarder.ts
@@ -163,7 +163,7 @@
         return this.#tellNotRun(slot.reason, `no slot: ${slot.reason}`, slot.retryAfter);
       }
       this.cost.waited += slot.waited;
-      this.context.retries.earn();
+      if (tries === 1) this.context.retries.earn();
       const result = await this.#runHedged(slot, tries);
       const end = this.#conclude(result, slot.target);
       if (end !== 'try-again') return end;
