--- a/src/tool/rig.ts
+++ b/src/tool/rig.ts
@@ -48,7 +48,7 @@
 /** Times are recorded in units of a hundredth of a millisecond. */
 export const TIME_UNIT = 100;
 
-const CONNECTIONS = 400;
+const CONNECTIONS = 4096;
 const SETTLE = 1500;
 
 interface Costs {
