--- a/src/balance/home.ts
+++ b/src/balance/home.ts
@@ -23,7 +23,7 @@
   return slash < 0 ? domain : domain.slice(0, slash);
 }
 
-const MAX_KNOWN_PAIRS = 100_000;
+const MAX_KNOWN_PAIRS = 20_000;
 
 const knownPairs = new Map<string, number>();
 
@@ -74,11 +74,14 @@
   readonly homes: number;
   /** Calls a second. */
   readonly expected_rate: number;
+  /** Homes that the measured load needs; 1 when it is not known. */
+  readonly needed: number;
 }
 
 /** Returns how many homes a service has in a region. */
 export function countHomes(need: HomeNeed): number {
-  return need.homes > 0 ? need.homes : Math.max(1, Math.ceil(need.expected_rate / ENTRY_RATE));
+  if (need.homes > 0) return need.homes;
+  return Math.max(1, need.needed, Math.ceil(need.expected_rate / ENTRY_RATE));
 }
 
 /** A service's homes in one region, and the alternates in order. */
--- a/src/bin/entry.ts
+++ b/src/bin/entry.ts
@@ -20,13 +20,14 @@
 import { startAdminServer } from '../admin/index.js';
 import { STRATEGIES, type Strategy } from '../balance/index.js';
 import { Entry } from '../entry/index.js';
-import { createGrpcTransport, peerTransportService } from '../peer/index.js';
+import { type PeerKeyFiles, createGrpcTransport, peerTransportService } from '../peer/index.js';
 import { createHttpPlatform, platformService } from '../platform/index.js';
 import { type EntrySettings, checkEntrySettings, formatMistake } from '../settings/index.js';
 
 const EXIT_USAGE = 2;
 const EXIT_SETTINGS = 3;
 const EXIT_BROKEN = 70;
+const KEY_REFRESH = 10_000;
 
 function fail(code: number, message: string): never {
   process.stderr.write(`${message}\n`);
@@ -51,6 +52,12 @@
   return { cert: readFileSync(cert, 'utf8'), key: readFileSync(key, 'utf8') };
 }
 
+function findPeerKeys({ security }: EntrySettings): PeerKeyFiles | undefined {
+  if (security.peers_cert === '') return undefined;
+  const { peers_cert: cert, peers_key: key, peers_ca: ca } = security;
+  return { cert, key, ca, refresh: KEY_REFRESH };
+}
+
 function buildKernel(settings: EntrySettings): Kernel {
   const network = createTcpNetwork();
   const { platform, security, log, metrics, entry } = settings;
@@ -68,13 +75,23 @@
         : createStatsdMetrics(statsd, { entry: entry.name }),
     )
     .provide(platformService, createHttpPlatform({ address, timeout, network }))
-    .provide(peerTransportService, createGrpcTransport(security.peer_secret));
+    .provide(
+      peerTransportService,
+      createGrpcTransport(security.peer_secret, findPeerKeys(settings)),
+    );
 }
 
-/** Calls `reload` when a file changes. */
+/** Calls `reload` when a file changes; a pair that is half written is left until the next change. */
 function watchFiles(files: readonly string[], reload: () => void): void {
+  const attempt = () => {
+    try {
+      reload();
+    } catch {
+      // The keys in use stay in use.
+    }
+  };
   for (const file of files) {
-    if (file !== '') watch(file, { persistent: false }, reload);
+    if (file !== '') watch(file, { persistent: false }, attempt);
   }
 }
 
--- a/src/bin/experiment.ts
+++ b/src/bin/experiment.ts
@@ -1,6 +1,7 @@
 /**
  * `npm run experiment`: the strategies against each other and against the bound, on the same calls.
- * `--quick` for a short run, `--json` for figures, `--out DIR` for the report.
+ * `--rush` lets each load last for half of the time and then halves
+ * the capacity asked for, to show recovery; `--json` for figures, `--out DIR` for the report.
  */
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
@@ -19,6 +20,7 @@
   computeFigures,
   computeRatios,
   drawArrivals,
+  joinRush,
   formatRatios,
   formatTable,
   measureMeanWork,
@@ -35,6 +37,7 @@
     strategies: { type: 'string', default: 'fresh,random,round-robin,least-in-flight' },
     loads: { type: 'string', default: '0.5,0.7,0.85' },
     scenarios: { type: 'string', default: 'noise' },
+    rush: { type: 'boolean' },
     json: { type: 'boolean' },
     out: { type: 'string' },
   },
@@ -51,16 +54,24 @@
 );
 const loads = split(values.loads).map(Number);
 
+const RECOVERY = 2;
+const CALM_LOAD = 0.5;
+
 function drawFor(deployment: Deployment, load: number): readonly Arrival[] {
   const { workers, slots, meanWork, kinds } = deployment;
   const capacity = (workers * slots * 1000) / (meanWork * measureMeanWork(kinds));
-  return drawArrivals({ seed, rate: capacity * load, seconds, kinds, meanWork });
+  const plan = { seed, rate: capacity * load, seconds, kinds, meanWork };
+  if (values.rush !== true) return drawArrivals(plan);
+  const half = { ...plan, seconds: seconds / 2 };
+  const calm = drawArrivals({ ...half, seed: seed + 1, rate: capacity * CALM_LOAD });
+  return joinRush(drawArrivals(half), calm, { seconds: seconds / 2, recovery: RECOVERY });
 }
 
 function computeBoundFigures(deployment: Deployment, load: number, scenario: string): RunFigures {
   const arrivals = drawFor(deployment, load);
   const latencies = computeBound(arrivals, deployment.workers * deployment.slots);
-  const kinds = deployment.kinds.map((kind) => {
+  const names = new Set(arrivals.map(({ kind }) => kind));
+  const kinds = [...names].map((kind) => {
     const times = buildHistogram({ highestTrackableValue: 1e8, numberOfSignificantValueDigits: 3 });
     for (const [index, arrival] of arrivals.entries()) {
       if (arrival.kind === kind) times.recordValue(latencies[index] * TIME_UNIT);
--- a/src/bin/overhead.ts
+++ b/src/bin/overhead.ts
@@ -10,7 +10,7 @@
 import { join } from 'node:path';
 import { formatAddress } from '../kernel/index.js';
 import { EXIT } from '../cli/index.js';
-import { System } from '../demo/index.js';
+import { System, pause } from '../demo/index.js';
 import type { EntryStatus } from '../entry/index.js';
 import { TIME_UNIT, readQuantile } from '../tool/index.js';
 
@@ -52,11 +52,6 @@
   readonly failed: number;
 }
 
-const pause = (milliseconds: number) =>
-  new Promise<void>((resolve) => {
-    setTimeout(resolve, milliseconds);
-  });
-
 /** Sends calls at a steady rate, taking the pools in turn. */
 async function send(
   pools: readonly Pool[],
--- a/src/bin/slopes.ts
+++ b/src/bin/slopes.ts
@@ -9,7 +9,7 @@
 import { request } from 'undici';
 import { formatAddress } from '../kernel/index.js';
 import { EXIT } from '../cli/index.js';
-import { System } from '../demo/index.js';
+import { System, pause } from '../demo/index.js';
 import type { EntryStatus } from '../entry/index.js';
 import { type Fit, fitLine } from '../tool/index.js';
 
@@ -56,11 +56,6 @@
 const MEGABYTE = 1024 * 1024;
 const SETTLE = 4000;
 
-const pause = (milliseconds: number) =>
-  new Promise<void>((resolve) => {
-    setTimeout(resolve, milliseconds);
-  });
-
 function writeServices(directory: string, size: Size, turn: number): readonly string[] {
   mkdirSync(join(directory, 'service'), { recursive: true });
   return Array.from({ length: size.services }, (_, index) => {
--- a/src/config/index.ts
+++ b/src/config/index.ts
@@ -4,4 +4,5 @@
 export * from './configuration.js';
 export * from './change.js';
 export * from './manifest.js';
+export * from './archive.js';
 export * from './store.js';
--- a/src/config/store.ts
+++ b/src/config/store.ts
@@ -13,15 +13,14 @@
   hashText,
   invertEdits,
 } from './change.js';
+import { RecordArchive } from './archive.js';
 import { type Documents, checkConfiguration } from './configuration.js';
 import {
   type AuditRecord,
   HEAD_KEY,
   type Manifest,
   acceptChange,
-  buildAcceptedKey,
   buildDraftKey,
-  buildRecordKey,
   buildTextKey,
   findLastRecord,
   formatManifest,
@@ -76,11 +75,15 @@
 export class ConfigStore {
   readonly #texts = new Map<Hash, string>();
 
+  readonly #archive: RecordArchive;
+
   constructor(
     private readonly platform: Platform,
     private readonly clock: Clock,
     private readonly random: Random,
-  ) {}
+  ) {
+    this.#archive = new RecordArchive(platform);
+  }
 
   /** Reads the manifest. */
   async readHead(): Promise<HeadResult> {
@@ -138,9 +141,11 @@
 
   /** Drafts the change that undoes the change of a revision. */
   async draftUndo(header: ChangeHeader, revision: number): Promise<DraftResult> {
-    const record = await this.#readRecord(revision);
-    if (record === undefined) return { kind: 'absent' };
-    if ('kind' in record) return record;
+    const head = await this.readHead();
+    if (head.kind === 'unavailable') return head;
+    const found = await this.#archive.read(revision, head.manifest);
+    if (found.kind !== 'record') return found;
+    const { record } = found;
     const edits = invertEdits(record.edits);
     const texts: Record<Hash, string> = {};
     for (const { after } of edits) {
@@ -149,8 +154,6 @@
       if (text.kind === 'unavailable') return text;
       texts[after] = text.text;
     }
-    const head = await this.readHead();
-    if (head.kind === 'unavailable') return head;
     const change: Change = { ...header, edits, texts, undoes: record.change };
     return this.#storeDraft(change, head.manifest);
   }
@@ -181,18 +184,18 @@
         if (!unsure) return head;
         continue;
       }
-      const earlier = await this.#findAccepted(change.id, head.manifest);
-      if (earlier !== undefined && 'kind' in earlier) {
+      const earlier = await this.#archive.findAccepted(change.id, head.manifest);
+      if (earlier.kind === 'unavailable') {
         if (!unsure) return earlier;
         continue;
       }
-      if (earlier !== undefined) {
-        return { kind: 'accepted', record: earlier, manifest: head.manifest };
+      if (earlier.kind === 'record') {
+        return { kind: 'accepted', record: earlier.record, manifest: head.manifest };
       }
       const blocked = await this.#findObstacle(change, head.manifest);
       if (blocked !== undefined) return blocked;
       const next = acceptChange(head.manifest, change, { by, at: this.clock.wall() });
-      const archived = await this.#archive(head.manifest);
+      const archived = await this.#archive.archive(head.manifest);
       const manifest = trimRecords(next, archived);
       const result = await this.platform.swap({
         ...{ key: HEAD_KEY, value: formatManifest(manifest) },
@@ -220,10 +223,10 @@
     const records: AuditRecord[] = [];
     let revision = Math.min(before ?? Infinity, head.manifest.revision + 1) - 1;
     while (revision > 0 && records.length < count) {
-      const record = await this.#findRecord(revision, head.manifest);
-      if (record !== undefined && 'kind' in record) return record;
-      assertInvariant(record !== undefined, `revision ${revision} has no audit record`);
-      records.push(record);
+      const result = await this.#archive.read(revision, head.manifest);
+      if (result.kind === 'unavailable') return result;
+      assertInvariant(result.kind === 'record', `revision ${revision} has no audit record`);
+      records.push(result.record);
       revision -= 1;
     }
     return { kind: 'history', records, next: revision > 0 ? revision + 1 : undefined };
@@ -302,52 +305,4 @@
     this.keepText(hash, text);
     return undefined;
   }
-
-  /** Copies records to keys of their own; returns the revision up to which all are there. */
-  async #archive(manifest: Manifest): Promise<number> {
-    let { archived } = manifest;
-    for (const record of manifest.records) {
-      if (record.revision <= archived) continue;
-      const copies = [
-        { key: buildAcceptedKey(record.change), value: String(record.revision), expect: 0 },
-        { key: buildRecordKey(record.revision), value: JSON.stringify(record), expect: 0 },
-      ];
-      for (const copy of copies) {
-        const result = await this.platform.swap(copy);
-        if (result.kind !== 'written' && result.kind !== 'conflict') return archived;
-      }
-      archived = record.revision;
-    }
-    return archived;
-  }
-
-  /** Finds the record of a change that is in force already, also beneath later changes. */
-  async #findAccepted(
-    id: string,
-    manifest: Manifest,
-  ): Promise<AuditRecord | StoreDown | undefined> {
-    const recent = manifest.records.find((record) => record.change === id);
-    if (recent !== undefined) return recent;
-    if (manifest.archived === 0) return undefined;
-    const result = await this.platform.read(buildAcceptedKey(id));
-    if (result.kind === 'unavailable') return result;
-    return result.kind === 'absent' ? undefined : this.#readRecord(Number(result.item.value));
-  }
-
-  async #findRecord(
-    revision: number,
-    manifest: Manifest,
-  ): Promise<AuditRecord | StoreDown | undefined> {
-    const recent = manifest.records.find((record) => record.revision === revision);
-    return recent ?? this.#readRecord(revision);
-  }
-
-  async #readRecord(revision: number): Promise<AuditRecord | StoreDown | undefined> {
-    const result = await this.platform.read(buildRecordKey(revision));
-    if (result.kind === 'unavailable') return result;
-    if (result.kind === 'found') return JSON.parse(result.item.value) as AuditRecord;
-    const head = await this.readHead();
-    if (head.kind === 'unavailable') return head;
-    return head.manifest.records.find((record) => record.revision === revision);
-  }
 }
--- a/src/demo/index.ts
+++ b/src/demo/index.ts
@@ -1,4 +1,5 @@
 /** A whole system on one machine: launching it, and calling it as a caller would. */
+export * from './pause.js';
 export * from './launch.js';
 export * from './caller.js';
 export * from './system.js';
--- a/src/entry/call-handler.ts
+++ b/src/entry/call-handler.ts
@@ -1,22 +1,18 @@
 /** Serves the calls that arrive at one entry, from the head of the request to its end. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { type Clock, type Log, type Metrics, type Random, parseAddress } from '../kernel/index.js';
+import { type Clock, type Log, type Metrics, type Random } from '../kernel/index.js';
 import type { Service } from '../config/index.js';
 import type { Claims } from '../once/index.js';
 import type { Member } from '../peer/index.js';
 import { type Ruling, PASSING, applyPolicies } from '../policy/index.js';
 import {
-  AnswerGate,
   type Body,
   BufferBudget,
-  CALLER_HEADERS,
   type Call,
   type CallEnd,
   Forwarder,
   type Outcome,
-  RELAY_HEADER,
   STOPPING,
-  buildTargetHeaders,
   createNotRun,
   createUnknown,
   findClass,
@@ -25,12 +21,12 @@
   readCall,
   readCallId,
   readWhole,
-  startAttempt,
   viewCall,
   writeOutcome,
 } from '../proxy/index.js';
 import type { Clients } from './clients.js';
 import type { PoolRuntime } from './pool-runtime.js';
+import { relayCall } from './relay.js';
 import type { ServiceRuntime } from './service-runtime.js';
 import type { ServiceTable } from './service-table.js';
 
@@ -65,7 +61,6 @@
 }
 
 const BUFFER_LIMIT = 64 * 1024 * 1024;
-const RELAY_CONNECTIONS = 256;
 const BUSY_RETRY = 1000;
 
 /** Serves calls. */
@@ -170,7 +165,9 @@
   async #pass(passage: Passage): Promise<CallEnd> {
     const home = this.#findOtherHome(passage);
     if (home !== undefined) {
-      const end = await this.#relay(passage, home);
+      const { clients, clock, relaySecret: secret } = this.options;
+      passage.runtime.counts.relayed += 1;
+      const end = await relayCall(passage, home, { clients, clock, secret });
       if (end !== 'not-reached') return end;
     }
     const ruling = this.#rule(passage);
@@ -193,58 +190,6 @@
     return homes[Math.floor(this.options.random.next() * homes.length)];
   }
 
-  /** Hands the call over to a home; `not-reached` when nothing was sent to it. */
-  async #relay(passage: Passage, home: Member): Promise<CallEnd | 'not-reached'> {
-    const address = parseAddress(home.relay);
-    if (address === undefined) return 'not-reached';
-    const { call, request, response, signal, runtime } = passage;
-    const { clock } = this.options;
-    const deadline = call.receivedAt + call.timeAllowed;
-    const body: Body = call.bytes === 0 ? { kind: 'none' } : { kind: 'stream', request };
-    if (body.kind === 'stream') inviteBody(request, response);
-    const headers = buildTargetHeaders(request.rawHeaders, {
-      ...{ call: call.id, left: deadline - clock.now(), callerAddress: call.callerAddress },
-      forwardedFor: request.headers['x-forwarded-for'] as string | undefined,
-      isRetry: call.isRetry,
-    });
-    headers.push(RELAY_HEADER, this.options.relaySecret);
-    if (request.headers[CALLER_HEADERS.caller] === undefined) {
-      headers.push(CALLER_HEADERS.caller, call.caller);
-    }
-    let sent = false;
-    const attempt = startAttempt({
-      ...{ client: this.options.clients.find(address, RELAY_CONNECTIONS), call, headers },
-      ...{ body, response, gate: new AnswerGate(), keepsOutcome: true },
-      discards: () => false,
-      isTimely: () => clock.now() < deadline,
-      onSent: () => {
-        sent = true;
-      },
-      onNotRun: () => undefined,
-    });
-    const abort = () => attempt.abort('ended');
-    // The home ends the call at its deadline and says how; this entry waits a little longer.
-    const timer = clock.schedule(deadline - clock.now() + RELAY_GRACE, abort);
-    signal.addEventListener('abort', abort, { once: true });
-    const result = await attempt.done;
-    timer.cancel();
-    signal.removeEventListener('abort', abort);
-    runtime.counts.relayed += 1;
-    if (result.kind === 'relayed') {
-      return { kind: 'answered', status: result.status, target: home.relay };
-    }
-    if (result.kind === 'cut') return { kind: 'cut', target: home.relay, detail: result.detail };
-    if (signal.aborted) return { kind: 'gone' };
-    if (!sent) return 'not-reached';
-    const retriable = call.repeatable && body.kind === 'none' && clock.now() < deadline;
-    if (retriable) return 'not-reached';
-    const reason = result.kind === 'cancelled' ? 'deadline' : 'connection-lost';
-    return {
-      kind: 'told',
-      outcome: createUnknown(reason, 'the entry that had the call is silent'),
-    };
-  }
-
   #rule({ runtime, call, request }: Passage): Ruling {
     const { policies } = runtime.service;
     if (policies.length === 0) return PASSING;
@@ -392,5 +337,3 @@
     writeOutcome(response, id, outcome);
   }
 }
-
-const RELAY_GRACE = 50;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -1,5 +1,4 @@
 /** The entry daemon: puts the parts together, starts them, and stops them in a planned way. */
-import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
   type Address,
   type Kernel,
@@ -8,7 +7,6 @@
   clockService,
   formatAddress,
   logService,
-  matchSecret,
   metricsService,
   networkService,
   randomService,
@@ -20,23 +18,25 @@
 import {
   type ExchangeMessage,
   type Knowledge,
+  type LoadMessage,
   type Member,
   type PeerHandlers,
   type PeerServer,
   peerTransportService,
 } from '../peer/index.js';
 import { type MeteredPlatform, createMeteredPlatform, platformService } from '../platform/index.js';
-import { type HttpListener, RELAY_HEADER, startHttpListener } from '../proxy/index.js';
 import type { EntrySettings } from '../settings/index.js';
 import {
+  ANNOUNCED_RATE,
   ConfigFollower,
   DEFAULT_FOLLOWER_TIMES,
   type FollowerTimes,
+  LoadBoard,
   VmsFollower,
 } from '../spread/index.js';
 import { CallHandler } from './call-handler.js';
 import { Clients } from './clients.js';
-import { DISCOVERY_PATH, answerDiscovery } from './discovery.js';
+import { type Front, startFront } from './front.js';
 import { Prober } from './prober.js';
 import { ServiceTable } from './service-table.js';
 import { type EntryStatus, describeService } from './status.js';
@@ -88,14 +88,14 @@
 
   #handler: CallHandler | undefined;
 
-  #callers: HttpListener | undefined;
-
-  #relay: HttpListener | undefined;
+  #front: Front | undefined;
 
   #peers: PeerServer | undefined;
 
   #refreshing = false;
 
+  readonly #loads = new LoadBoard();
+
   constructor(
     private readonly kernel: Kernel,
     readonly settings: EntrySettings,
@@ -137,8 +137,8 @@
 
   /** Where callers connect; only after {@link start}. */
   get callersAddress(): Address {
-    assertInvariant(this.#callers !== undefined, 'the entry was started');
-    return this.#callers.address;
+    assertInvariant(this.#front !== undefined, 'the entry was started');
+    return this.#front.callers.address;
   }
 
   /** Starts listening, joins the other entries, and begins to follow the configuration. */
@@ -151,14 +151,12 @@
     const shared = { clock, random, log, transport };
 
     this.#peers = await transport.serve(settings.entry.peers, this.#createHandlers());
-    this.#relay = await this.#listen(settings.entry.relay, (request, response) =>
-      this.#serveRelay(request, response),
-    );
-    this.#callers = await this.#listen(
-      settings.entry.callers,
-      (request, response) => this.#serveCaller(request, response),
-      this.options.callersKeys,
-    );
+    this.#front = await startFront(kernel, settings, {
+      serveCall: (request, response, relayed) => this.#handler?.serve(request, response, relayed),
+      findService: (name) => this.#table?.findByName(name),
+      keys: this.options.callersKeys,
+    });
+    const { callers, relay } = this.#front;
 
     const listCandidates = () => this.membership.listCandidates();
     const selfId = () => this.membership.self.id;
@@ -167,14 +165,16 @@
       self: {
         name: settings.entry.name,
         domain: settings.entry.failure_domain,
-        callers: formatAddress(this.#callers.address),
+        callers: formatAddress(callers.address),
         peers: formatAddress(this.#peers.address),
-        relay: formatAddress(this.#relay.address),
+        relay: formatAddress(relay.address),
         admin: formatAddress(settings.entry.admin),
       },
       times: this.options.membershipTimes ?? DEFAULT_TIMES,
       readKnowledge: () => this.#readKnowledge(),
       onKnowledge: (from, knowledge) => this.#hearKnowledge(from, knowledge),
+      listLoads: () => this.#listLoads(),
+      onLoads: (loads) => this.#hearLoads(loads),
       onChange: () => this.#refreshSoon(),
       onNotice: (target) => this.#table?.noteLeaving(target),
       listSeeds: () => this.#listSeeds(),
@@ -183,6 +183,7 @@
       ...{ strategy: this.options.strategy ?? 'fresh', clock, random },
       ...{ domain: settings.entry.failure_domain, selfId, listCandidates },
       onDropped: (address) => this.#clients.release(address),
+      countNeeded: (service) => this.#loads.countHomes(service, clock.now()),
     });
     this.#follower = new ConfigFollower({
       ...shared,
@@ -208,7 +209,7 @@
     });
     await this.#begin();
     log.info('entry.started', {
-      ...{ name: settings.entry.name, callers: formatAddress(this.#callers.address) },
+      ...{ name: settings.entry.name, callers: formatAddress(callers.address) },
       ...{
         members: this.membership.listAll().length,
         revision: this.follower.configuration.revision,
@@ -227,12 +228,12 @@
     log.info('entry.stopping', { name: this.settings.entry.name, active: this.#active() });
     await this.membership.announceStopping();
     await clock.sleep(Math.min(this.settings.limits.answer_ttl, grace), signal);
-    await this.#callers?.drain();
+    await this.#front?.callers.drain();
     while (this.#active() > 0 && clock.now() < limit && signal?.aborted !== true) {
       await clock.sleep(STOP_CHECK, signal);
     }
     // Peers hand calls over until they have heard that this entry stops; by now all have.
-    await this.#relay?.drain();
+    await this.#front?.relay.drain();
     while (this.#active() > 0 && clock.now() < limit && signal?.aborted !== true) {
       await clock.sleep(STOP_CHECK, signal);
     }
@@ -247,15 +248,15 @@
   /** Ends at once, as a crash would. */
   destroy(): void {
     this.#running.abort();
-    this.#callers?.destroy();
-    this.#relay?.destroy();
+    this.#front?.callers.destroy();
+    this.#front?.relay.destroy();
     this.#peers?.close();
     this.#clients.destroy();
   }
 
   /** Replaces the certificate for callers without a restart. */
   replaceCallersKeys(keys: KeyPair): void {
-    this.#callers?.replaceKeys(keys);
+    this.#front?.callers.replaceKeys(keys);
   }
 
   /** Takes a manifest that the administration interface accepted at time `at`. */
@@ -275,7 +276,7 @@
       proofAge: Number.isFinite(proofAge) ? Math.round(proofAge) : null,
       configFault: fault,
       active: this.#active(),
-      connections: this.#callers?.countConnections() ?? 0,
+      connections: this.#front?.callers.countConnections() ?? 0,
       connectionsOpened: this.#clients.opened,
       memory: process.memoryUsage.rss(),
       members: this.membership.listAll(),
@@ -333,23 +334,6 @@
     throw error;
   }
 
-  #listen(
-    address: Address,
-    handle: (request: IncomingMessage, response: ServerResponse) => void,
-    keys?: KeyPair,
-  ): Promise<HttpListener> {
-    const { limits } = this.settings;
-    return startHttpListener({
-      ...{ network: this.kernel.find(networkService), address, handle, keys },
-      ...{ maxConnections: limits.max_connections, maxHeaderBytes: limits.max_header_bytes },
-      ...{ headerTimeout: limits.header_timeout, bodyTimeout: limits.body_timeout },
-      onRefused: (detail) => {
-        this.kernel.find(metricsService).count('door.refused');
-        this.kernel.find(logService).debug('door.refused', { detail });
-      },
-    });
-  }
-
   #createHandler(): CallHandler {
     const { settings, kernel } = this;
     return new CallHandler({
@@ -370,41 +354,25 @@
       exchange: async (request): Promise<ExchangeMessage> => this.membership.answer(request),
       probe: (peers) => this.membership.probe(peers),
       fetchConfig: async (known) => this.follower.answerFetch(known),
-      fetchVms: async () => (this.#vms as VmsFollower).answerFetch(),
+      fetchVms: async (known) => (this.#vms as VmsFollower).answerFetch(known),
     };
   }
 
-  #serveCaller(request: IncomingMessage, response: ServerResponse): void {
-    const url = request.url ?? '/';
-    if (url.startsWith(DISCOVERY_PATH)) {
-      this.#serveDiscovery(url, response);
-      return;
-    }
-    this.#handler?.serve(request, response, false);
-  }
-
-  #serveRelay(request: IncomingMessage, response: ServerResponse): void {
-    const given = String(request.headers[RELAY_HEADER] ?? '');
-    if (!matchSecret(given, this.settings.security.peer_secret)) {
-      response.writeHead(403).end();
-      return;
+  #listLoads(): readonly LoadMessage[] {
+    const now = this.kernel.find(clockService).now();
+    const entry = this.membership.self.id;
+    for (const busy of this.#table?.listBusy(now, ANNOUNCED_RATE) ?? []) {
+      this.#loads.add({ ...busy, entry, age: 0 }, now);
     }
-    this.#handler?.serve(request, response, true);
+    const loads = this.#loads.list(now);
+    if (loads.length > 0 || this.#loads.isHolding()) this.#refreshSoon();
+    return loads;
   }
 
-  #serveDiscovery(url: string, response: ServerResponse): void {
-    const query = new URL(url, 'http://entry').searchParams;
-    const runtime = this.table.findByName(query.get('service') ?? '');
-    const answer = runtime && answerDiscovery(runtime, this.settings.limits.answer_ttl);
-    const found = answer !== undefined && answer.entries.length > 0;
-    const missing = answer === undefined ? 404 : 503;
-    const status = found ? 200 : missing;
-    const body = JSON.stringify(answer ?? { status, title: 'No such service' });
-    response.writeHead(status, {
-      'content-type': status === 404 ? 'application/problem+json' : 'application/json',
-      'cache-control': `max-age=${Math.floor(this.settings.limits.answer_ttl / 1000)}`,
-    });
-    response.end(body);
+  #hearLoads(loads: readonly LoadMessage[]): void {
+    const now = this.kernel.find(clockService).now();
+    for (const load of loads) this.#loads.add(load, now);
+    this.#refreshSoon();
   }
 
   #readKnowledge(): Knowledge {
--- /dev/null
+++ b/src/entry/front.ts
@@ -0,0 +1,88 @@
+/** The two HTTP listeners of an entry: for callers, and for calls handed over by other entries. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import {
+  type Kernel,
+  type KeyPair,
+  logService,
+  matchSecret,
+  metricsService,
+  networkService,
+} from '../kernel/index.js';
+import { type HttpListener, RELAY_HEADER, startHttpListener } from '../proxy/index.js';
+import type { EntrySettings } from '../settings/index.js';
+import { DISCOVERY_PATH, answerDiscovery } from './discovery.js';
+import type { ServiceRuntime } from './service-runtime.js';
+
+/** Who serves what arrives. */
+export interface FrontHandlers {
+  readonly serveCall: (
+    request: IncomingMessage,
+    response: ServerResponse,
+    relayed: boolean,
+  ) => void;
+  readonly findService: (name: string) => ServiceRuntime | undefined;
+}
+
+/** The running listeners. */
+export interface Front {
+  readonly callers: HttpListener;
+  readonly relay: HttpListener;
+}
+
+const FORBIDDEN = 403;
+const OK = 200;
+const NOT_FOUND = 404;
+const UNAVAILABLE = 503;
+
+/** Starts both listeners. */
+export async function startFront(
+  kernel: Kernel,
+  settings: EntrySettings,
+  { serveCall, findService, keys }: FrontHandlers & { readonly keys?: KeyPair },
+): Promise<Front> {
+  const { limits, security, entry } = settings;
+  const log = kernel.find(logService);
+  const metrics = kernel.find(metricsService);
+  const shared = {
+    ...{ network: kernel.find(networkService), maxConnections: limits.max_connections },
+    ...{ maxHeaderBytes: limits.max_header_bytes, headerTimeout: limits.header_timeout },
+    bodyTimeout: limits.body_timeout,
+    onRefused: (detail: string) => {
+      metrics.count('door.refused');
+      log.debug('door.refused', { detail });
+    },
+  };
+
+  function serveDiscovery(url: string, response: ServerResponse): void {
+    const name = new URL(url, 'http://entry').searchParams.get('service') ?? '';
+    const runtime = findService(name);
+    const answer = runtime && answerDiscovery(runtime, limits.answer_ttl);
+    const found = answer !== undefined && answer.entries.length > 0;
+    const missing = answer === undefined ? NOT_FOUND : UNAVAILABLE;
+    const status = found ? OK : missing;
+    const body = JSON.stringify(answer ?? { status, title: `No service "${name}"` });
+    response.writeHead(status, {
+      'content-type': answer === undefined ? 'application/problem+json' : 'application/json',
+      'cache-control': `max-age=${Math.floor(limits.answer_ttl / 1000)}`,
+    });
+    response.end(body);
+  }
+
+  function serveCaller(request: IncomingMessage, response: ServerResponse): void {
+    const url = request.url ?? '/';
+    if (url.startsWith(DISCOVERY_PATH)) serveDiscovery(url, response);
+    else serveCall(request, response, false);
+  }
+
+  function serveRelay(request: IncomingMessage, response: ServerResponse): void {
+    const given = String(request.headers[RELAY_HEADER] ?? '');
+    if (matchSecret(given, security.peer_secret)) serveCall(request, response, true);
+    else response.writeHead(FORBIDDEN).end();
+  }
+
+  const relay = await startHttpListener({ ...shared, address: entry.relay, handle: serveRelay });
+  const callers = await startHttpListener({
+    ...{ ...shared, address: entry.callers, handle: serveCaller, keys },
+  });
+  return { callers, relay };
+}
--- a/src/entry/placement.ts
+++ b/src/entry/placement.ts
@@ -41,6 +41,8 @@
   readonly vms: readonly Vm[];
   /** Live and suspected entries. */
   readonly candidates: readonly Member[];
+  /** Homes that the measured load of a service needs. */
+  readonly countNeeded: (service: string) => number;
   /** Makes every entry a home that uses every target: the baseline that homes are measured against. */
   readonly everywhere: boolean;
 }
@@ -53,7 +55,9 @@
     return { region, plan, isHome: true, sharesTargets: false };
   }
   const local = view.candidates.filter(({ domain }) => readRegion(domain) === region);
-  const plan = planHomes(service, local.length > 0 ? local : view.candidates);
+  const { name, homes, expected_rate } = service;
+  const need = { name, homes, expected_rate, needed: view.countNeeded(name) };
+  const plan = planHomes(need, local.length > 0 ? local : view.candidates);
   const isHome = plan.homes.some(({ id }) => id === view.selfId);
   return { region, plan, isHome, sharesTargets: isHome };
 }
--- /dev/null
+++ b/src/entry/relay.ts
@@ -0,0 +1,102 @@
+/** Hands a call over from an entry that is not its home to one that is. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { type Clock, parseAddress } from '../kernel/index.js';
+import type { Member } from '../peer/index.js';
+import {
+  AnswerGate,
+  type Attempt,
+  type AttemptResult,
+  type Body,
+  CALLER_HEADERS,
+  type Call,
+  type CallEnd,
+  RELAY_HEADER,
+  buildTargetHeaders,
+  createUnknown,
+  inviteBody,
+  startAttempt,
+} from '../proxy/index.js';
+import type { Clients } from './clients.js';
+
+/** A call to hand over. */
+export interface RelayedCall {
+  readonly call: Call;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly signal: AbortSignal;
+}
+
+/** What handing over needs. */
+export interface RelayContext {
+  readonly clients: Clients;
+  readonly clock: Clock;
+  readonly secret: string;
+}
+
+const RELAY_CONNECTIONS = 256;
+
+/** The home ends the call at its deadline and says how; this entry waits a little longer. */
+const GRACE = 50;
+
+function buildHeaders({ call, request }: RelayedCall, left: number, secret: string): string[] {
+  const headers = buildTargetHeaders(request.rawHeaders, {
+    ...{ call: call.id, left, callerAddress: call.callerAddress, isRetry: call.isRetry },
+    forwardedFor: request.headers['x-forwarded-for'] as string | undefined,
+  });
+  headers.push(RELAY_HEADER, secret);
+  if (request.headers[CALLER_HEADERS.caller] === undefined) {
+    headers.push(CALLER_HEADERS.caller, call.caller);
+  }
+  return headers;
+}
+
+async function waitForEnd(
+  attempt: Attempt,
+  { signal }: RelayedCall,
+  { clock, limit }: { readonly clock: Clock; readonly limit: number },
+): Promise<AttemptResult> {
+  const abort = () => attempt.abort('ended');
+  const timer = clock.schedule(limit, abort);
+  signal.addEventListener('abort', abort, { once: true });
+  const result = await attempt.done;
+  timer.cancel();
+  signal.removeEventListener('abort', abort);
+  return result;
+}
+
+/** Hands a call over; `not-reached` when this entry may still serve it itself. */
+export async function relayCall(
+  relayed: RelayedCall,
+  home: Member,
+  { clients, clock, secret }: RelayContext,
+): Promise<CallEnd | 'not-reached'> {
+  const address = parseAddress(home.relay);
+  if (address === undefined) return 'not-reached';
+  const { call, request, response, signal } = relayed;
+  const deadline = call.receivedAt + call.timeAllowed;
+  const body: Body = call.bytes === 0 ? { kind: 'none' } : { kind: 'stream', request };
+  if (body.kind === 'stream') inviteBody(request, response);
+  let sent = false;
+  const attempt = startAttempt({
+    ...{ client: clients.find(address, RELAY_CONNECTIONS), call, body, response },
+    headers: buildHeaders(relayed, deadline - clock.now(), secret),
+    ...{ gate: new AnswerGate(), keepsOutcome: true, discards: () => false },
+    isTimely: () => clock.now() < deadline,
+    onSent: () => {
+      sent = true;
+    },
+    onNotRun: () => undefined,
+  });
+  const limit = deadline - clock.now() + GRACE;
+  const result = await waitForEnd(attempt, relayed, { clock, limit });
+  if (result.kind === 'relayed') {
+    return { kind: 'answered', status: result.status, target: home.relay };
+  }
+  if (result.kind === 'cut') return { kind: 'cut', target: home.relay, detail: result.detail };
+  if (signal.aborted) return { kind: 'gone' };
+  const mayRepeat = call.repeatable && body.kind === 'none' && clock.now() < deadline;
+  if (!sent || mayRepeat) return 'not-reached';
+  const reason = result.kind === 'cancelled' ? 'deadline' : 'connection-lost';
+  const detail = 'the entry that had the call is silent';
+  return { kind: 'told', outcome: createUnknown(reason, detail) };
+}
--- a/src/entry/service-table.ts
+++ b/src/entry/service-table.ts
@@ -23,6 +23,14 @@
   readonly selfId: () => string;
   readonly listCandidates: () => readonly Member[];
   readonly onDropped: (address: Address) => void;
+  /** Homes that the measured load of a service needs. */
+  readonly countNeeded: (service: string) => number;
+}
+
+/** A busy service; `rate` in calls a second. */
+export interface BusyService {
+  readonly service: string;
+  readonly rate: number;
 }
 
 /** The services at work. */
@@ -87,6 +95,17 @@
     return { vms: this.#vms, isNew: (name) => first !== undefined && !first.has(name) };
   }
 
+  /** Measures the services that are at home here and busy enough to tell others; calls a second. */
+  listBusy(now: number, above: number): readonly BusyService[] {
+    const busy: BusyService[] = [];
+    for (const { service, rate, placement } of this.#runtimes.values()) {
+      const measured = rate.read(now);
+      if (placement.isHome && measured > above)
+        busy.push({ service: service.name, rate: measured });
+    }
+    return busy;
+  }
+
   /** Takes another entry's notice that a target is leaving. */
   noteLeaving(name: string): void {
     for (const runtime of this.#runtimes.values()) {
@@ -100,6 +119,7 @@
       selfId: this.options.selfId(),
       vms: this.#vms,
       candidates: this.options.listCandidates(),
+      countNeeded: this.options.countNeeded,
       everywhere: !isBounded(this.options.strategy),
     });
   }
--- a/src/member/membership.ts
+++ b/src/member/membership.ts
@@ -18,12 +18,14 @@
   ExchangeMessage,
   ExchangeRequest,
   Knowledge,
+  LoadMessage,
   Member,
   MemberState,
   Notice,
   PeerTransport,
 } from '../peer/index.js';
 import { type Roster, forgetGone, listMembers, mergeMember, replaceAtAddress } from './roster.js';
+import { NoticeBoard } from './notices.js';
 import { RumorQueue } from './rumors.js';
 
 /** Where this entry is, as others are told. */
@@ -54,6 +56,10 @@
   readonly readKnowledge: () => Knowledge;
   /** Called with what a peer knows. */
   readonly onKnowledge: (from: Member, knowledge: Knowledge) => void;
+  /** How busy this entry and others are, for messages. */
+  readonly listLoads: () => readonly LoadMessage[];
+  /** Called with how busy others are. */
+  readonly onLoads: (loads: readonly LoadMessage[]) => void;
   /** Called when the members change. */
   readonly onChange: () => void;
   /** Called when a peer says that a target is leaving. */
@@ -69,8 +75,6 @@
 }
 
 const MAX_MEMBERS = 8;
-const MAX_NOTICES = 8;
-const NOTICE_LIFE = 10_000;
 const FORGET_AFTER = 600_000;
 const INDIRECT_PROBES = 2;
 const PUSH_FANOUT = 3;
@@ -86,7 +90,7 @@
 
   readonly #rumors = new RumorQueue();
 
-  readonly #notices = new Map<string, number>();
+  readonly #notices = new NoticeBoard();
 
   #turn: readonly string[] = [];
 
@@ -121,9 +125,7 @@
 
   /** Tells all peers that a target is leaving. */
   announceLeaving(target: string): void {
-    if (this.#notices.has(target)) return;
-    this.#notices.set(target, this.options.clock.now());
-    this.push();
+    if (this.#notices.add(target, 0, this.options.clock.now())) this.push();
   }
 
   /** Says that this entry is stopping, to every member at once. */
@@ -318,6 +320,7 @@
       else this.#learn(report);
     }
     for (const notice of message.notices) this.#hearNotice(notice);
+    if (message.loads.length > 0) this.options.onLoads(message.loads);
     this.options.onKnowledge(message.from, message.knowledge);
   }
 
@@ -336,8 +339,7 @@
   }
 
   #hearNotice(notice: Notice): void {
-    if (notice.age > NOTICE_LIFE || this.#notices.has(notice.target)) return;
-    this.#notices.set(notice.target, this.options.clock.now() - notice.age);
+    if (!this.#notices.add(notice.target, notice.age, this.options.clock.now())) return;
     this.options.onNotice(notice.target);
     this.push();
   }
@@ -369,7 +371,8 @@
     return {
       from: this.#self,
       members,
-      notices: this.#listNotices(),
+      notices: this.#notices.list(this.options.clock.now()),
+      loads: this.options.listLoads(),
       knowledge: this.options.readKnowledge(),
     };
   }
@@ -391,14 +394,4 @@
     }
     return [...news.values()].slice(0, MAX_MEMBERS);
   }
-
-  #listNotices(): readonly Notice[] {
-    const now = this.options.clock.now();
-    const notices: Notice[] = [];
-    for (const [target, at] of this.#notices) {
-      if (now - at > NOTICE_LIFE) this.#notices.delete(target);
-      else if (notices.length < MAX_NOTICES) notices.push({ target, age: now - at });
-    }
-    return notices;
-  }
 }
--- a/src/peer/grpc.ts
+++ b/src/peer/grpc.ts
@@ -9,7 +9,9 @@
   type ServerUnaryCall,
   type ServiceError,
   type UntypedServiceImplementation,
+  type ChannelCredentials,
   credentials,
+  experimental,
   type sendUnaryData,
   status,
 } from '@grpc/grpc-js';
@@ -24,6 +26,7 @@
   MEMBER_STATES,
   type Member,
   type VmsReply,
+  type VmsRequest,
 } from './messages.js';
 import {
   type PeerClient,
@@ -81,6 +84,9 @@
     from: writeMember(message.from),
     members: message.members.map(writeMember),
     notices: message.notices.map((notice) => ({ ...notice, age: Math.round(notice.age) })),
+    loads: message.loads.map((load) => ({
+      ...{ ...load, rate: Math.round(load.rate), age: Math.round(load.age) },
+    })),
     knowledge: { ...message.knowledge, proofAge: clampAge(message.knowledge.proofAge) },
   };
 }
@@ -94,6 +100,9 @@
       target: target ?? '',
       age: age ?? 0,
     })),
+    loads: (message.loads ?? []).map(({ service, entry, rate, age }) => ({
+      ...{ service: service ?? '', entry: entry ?? '', rate: rate ?? 0, age: age ?? 0 },
+    })),
     knowledge: {
       revision: knowledge?.revision ?? 0,
       proofAge: readAge(knowledge?.proofAge ?? 0),
@@ -162,19 +171,21 @@
   ),
 };
 
-const vmsMethod: Method<undefined, VmsReply> = {
+const vmsMethod: Method<VmsRequest, VmsReply> = {
   path: '/orchidbeam.Peer/FetchVms',
-  request: createCodec<undefined, wire.IVmsRequest>(
+  request: createCodec<VmsRequest, wire.IVmsRequest>(
     wire.VmsRequest,
-    () => ({}),
-    () => undefined,
+    (request) => request,
+    ({ reader, count }) => ({ reader: reader ?? '', count: count ?? 0 }),
   ),
   reply: createCodec<VmsReply, wire.IVmsReply>(
     wire.VmsReply,
-    (reply) => reply,
+    (reply) => ({ ...reply, removed: [...reply.removed] }),
     (message) => ({
       reader: message.reader ?? '',
       count: message.count ?? 0,
+      isWhole: message.isWhole ?? false,
+      removed: message.removed ?? [],
       vms: (message.vms ?? []).map(({ address, role, domain, leaving }) => ({
         ...{ address: address ?? '', role: role ?? '', domain: domain ?? '' },
         leaving: leaving ?? false,
@@ -254,8 +265,46 @@
   };
 }
 
-/** Creates the gRPC transport; peers prove themselves with the shared secret. */
-export function createGrpcTransport(secret: string): PeerTransport {
+/** PEM files by which entries prove themselves to each other; they are read again when they change. */
+export interface PeerKeyFiles {
+  readonly cert: string;
+  readonly key: string;
+  /** Certificates of the authority that signs the entries' certificates. */
+  readonly ca: string;
+  /** Milliseconds between two looks at the files. */
+  readonly refresh: number;
+}
+
+interface Credentials {
+  readonly server: ServerCredentials;
+  readonly client: ChannelCredentials;
+}
+
+function createCredentials(files: PeerKeyFiles | undefined): Credentials {
+  if (files === undefined) {
+    return { server: ServerCredentials.createInsecure(), client: credentials.createInsecure() };
+  }
+  const provider = new experimental.FileWatcherCertificateProvider({
+    certificateFile: files.cert,
+    privateKeyFile: files.key,
+    caCertificateFile: files.ca,
+    refreshIntervalMs: files.refresh,
+  });
+  return {
+    server: experimental.createCertificateProviderServerCredentials(provider, provider, true),
+    client: experimental.createCertificateProviderChannelCredentials(provider, provider, {
+      // Entries are known by IP numbers; who holds a certificate of the authority is an entry.
+      checkServerIdentity: () => undefined,
+    }),
+  };
+}
+
+/**
+ * Creates the gRPC transport. Peers prove themselves with the shared secret, and with certificates
+ * of one authority when `files` are given.
+ */
+export function createGrpcTransport(secret: string, files?: PeerKeyFiles): PeerTransport {
+  const { server: serverCredentials, client: clientCredentials } = createCredentials(files);
   const clients = new Map<string, Client>();
   const counter: Counter = { messages: 0, bytesOut: 0, bytesIn: 0 };
   const metadata = new Metadata();
@@ -265,7 +314,7 @@
     const name = formatAddress(address);
     const known = clients.get(name);
     if (known !== undefined) return known;
-    const client = new Client(name, credentials.createInsecure(), CHANNEL_OPTIONS);
+    const client = new Client(name, clientCredentials, CHANNEL_OPTIONS);
     clients.set(name, client);
     return client;
   }
@@ -308,10 +357,8 @@
       };
       server.addService(definePeerService(counter), implementation);
       const port = await new Promise<number>((resolve, reject) => {
-        server.bindAsync(
-          formatAddress(address),
-          ServerCredentials.createInsecure(),
-          (error, bound) => (error === null ? resolve(bound) : reject(error)),
+        server.bindAsync(formatAddress(address), serverCredentials, (error, bound) =>
+          error === null ? resolve(bound) : reject(error),
         );
       });
       return { address: { host: address.host, port }, close: () => server.forceShutdown() };
@@ -320,7 +367,7 @@
       exchange: (request, limit) => callPeer(address, exchangeMethod, { request, limit }),
       probe: (peers, limit) => callPeer(address, probeMethod, { request: peers, limit }),
       fetchConfig: (known, limit) => callPeer(address, configMethod, { request: known, limit }),
-      fetchVms: (limit) => callPeer(address, vmsMethod, { request: undefined, limit }),
+      fetchVms: (known, limit) => callPeer(address, vmsMethod, { request: known, limit }),
     }),
     forget(address) {
       clients.get(formatAddress(address))?.close();
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -27,6 +27,17 @@
   readonly age: number;
 }
 
+/** How busy a home of a service is. */
+export interface LoadMessage {
+  readonly service: string;
+  /** Identifier of the home. */
+  readonly entry: string;
+  /** Calls a second. */
+  readonly rate: number;
+  /** Milliseconds since it was measured. */
+  readonly age: number;
+}
+
 /** What a daemon knows of the configuration and of the list of VMs. */
 export interface Knowledge {
   readonly revision: number;
@@ -43,6 +54,7 @@
   readonly from: Member;
   readonly members: readonly Member[];
   readonly notices: readonly Notice[];
+  readonly loads: readonly LoadMessage[];
   readonly knowledge: Knowledge;
 }
 
@@ -72,9 +84,19 @@
   readonly leaving: boolean;
 }
 
+/** Which list of VMs the asker has already. */
+export interface VmsRequest {
+  readonly reader: string;
+  readonly count: number;
+}
+
 /** The list of VMs as its reader read it. */
 export interface VmsReply {
   readonly reader: string;
   readonly count: number;
+  /** Whether `vms` is the whole list, or what changed since the one that the asker has. */
+  readonly isWhole: boolean;
   readonly vms: readonly VmMessage[];
+  /** Addresses that are on the list no more. */
+  readonly removed: readonly string[];
 }
--- a/src/peer/transport.ts
+++ b/src/peer/transport.ts
@@ -1,7 +1,13 @@
 /** How entries reach each other, behind an interface that tests replace. */
 import { Either, Left, Right } from 'purify-ts';
 import { type Address, formatAddress, nameService } from '../kernel/index.js';
-import type { ConfigReply, ExchangeMessage, ExchangeRequest, VmsReply } from './messages.js';
+import type {
+  ConfigReply,
+  ExchangeMessage,
+  ExchangeRequest,
+  VmsReply,
+  VmsRequest,
+} from './messages.js';
 
 /** Why a peer did not answer; `reason` is for logs. */
 export interface PeerFailure {
@@ -18,7 +24,7 @@
   /** Tries to reach the entry at `peers`; true when it answers. */
   readonly probe: (peers: string) => Promise<boolean>;
   readonly fetchConfig: (known: readonly string[]) => Promise<ConfigReply>;
-  readonly fetchVms: () => Promise<VmsReply>;
+  readonly fetchVms: (known: VmsRequest) => Promise<VmsReply>;
 }
 
 /** A peer as it is called. Each call ends within the time limit. */
@@ -26,7 +32,7 @@
   exchange(request: ExchangeRequest, limit: number): PeerResult<ExchangeMessage>;
   probe(peers: string, limit: number): PeerResult<boolean>;
   fetchConfig(known: readonly string[], limit: number): PeerResult<ConfigReply>;
-  fetchVms(limit: number): PeerResult<VmsReply>;
+  fetchVms(known: VmsRequest, limit: number): PeerResult<VmsReply>;
 }
 
 /** A running peer listener. */
@@ -97,7 +103,7 @@
         exchange: (request) => call(address, (handlers) => handlers.exchange(request)),
         probe: (peers) => call(address, (handlers) => handlers.probe(peers)),
         fetchConfig: (known) => call(address, (handlers) => handlers.fetchConfig(known)),
-        fetchVms: () => call(address, (handlers) => handlers.fetchVms()),
+        fetchVms: (known) => call(address, (handlers) => handlers.fetchVms(known)),
       }),
       forget: () => undefined,
       close: () => undefined,
--- a/src/proxy/forwarder.ts
+++ b/src/proxy/forwarder.ts
@@ -7,7 +7,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Dispatcher } from 'undici';
-import { type Clock, assertInvariant } from '../kernel/index.js';
+import type { Clock } from '../kernel/index.js';
 import type { AttemptEnd, Pool, ShareBudget, Slot, SlotRequest, Target } from '../balance/index.js';
 import type { ClassConfig } from '../config/index.js';
 import type { Hold } from '../policy/index.js';
@@ -15,6 +15,7 @@
 import { type Body, inviteBody, isReplayable } from './body.js';
 import type { Call } from './call.js';
 import { buildTargetHeaders } from './headers.js';
+import { SendLedger } from './ledger.js';
 import { type Outcome, createNotRun, createUnknown } from './outcome.js';
 
 /** How a call ended, for logs and metrics. */
@@ -61,34 +62,6 @@
 const MIN_HEDGE_DELAY = 2;
 const RETRIED_STATUS = new Set([502, 503, 504]);
 
-/** Counts the sendings of a call that were not shown to be without effect. */
-class SendLedger {
-  #open = 0;
-
-  constructor(private readonly repeatable: boolean) {}
-
-  noteSent(): void {
-    this.#open += 1;
-    assertInvariant(
-      this.repeatable || this.#open <= 1,
-      'a call that may not be repeated is sent at most once',
-    );
-  }
-
-  noteNotRun(): void {
-    this.#open -= 1;
-  }
-
-  /** Checks that nothing is left that may have run. */
-  assertNotRun(): void {
-    assertInvariant(this.#open === 0, 'not run is said only when no sending may have run');
-  }
-
-  get mayHaveRun(): boolean {
-    return this.#open > 0;
-  }
-}
-
 function describeEnd(result: AttemptResult): AttemptEnd {
   switch (result.kind) {
     case 'relayed':
--- a/src/proxy/index.ts
+++ b/src/proxy/index.ts
@@ -4,6 +4,7 @@
 export * from './call.js';
 export * from './body.js';
 export * from './attempt.js';
+export * from './ledger.js';
 export * from './forwarder.js';
 export * from './door.js';
 export * from './server.js';
--- a/src/settings/entry.ts
+++ b/src/settings/entry.ts
@@ -56,6 +56,9 @@
     'PEM file of the certificate for callers; empty for plain HTTP',
   ),
   callers_key: describeOptionalText('PEM file of the private key for callers'),
+  peers_cert: describeOptionalText('PEM file of the certificate for other entries; empty for none'),
+  peers_key: describeOptionalText('PEM file of the private key for other entries'),
+  peers_ca: describeOptionalText("PEM file of the authority that signs the entries' certificates"),
 } satisfies Fields;
 
 const limitsFields = {
@@ -108,6 +111,11 @@
       report(`[security] has only one of ${side}_cert and ${side}_key`, 'both or neither');
     }
   }
+  const { peers_cert: cert, peers_key: key, peers_ca: ca } = settings.security;
+  const given = [cert, key, ca].filter((path) => path !== '').length;
+  if (given !== 0 && given !== 3) {
+    report('[security] has only some of peers_cert, peers_key, peers_ca', 'all or none');
+  }
   return mistakes;
 }
 
--- a/src/spread/index.ts
+++ b/src/spread/index.ts
@@ -1,4 +1,6 @@
 /** How the configuration and the list of VMs reach every daemon. */
 export * from './proof.js';
 export * from './config-follower.js';
+export * from './vm-list.js';
 export * from './vms-follower.js';
+export * from './load-board.js';
--- a/src/spread/vms-follower.ts
+++ b/src/spread/vms-follower.ts
@@ -1,13 +1,25 @@
 /**
  * Keeps this daemon's copy of the platform's list of VMs.
  *
- * One entry, the first by rendezvous hashing, reads the list every second; a change of it travels
- * from peer to peer. When that entry is silent for long, others read the list themselves.
+ * One entry, the first by rendezvous hashing, reads the list every second; what changed in it travels
+ * from peer to peer, and the whole list only to those who lack what the change is against. When that
+ * entry is silent for long, others read the list themselves.
  */
-import { type Clock, type Random, formatAddress, parseAddress } from '../kernel/index.js';
+import { type Clock, type Random, parseAddress } from '../kernel/index.js';
 import { type HomeCandidate, rankCandidates } from '../balance/index.js';
-import type { Member, PeerTransport, VmMessage, VmsReply } from '../peer/index.js';
+import type { Member, PeerTransport, VmsReply, VmsRequest } from '../peer/index.js';
 import type { Platform, Vm } from '../platform/index.js';
+import {
+  type VmChange,
+  type VmList,
+  applyVmChange,
+  createVmList,
+  diffVmLists,
+  isEmptyChange,
+  joinVmChanges,
+  readVm,
+  writeVm,
+} from './vm-list.js';
 
 /** What the follower is made from. */
 export interface VmsFollowerOptions {
@@ -21,31 +33,30 @@
   readonly onChange: (vms: readonly Vm[]) => void;
 }
 
-const PERIOD = 1000;
-const DOUBT = 10_000;
-const TIMEOUT = 3000;
-
-function writeVm(vm: Vm): VmMessage {
-  const { role, domain, state, address } = vm;
-  return { address: formatAddress(address), role, domain, leaving: state === 'leaving' };
+/** Who read a list, and how often it has changed since that entry started. */
+export interface VmsSource {
+  readonly reader: string;
+  readonly count: number;
 }
 
-function readVm(message: VmMessage): Vm | undefined {
-  const address = parseAddress(message.address);
-  if (address === undefined) return undefined;
-  const { role, domain, leaving } = message;
-  return { address, role, domain, state: leaving ? 'leaving' : 'live' };
+interface LoggedChange {
+  readonly count: number;
+  readonly change: VmChange;
 }
 
+const PERIOD = 1000;
+const DOUBT = 10_000;
+const TIMEOUT = 3000;
+const MAX_LOGGED = 64;
+
 /** Follows the list of VMs for one daemon. */
 export class VmsFollower {
-  #vms: readonly Vm[] = [];
-
-  #text = '';
+  #list: VmList = new Map();
 
-  #reader = '';
+  #source: VmsSource = { reader: '', count: 0 };
 
-  #count = 0;
+  /** Changes of the present reader, without gaps, the last of them leading to the present list. */
+  #log: readonly LoggedChange[] = [];
 
   #ownCount = 0;
 
@@ -58,19 +69,19 @@
 
   /** The list as last learnt. */
   get vms(): readonly Vm[] {
-    return this.#vms;
+    return [...this.#list.values()];
   }
 
-  /** Who read the list that is known here, and its count. */
-  get source(): { readonly reader: string; readonly count: number } {
-    return { reader: this.#reader, count: this.#count };
+  /** Where the list that is known here comes from. */
+  get source(): VmsSource {
+    return this.#source;
   }
 
   /** Follows until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const silent = this.options.clock.now() - this.#heardAt > DOUBT;
-      if (this.#readerOf() === this.options.selfId() || silent) await this.readPlatform();
+      if (this.#findReader() === this.options.selfId() || silent) await this.readPlatform();
       await this.options.clock.sleep(PERIOD * (0.8 + this.options.random.next() * 0.4), signal);
     }
   }
@@ -79,36 +90,45 @@
   async readPlatform(): Promise<void> {
     const result = await this.options.platform.vms();
     if (result.kind === 'unavailable') return;
-    const text = JSON.stringify(result.vms);
-    const self = this.options.selfId();
     this.#heardAt = this.options.clock.now();
-    if (text === this.#text && this.#reader === self) return;
+    const list = createVmList(result.vms);
+    const reader = this.options.selfId();
+    const change = diffVmLists(this.#list, list);
+    if (this.#source.reader === reader && isEmptyChange(change)) return;
     this.#ownCount += 1;
-    this.#take(result.vms, text, { reader: self, count: this.#ownCount });
+    this.#take(list, change, { reader, count: this.#ownCount });
   }
 
-  /** Takes what a peer says it knows; fetches the list when the peer's is newer. */
+  /** Takes what a peer says it knows; fetches from it when its list is newer. */
   hearKnowledge(from: Member, reader: string, count: number): void {
-    if (reader === '') return;
-    if (reader === this.#reader && count <= this.#count) {
-      if (count === this.#count && reader === this.#readerOf()) {
-        this.#heardAt = this.options.clock.now();
-      }
+    if (reader === '' || reader === this.options.selfId()) return;
+    const rightful = this.#findReader();
+    if (reader === this.#source.reader) {
+      const isCurrent = count === this.#source.count && reader === rightful;
+      if (isCurrent) this.#heardAt = this.options.clock.now();
+      if (count <= this.#source.count) return;
+    } else if (reader !== rightful && this.#source.reader !== '') {
       return;
     }
-    if (reader === this.options.selfId()) return;
-    const rightful = this.#readerOf();
-    const better = reader === rightful || (this.#reader !== rightful && this.#reader === '');
-    if (!better && reader !== this.#reader) return;
     this.#fetchFrom(from).catch(() => undefined);
   }
 
-  /** Answers a peer that asks for the list. */
-  answerFetch(): VmsReply {
-    return { reader: this.#reader, count: this.#count, vms: this.#vms.map(writeVm) };
+  /** Answers a peer: with what changed since the list it has, or with the whole list. */
+  answerFetch(known: VmsRequest): VmsReply {
+    const change = this.#findChange(known);
+    const { put, removed } = change ?? { put: this.vms, removed: [] };
+    return { ...this.#source, isWhole: change === undefined, vms: put.map(writeVm), removed };
+  }
+
+  /** What leads from the list that a peer has to the present one; undefined when that is not known. */
+  #findChange(known: VmsRequest): VmChange | undefined {
+    if (known.reader !== this.#source.reader || known.count > this.#source.count) return undefined;
+    const later = this.#log.filter(({ count }) => count > known.count);
+    if (later.length !== this.#source.count - known.count) return undefined;
+    return joinVmChanges(later.map(({ change }) => change));
   }
 
-  #readerOf(): string {
+  #findReader(): string {
     const [first] = rankCandidates('vms-reader', this.options.listCandidates());
     return first?.id ?? this.options.selfId();
   }
@@ -117,26 +137,29 @@
     const address = parseAddress(from.peers);
     if (address === undefined || this.#fetching) return;
     this.#fetching = true;
-    const result = await this.options.transport.connect(address).fetchVms(TIMEOUT);
+    const known = this.#source;
+    const result = await this.options.transport.connect(address).fetchVms(known, TIMEOUT);
     this.#fetching = false;
-    result.ifRight(({ reader, count, vms }) => {
-      if (reader === this.#reader && count <= this.#count) return;
-      const read = vms.map(readVm).filter((vm) => vm !== undefined);
-      this.#heardAt = this.options.clock.now();
-      this.#take(read, JSON.stringify(read), { reader, count });
-    });
+    result.ifRight((reply) => this.#takeReply(known, reply));
+  }
+
+  #takeReply(known: VmsSource, { reader, count, isWhole, vms, removed }: VmsReply): void {
+    // A change is against the list that was known when it was asked for.
+    if (!isWhole && known !== this.#source) return;
+    if (reader === this.#source.reader && count <= this.#source.count) return;
+    const put = vms.map(readVm).filter((vm) => vm !== undefined);
+    const list = isWhole ? createVmList(put) : applyVmChange(this.#list, { put, removed });
+    this.#heardAt = this.options.clock.now();
+    this.#take(list, diffVmLists(this.#list, list), { reader, count });
   }
 
-  #take(
-    vms: readonly Vm[],
-    text: string,
-    source: { readonly reader: string; readonly count: number },
-  ): void {
-    const changed = text !== this.#text;
-    this.#vms = vms;
-    this.#text = text;
-    this.#reader = source.reader;
-    this.#count = source.count;
-    if (changed) this.options.onChange(vms);
+  #take(list: VmList, change: VmChange, source: VmsSource): void {
+    const follows =
+      source.reader === this.#source.reader && source.count === this.#source.count + 1;
+    const logged = { count: source.count, change };
+    this.#log = follows ? [...this.#log, logged].slice(-MAX_LOGGED) : [];
+    this.#list = list;
+    this.#source = source;
+    if (!isEmptyChange(change)) this.options.onChange(this.vms);
   }
 }
--- a/src/tool/arrivals.ts
+++ b/src/tool/arrivals.ts
@@ -12,6 +12,8 @@
   /** Work at a target, as a multiple of the mean. */
   readonly work: number;
   readonly class?: string;
+  /** Length of the body. */
+  readonly bytes?: number;
 }
 
 /** One call that is due at a time. */
@@ -56,6 +58,26 @@
   }
 }
 
+/** Joins a rush and the calm after it; calls well after the rush's end are kinds of their own. */
+export function joinRush(
+  rush: readonly Arrival[],
+  calm: readonly Arrival[],
+  { seconds, recovery }: { readonly seconds: number; readonly recovery: number },
+): readonly Arrival[] {
+  const kinds = new Map<CallKind, CallKind>();
+  const renameKind = (kind: CallKind): CallKind => {
+    const known = kinds.get(kind) ?? { ...kind, name: `${kind.name} after` };
+    kinds.set(kind, known);
+    return known;
+  };
+  const later = calm.map((arrival) => ({
+    ...arrival,
+    at: arrival.at + seconds * 1000,
+    kind: arrival.at >= recovery * 1000 ? renameKind(arrival.kind) : arrival.kind,
+  }));
+  return [...rush, ...later];
+}
+
 /** Mean work of a call of the given kinds, as a multiple of the deployment's mean. */
 export function measureMeanWork(kinds: readonly CallKind[]): number {
   return kinds.reduce((sum, { share, work }) => sum + share * work, 0);
--- a/src/tool/rig.ts
+++ b/src/tool/rig.ts
@@ -8,7 +8,7 @@
 import { createSeededRandom, formatAddress, parseAddress } from '../kernel/index.js';
 import type { Strategy } from '../balance/index.js';
 import { EXIT } from '../cli/index.js';
-import { System, findExample, readExample } from '../demo/index.js';
+import { System, findExample, readExample, pause } from '../demo/index.js';
 import type { EntryAnswer, EntryStatus } from '../entry/index.js';
 import type { Launched } from '../demo/index.js';
 import type { Arrival } from './arrivals.js';
@@ -50,6 +50,7 @@
 
 const CONNECTIONS = 4096;
 const SETTLE = 1500;
+const UPLOAD = Buffer.alloc(1_000_000, 'u');
 
 interface Costs {
   readonly retries: number;
@@ -80,11 +81,6 @@
   return file;
 }
 
-const pause = (milliseconds: number) =>
-  new Promise<void>((resolve) => {
-    setTimeout(resolve, milliseconds);
-  });
-
 /** A running system for one strategy. */
 export class Rig {
   readonly #pools: readonly Pool[];
@@ -191,10 +187,11 @@
       ...{ host: this.options.deployment.host, 'x-token': token, 'x-work': work.toFixed(3) },
     };
     if (kind.class !== undefined) headers['orchidbeam-class'] = kind.class;
-    if (kind.method === 'POST') headers['idempotency-key'] = token;
+    if (kind.method === 'POST' && kind.bytes === undefined) headers['idempotency-key'] = token;
+    const body = kind.bytes === undefined ? null : UPLOAD.subarray(0, kind.bytes);
     result.sent += 1;
     try {
-      const reply = await pool.request({ method: kind.method, path: kind.path, headers });
+      const reply = await pool.request({ method: kind.method, path: kind.path, headers, body });
       const text = await reply.body.text();
       const outcome = reply.headers['orchidbeam-outcome'];
       if (outcome === 'not-run') result.notRun += 1;
--- a/src/tool/scenario.ts
+++ b/src/tool/scenario.ts
@@ -41,6 +41,25 @@
       { name: 'deposit', share: 0.1, method: 'POST', path: '/deposits', work: 1.5 },
     ],
   },
+  {
+    ...{ name: 'documents', service: 'konyvhaz/service/documents.ini', serviceName: 'documents' },
+    ...{ host: 'documents.konyvhaz.example', role: 'documents', workers: 6, slots: 6 },
+    meanWork: 100,
+    domains: ['hu/bud1', 'hu/bud2', 'hu/vac1'],
+    kinds: [
+      { name: 'view', share: 0.4, method: 'GET', path: '/receipts/1', work: 1 },
+      { name: 'upload', share: 0.6, method: 'POST', path: '/receipts', work: 2, bytes: 200_000 },
+    ],
+  },
+  {
+    ...{ name: 'fitter', service: 'zvolen/service/fitter.ini', serviceName: 'fitter' },
+    ...{ host: 'fitter.zvolen.example', role: 'fitter', workers: 6, slots: 3, meanWork: 60 },
+    domains: ['sk/zv1', 'sk/zv2', 'sk/zv3'],
+    kinds: [
+      { name: 'ramp', share: 0.3, method: 'GET', path: '/ramp/stock', work: 1 },
+      { name: 'plan', share: 0.7, method: 'POST', path: '/plans', work: 2, bytes: 200_000 },
+    ],
+  },
 ];
 
 /** A change of a target's fault at a time. */
--- a/src/tool/soak.ts
+++ b/src/tool/soak.ts
@@ -6,7 +6,7 @@
  */
 import http from 'node:http';
 import { type Address, type Random, createSeededRandom, shuffleItems } from '../kernel/index.js';
-import { Fleet, putDocuments, writeService } from '../demo/index.js';
+import { Fleet, putDocuments, writeService, pause } from '../demo/index.js';
 import type { Entry } from '../entry/index.js';
 import type { Fault, TargetFault, TargetServer } from '../standin/index.js';
 
@@ -68,11 +68,6 @@
 const DEADLINE = 1500;
 const SAME_KEY_SHARE = 0.3;
 
-const pause = (milliseconds: number) =>
-  new Promise<void>((resolve) => {
-    setTimeout(resolve, milliseconds);
-  });
-
 function pick<T>(items: readonly T[], random: Random): T {
   return items[Math.floor(random.next() * items.length)];
 }
--- a/test/balance.test.ts
+++ b/test/balance.test.ts
@@ -17,6 +17,7 @@
   readRegion,
 } from '../src/balance/index.js';
 import type { ClassConfig } from '../src/config/index.js';
+import { LoadBoard } from '../src/spread/index.js';
 import { InvariantError, ManualClock, createSeededRandom } from '../src/kernel/index.js';
 
 const NORMAL: ClassConfig = { name: 'normal', weight: 4, wait: 1000 };
@@ -351,16 +352,30 @@
   const names = Array.from({ length: 30 }, (_, index) => `10.0.0.${index}:80`);
 
   it('stand in different failure domains', () => {
-    const need = { name: 'ledger', homes: 3, expected_rate: 1 };
+    const need = { name: 'ledger', homes: 3, expected_rate: 1, needed: 1 };
     const { homes } = planHomes(need, createEntries(17));
     expect(new Set(homes.map(({ domain }) => domain)).size).to.equal(3);
   });
 
   it('follow from the rate', () => {
-    const need = { name: 'ledger', homes: 0, expected_rate: 4000 };
+    const need = { name: 'ledger', homes: 0, expected_rate: 4000, needed: 1 };
     expect(planHomes(need, createEntries(17)).homes).to.have.length(3);
   });
 
+  it('follow from the measured load, up at once and down after a minute', () => {
+    const board = new LoadBoard();
+    const hear = (rate: number, now: number) =>
+      board.add({ service: 's', entry: 'a', rate, age: 0 }, now);
+    expect(board.countHomes('s', 0)).to.equal(1);
+    hear(3100, 1000);
+    expect(board.countHomes('s', 1000)).to.equal(3);
+    hear(900, 2000);
+    expect(board.countHomes('s', 2000)).to.equal(3);
+    hear(900, 62_000);
+    expect(board.countHomes('s', 62_000)).to.equal(1);
+    expect(board.list(90_000)).to.deep.equal([]);
+  });
+
   it('share the targets evenly, each target with one home', () => {
     fc.assert(
       fc.property(fc.integer({ min: 1, max: 9 }), (count) => {
@@ -380,7 +395,7 @@
     const [gone, ...rest] = entries;
     let moved = 0;
     for (let index = 0; index < 200; index += 1) {
-      const need = { name: `s${index}`, homes: 1, expected_rate: 1 };
+      const need = { name: `s${index}`, homes: 1, expected_rate: 1, needed: 1 };
       const [before] = planHomes(need, entries).homes;
       const [after] = planHomes(need, rest).homes;
       if (before !== gone && before?.id !== after?.id) moved += 1;
--- a/test/member.test.ts
+++ b/test/member.test.ts
@@ -41,6 +41,8 @@
       ...{ log: createSilentLog(), times: DEFAULT_TIMES, readKnowledge: () => NOTHING },
       self: { name, domain: 'hu/a', callers: peers, peers, relay: peers, admin: peers },
       onKnowledge: () => undefined,
+      listLoads: () => [],
+      onLoads: () => undefined,
       onChange: () => undefined,
       onNotice: (target) => notices.push(target),
       listSeeds: () => [...seeds, ...this.nodes.map((node) => node.peers)],
@@ -51,7 +53,7 @@
         exchange: async (request) => membership.answer(request),
         probe: (address) => membership.probe(address),
         fetchConfig: async () => ({ manifest: '', texts: [], proofAge: 0 }),
-        fetchVms: async () => ({ reader: '', count: 0, vms: [] }),
+        fetchVms: async () => ({ reader: '', count: 0, isWhole: true, vms: [], removed: [] }),
       },
     );
     await membership.join();
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -10,17 +10,13 @@
   type LaunchedEntry,
   System,
   findExample,
+  pause,
 } from '../src/demo/index.js';
 import type { EntryAnswer } from '../src/entry/index.js';
 
 const DOMAINS = ['hu/bud1', 'hu/bud2', 'hu/vac1'];
 const OVERRIDES = { limits: { answer_ttl: '500ms' } };
 
-const pause = (milliseconds: number) =>
-  new Promise<void>((resolve) => {
-    setTimeout(resolve, milliseconds);
-  });
-
 /** Counts what callers were told. */
 class Traffic {
   readonly results: CallResult[] = [];
--- a/test/proxy.test.ts
+++ b/test/proxy.test.ts
@@ -1,6 +1,8 @@
 /** The targets' interface: what a caller is told for each way in which a target can behave. */
 import { expect } from 'chai';
 import type { Entry } from '../src/entry/index.js';
+import { InvariantError } from '../src/kernel/index.js';
+import { SendLedger } from '../src/proxy/index.js';
 import type { TargetFault, TargetServer } from '../src/standin/index.js';
 import { Fleet, type Sending, putDocuments, send, writeService } from './helpers/fleet.js';
 
@@ -96,6 +98,28 @@
   },
 ];
 
+describe('the ledger of a call', () => {
+  it('stops the process when a call that may not be repeated is sent twice', () => {
+    const ledger = new SendLedger(false);
+    ledger.noteSent();
+    expect(() => ledger.noteSent()).to.throw(InvariantError);
+  });
+
+  it('lets it be sent again once it was shown not to have run', () => {
+    const ledger = new SendLedger(false);
+    ledger.noteSent();
+    ledger.noteNotRun();
+    ledger.noteSent();
+    expect(ledger.mayHaveRun).to.equal(true);
+  });
+
+  it('stops the process when not run would be said of a call that may have run', () => {
+    const ledger = new SendLedger(true);
+    ledger.noteSent();
+    expect(() => ledger.assertNotRun()).to.throw(InvariantError);
+  });
+});
+
 describe('proxy', () => {
   let fleet: Fleet;
   let entry: Entry;
--- a/test/spread.test.ts
+++ b/test/spread.test.ts
@@ -1,7 +1,9 @@
 /** The configuration everywhere within seconds and never back, through every kind of cut. */
 import { expect } from 'chai';
+import fc from 'fast-check';
 import type { Entry } from '../src/entry/index.js';
-import type { Platform } from '../src/platform/index.js';
+import type { Platform, Vm } from '../src/platform/index.js';
+import { applyVmChange, createVmList, diffVmLists, joinVmChanges } from '../src/spread/index.js';
 import { ManualClock, createMemoryNetwork } from '../src/kernel/index.js';
 import { Fleet, putDocuments, waitUntil, writeService } from './helpers/fleet.js';
 
@@ -140,3 +142,41 @@
     fleet.close();
   });
 });
+
+describe('the list of VMs', () => {
+  const createVm = (port: number, state: Vm['state'] = 'live'): Vm => ({
+    ...{ address: { host: '10.0.0.1', port }, role: 'ledger', domain: 'hu/a', state },
+  });
+  const lists = fc
+    .array(fc.tuple(fc.integer({ min: 1, max: 8 }), fc.boolean()))
+    .map((items) =>
+      createVmList(items.map(([port, live]) => createVm(port, live ? 'live' : 'leaving'))),
+    );
+
+  it('is the same by its changes as whole', () => {
+    fc.assert(
+      fc.property(lists, lists, lists, (a, b, c) => {
+        const changes = [diffVmLists(a, b), diffVmLists(b, c)];
+        const joined = applyVmChange(a, joinVmChanges(changes));
+        expect(Object.fromEntries(joined)).to.deep.equal(Object.fromEntries(c));
+      }),
+      { seed: 3 },
+    );
+  });
+
+  it('reaches every daemon, whole at first and by its changes then', async () => {
+    const fleet = new Fleet();
+    for (let port = 1; port <= 50; port += 1) fleet.store.putVm(createVm(port));
+    const role = '[service]\nhosts = test.example\n[pool]\nrole = ledger\nslots = 2\n';
+    putDocuments(fleet.store, { 'service/a': role });
+    const entries = [await fleet.start(), await fleet.start('hu/b'), await fleet.start('hu/c')];
+    const home = () => entries.find((entry) => entry.table.findByName('a')?.placement.isHome);
+    const countTargets = () => home()?.table.findByName('a')?.listPools()[0]?.pool.targets.length;
+    await waitUntil(() => countTargets() === 50, 'all targets are known');
+    fleet.store.removeVm('10.0.0.1:7');
+    fleet.store.putVm(createVm(60));
+    fleet.store.putVm(createVm(61));
+    await waitUntil(() => countTargets() === 51, 'the change is known');
+    fleet.close();
+  });
+});
--- a/test/tls.test.ts
+++ b/test/tls.test.ts
@@ -1,9 +1,13 @@
 /** TLS for callers, and keys that are replaced without a restart. */
+import { mkdtempSync, writeFileSync } from 'node:fs';
 import https from 'node:https';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import type { TLSSocket } from 'node:tls';
 import { expect } from 'chai';
 import { generate } from 'selfsigned';
 import type { Address, KeyPair } from '../src/kernel/index.js';
+import { type PeerHandlers, type PeerKeyFiles, createGrpcTransport } from '../src/peer/index.js';
 import { Fleet, putDocuments, send, writeService } from './helpers/fleet.js';
 
 async function createKeys(name: string): Promise<KeyPair> {
@@ -56,3 +60,49 @@
     fleet.close();
   });
 });
+
+describe('TLS between entries', () => {
+  const SECRET = 'a-secret-of-the-tests';
+  const QUIET: PeerHandlers = {
+    exchange: () => Promise.reject(new Error('not used')),
+    probe: async () => true,
+    fetchConfig: async () => ({ manifest: '', texts: [], proofAge: 0 }),
+    fetchVms: async () => ({ reader: 'r', count: 1, isWhole: true, vms: [], removed: [] }),
+  };
+
+  async function writeFiles(name: string): Promise<PeerKeyFiles> {
+    const directory = mkdtempSync(join(tmpdir(), 'orchidbeam-tls-'));
+    const { cert, key } = await createKeys(name);
+    writeFileSync(join(directory, 'cert.pem'), cert);
+    writeFileSync(join(directory, 'key.pem'), key);
+    const file = join(directory, 'cert.pem');
+    return { cert: file, ca: file, key: join(directory, 'key.pem'), refresh: 100 };
+  }
+
+  it('lets in peers of the same authority who know the secret, and nobody else', async () => {
+    const files = await writeFiles('entry');
+    const server = createGrpcTransport(SECRET, files);
+    const { address, close } = await server.serve({ host: '127.0.0.1', port: 0 }, QUIET);
+    const ROWS = [
+      { who: 'a peer', transport: createGrpcTransport(SECRET, files), reached: true },
+      {
+        who: 'a wrong secret',
+        transport: createGrpcTransport('another-secret-here', files),
+        reached: false,
+      },
+      {
+        who: 'another authority',
+        transport: createGrpcTransport(SECRET, await writeFiles('x')),
+        reached: false,
+      },
+      { who: 'no TLS', transport: createGrpcTransport(SECRET), reached: false },
+    ];
+    for (const { who, transport, reached } of ROWS) {
+      const result = await transport.connect(address).fetchVms({ reader: '', count: 0 }, 1500);
+      expect(result.isRight(), who).to.equal(reached);
+      transport.close();
+    }
+    close();
+    server.close();
+  }).timeout(20_000);
+});
