--- a/src/peer/grpc.ts
+++ b/src/peer/grpc.ts
@@ -15,19 +15,16 @@
   type sendUnaryData,
   status,
 } from '@grpc/grpc-js';
-import type { Reader, Writer } from 'protobufjs';
 import { Left, Right } from 'purify-ts';
 import { type Address, formatAddress, matchSecret } from '../kernel/index.js';
-import { orchidbeam as wire } from './generated/peer.js';
 import {
-  type ConfigReply,
-  type ExchangeMessage,
-  type ExchangeRequest,
-  MEMBER_STATES,
-  type Member,
-  type VmsReply,
-  type VmsRequest,
-} from './messages.js';
+  type Codec,
+  type Method,
+  configMethod,
+  exchangeMethod,
+  probeMethod,
+  vmsMethod,
+} from './codec.js';
 import {
   type PeerClient,
   type PeerHandlers,
@@ -36,164 +33,6 @@
   createPeerFailure,
 } from './transport.js';
 
-interface Codec<T> {
-  readonly write: (message: T) => Buffer;
-  readonly read: (bytes: Buffer) => T;
-}
-
-interface WireType {
-  encode(message: object, writer?: Writer): Writer;
-  decode(reader: Reader | Uint8Array, length?: number): object;
-}
-
-interface Method<Q, A> {
-  readonly path: string;
-  readonly request: Codec<Q>;
-  readonly reply: Codec<A>;
-}
-
-/** Makes a codec from a generated type and the two steps between its shape and ours. */
-function createCodec<T, W extends object>(
-  type: WireType,
-  toWire: (message: T) => object,
-  fromWire: (message: W) => T,
-): Codec<T> {
-  return {
-    write: (message) => Buffer.from(type.encode(toWire(message)).finish()),
-    read: (bytes) => fromWire(type.decode(bytes) as W),
-  };
-}
-
-function writeMember(member: Member): wire.IMember {
-  return { ...member, state: MEMBER_STATES.indexOf(member.state) };
-}
-
-function readMember(message: wire.IMember | null | undefined): Member {
-  const { id, name, domain, callers, peers, relay, admin } = message ?? {};
-  return {
-    ...{ id: id ?? '', name: name ?? '', domain: domain ?? '', callers: callers ?? '' },
-    ...{ peers: peers ?? '', relay: relay ?? '', admin: admin ?? '' },
-    incarnation: message?.incarnation ?? 0,
-    state: MEMBER_STATES[message?.state ?? 0] ?? 'gone',
-  };
-}
-
-function writeExchange(message: ExchangeMessage): wire.IExchangeRequest {
-  return {
-    ...message,
-    from: writeMember(message.from),
-    members: message.members.map(writeMember),
-    notices: message.notices.map((notice) => ({ ...notice, age: Math.round(notice.age) })),
-    loads: message.loads.map((load) => ({
-      ...{ ...load, rate: Math.round(load.rate), age: Math.round(load.age) },
-    })),
-    knowledge: { ...message.knowledge, proofAge: clampAge(message.knowledge.proofAge) },
-  };
-}
-
-function readExchange(message: wire.IExchangeReply): ExchangeMessage {
-  const { knowledge } = message;
-  return {
-    from: readMember(message.from),
-    members: (message.members ?? []).map(readMember),
-    notices: (message.notices ?? []).map(({ target, age }) => ({
-      target: target ?? '',
-      age: age ?? 0,
-    })),
-    loads: (message.loads ?? []).map(({ service, entry, rate, age }) => ({
-      ...{ service: service ?? '', entry: entry ?? '', rate: rate ?? 0, age: age ?? 0 },
-    })),
-    knowledge: {
-      revision: knowledge?.revision ?? 0,
-      proofAge: readAge(knowledge?.proofAge ?? 0),
-      vmsReader: knowledge?.vmsReader ?? '',
-      vmsCount: knowledge?.vmsCount ?? 0,
-    },
-  };
-}
-
-const NEVER = 0xffffffff;
-
-function clampAge(age: number): number {
-  return Math.min(NEVER, Math.round(age));
-}
-
-function readAge(age: number): number {
-  return age === NEVER ? Infinity : age;
-}
-
-const exchangeMethod: Method<ExchangeRequest, ExchangeMessage> = {
-  path: '/orchidbeam.Peer/Exchange',
-  request: createCodec<ExchangeRequest, wire.IExchangeRequest>(
-    wire.ExchangeRequest,
-    writeExchange,
-    (message) => ({ ...readExchange(message), wantAll: message.wantAll ?? false }),
-  ),
-  reply: createCodec<ExchangeMessage, wire.IExchangeReply>(
-    wire.ExchangeReply,
-    writeExchange,
-    readExchange,
-  ),
-};
-
-const probeMethod: Method<string, boolean> = {
-  path: '/orchidbeam.Peer/Probe',
-  request: createCodec<string, wire.IProbeRequest>(
-    wire.ProbeRequest,
-    (peers) => ({ peers }),
-    (message) => message.peers ?? '',
-  ),
-  reply: createCodec<boolean, wire.IProbeReply>(
-    wire.ProbeReply,
-    (reached) => ({ reached }),
-    (message) => message.reached ?? false,
-  ),
-};
-
-const configMethod: Method<readonly string[], ConfigReply> = {
-  path: '/orchidbeam.Peer/FetchConfig',
-  request: createCodec<readonly string[], wire.IConfigRequest>(
-    wire.ConfigRequest,
-    (known) => ({ known }),
-    (message) => message.known ?? [],
-  ),
-  reply: createCodec<ConfigReply, wire.IConfigReply>(
-    wire.ConfigReply,
-    (reply) => ({ ...reply, proofAge: clampAge(reply.proofAge) }),
-    (message) => ({
-      manifest: message.manifest ?? '',
-      texts: (message.texts ?? []).map(({ hash, text }) => ({
-        hash: hash ?? '',
-        text: text ?? '',
-      })),
-      proofAge: readAge(message.proofAge ?? 0),
-    }),
-  ),
-};
-
-const vmsMethod: Method<VmsRequest, VmsReply> = {
-  path: '/orchidbeam.Peer/FetchVms',
-  request: createCodec<VmsRequest, wire.IVmsRequest>(
-    wire.VmsRequest,
-    (request) => request,
-    ({ reader, count }) => ({ reader: reader ?? '', count: count ?? 0 }),
-  ),
-  reply: createCodec<VmsReply, wire.IVmsReply>(
-    wire.VmsReply,
-    (reply) => ({ ...reply, removed: [...reply.removed] }),
-    (message) => ({
-      reader: message.reader ?? '',
-      count: message.count ?? 0,
-      isWhole: message.isWhole ?? false,
-      removed: message.removed ?? [],
-      vms: (message.vms ?? []).map(({ address, role, domain, leaving }) => ({
-        ...{ address: address ?? '', role: role ?? '', domain: domain ?? '' },
-        leaving: leaving ?? false,
-      })),
-    }),
-  ),
-};
-
 const CHANNEL_OPTIONS: ChannelOptions = {
   'grpc.max_receive_message_length': 16_000_000,
   'grpc.enable_retries': 0,
--- a/src/proxy/server.ts
+++ b/src/proxy/server.ts
@@ -71,7 +71,7 @@
   const busy = new Set<ServerResponse>();
   let draining = false;
 
-  function take(request: IncomingMessage, response: ServerResponse): void {
+  function serveRequest(request: IncomingMessage, response: ServerResponse): void {
     normalizeTarget(request);
     const refusal = checkHead(request);
     if (refusal !== undefined) {
@@ -95,9 +95,9 @@
     requireHostHeader: false,
   });
   server.maxHeadersCount = 0;
-  server.on('request', take);
-  server.on('checkContinue', take);
-  server.on('checkExpectation', take);
+  server.on('request', serveRequest);
+  server.on('checkContinue', serveRequest);
+  server.on('checkExpectation', serveRequest);
   server.on('connect', (_request: IncomingMessage, socket: Duplex) => {
     options.onRefused('CONNECT');
     writeRawRefusal(socket, NOT_IMPLEMENTED, 'CONNECT is not served');
