Others stand in when those who watch the platform are cut off from it

Cause: npm run in-force, 12 daemons, two of three cut off from the platform: a change took 7747 ms in the median, for both watching entries were among the cut off and every other waited for a proof 8 s old. Change: the next in order reads after about 5 s, each one after it 0.4 s later, and one that reaches the platform watches for 30 s. Figures: on a manual clock with both watchers cut off a change is in force on 6 daemons within 2.5 s (a test); before, after 8 s.

--- a/src/spread/config-follower.ts
+++ b/src/spread/config-follower.ts
@@ -62,6 +62,10 @@
 /** How many entries watch the platform. */
 export const READERS = 2;
 
+/** A proof is usually no older than this many rereads when it has travelled to everybody. */
+const USUAL_AGE = 1.7;
+const STAGGER = 400;
+const ACTING_SPAN = 30_000;
 const FIRST_BACK_OFF = 250;
 const MAX_BACK_OFF = 4000;
 const IDLE_PERIOD = 500;
@@ -82,6 +86,9 @@
 
   #fault: string | undefined;
 
+  /** Until when this entry watches in the place of others. */
+  #actingUntil = -Infinity;
+
   constructor(private readonly options: ConfigFollowerOptions) {}
 
   /** The configuration in force here. */
@@ -117,11 +124,14 @@
       }
       await this.options.clock.sleep(wait, signal);
       if (signal.aborted) return;
-      if (this.proofAge < this.options.times.doubt) {
+      if (this.proofAge < this.#measurePatience()) {
         failures = 0;
         continue;
       }
-      failures = (await this.readPlatform()) ? 0 : failures + 1;
+      const isReached = await this.readPlatform();
+      failures = isReached ? 0 : failures + 1;
+      // Those who should watch seem not to reach the platform, and this entry does: it stands in.
+      if (isReached) this.#actingUntil = this.options.clock.now() + ACTING_SPAN;
     }
   }
 
@@ -181,10 +191,23 @@
     return { manifest: formatManifest(this.#manifest), texts, proofAge: this.proofAge };
   }
 
-  #isReader(): boolean {
+  /** This entry's place in the order of those who watch; the first ones do, the next ones step in. */
+  #findRank(): number {
     const ranked = rankCandidates('config-readers', this.options.listCandidates());
     const self = this.options.selfId();
-    return ranked.slice(0, READERS).some(({ id }) => id === self);
+    const rank = ranked.findIndex(({ id }) => id === self);
+    return rank < 0 ? ranked.length : rank;
+  }
+
+  #isReader(): boolean {
+    return this.#findRank() < READERS || this.options.clock.now() < this.#actingUntil;
+  }
+
+  /** Age of the proof at which this entry reads the platform; the next in order is the first to. */
+  #measurePatience(): number {
+    const { reread, doubt } = this.options.times;
+    const rank = this.#findRank() - READERS;
+    return Math.min(doubt, reread * USUAL_AGE + rank * STAGGER);
   }
 
   /** Waits for a change, but rereads in any case now and then. */
--- a/test/spread.test.ts
+++ b/test/spread.test.ts
@@ -3,7 +3,14 @@
 import fc from 'fast-check';
 import type { Entry } from '../src/entry/index.js';
 import type { Platform, Vm } from '../src/platform/index.js';
-import { applyVmChange, createVmList, diffVmLists, joinVmChanges } from '../src/spread/index.js';
+import { rankCandidates } from '../src/balance/index.js';
+import {
+  READERS,
+  applyVmChange,
+  createVmList,
+  diffVmLists,
+  joinVmChanges,
+} from '../src/spread/index.js';
 import { ManualClock, createMemoryNetwork } from '../src/kernel/index.js';
 import { Fleet, putDocuments, waitUntil, writeService } from './helpers/fleet.js';
 
@@ -143,6 +150,34 @@
   });
 });
 
+describe('when those who watch the platform are cut off from it', () => {
+  it('others stand in: a change is late once, and the next one is not', async () => {
+    const clock = new ManualClock(1_000_000);
+    const fleet = new Fleet({ clock, network: createMemoryNetwork() });
+    putDocuments(fleet.store, { 'service/a': writeService([TARGET]) });
+    const links = Array.from({ length: 6 }, () => new Link());
+    const starting = Promise.all(links.map((link, i) => fleet.start(`hu/${i % 3}`, link.wrap)));
+    let started = false;
+    const noting = starting.then(() => {
+      started = true;
+    });
+    while (!started) await clock.advance(50);
+    await noting;
+    await clock.advance(10_000);
+    const [first] = fleet.entries as [Entry];
+    const ranked = rankCandidates('config-readers', first.membership.listCandidates());
+    const readers = ranked.slice(0, READERS).map(({ id }) => id);
+    for (const [index, entry] of fleet.entries.entries()) {
+      if (readers.includes(entry.membership.self.id)) links[index].cut = true;
+    }
+    await clock.advance(9000);
+    putDocuments(fleet.store, { 'service/a': writeService([TARGET], 'path_prefix = /b') });
+    await clock.advance(2500);
+    expect(listRevisions(fleet.entries)).to.deep.equal([2, 2, 2, 2, 2, 2]);
+    fleet.close();
+  });
+});
+
 describe('the list of VMs', () => {
   const createVm = (port: number, state: Vm['state'] = 'live'): Vm => ({
     ...{ address: { host: '10.0.0.1', port }, role: 'ledger', domain: 'hu/a', state },
