A home whose calls wait shares them with the other homes

Cause: with homes that follow the load, a rush of 150% doubled the homes; the old one still got every call and owned half of the targets. Change: such a home hands waiting calls to the homes at random; the experiment's callers ask again when an answer's time to live is over, as real ones do.

--- a/src/balance/pool.ts
+++ b/src/balance/pool.ts
@@ -108,6 +108,11 @@
     return this.#targets;
   }
 
+  /** The number of calls that wait. */
+  get waiting(): number {
+    return this.#queue.size;
+  }
+
   /** Time to an answer that 95 of 100 calls stay under, in milliseconds. */
   get hedgeDelay(): number {
     return this.#hedgeDelay.read(Infinity);
--- a/src/entry/call-handler.ts
+++ b/src/entry/call-handler.ts
@@ -183,11 +183,21 @@
     }
   }
 
-  /** Returns the home that serves the call, unless this entry should do so itself. */
+  /**
+   * Returns the home that serves the call, unless this entry should do so itself. A home whose calls
+   * wait shares them with the other homes: callers may still know it as the only one.
+   */
   #findOtherHome({ runtime, relayed }: Passage): Member | undefined {
-    if (relayed || runtime.placement.isHome) return undefined;
-    const homes = runtime.placement.plan.homes.filter(({ state }) => state === 'live');
-    return homes[Math.floor(this.options.random.next() * homes.length)];
+    const { isHome, sharesTargets, plan } = runtime.placement;
+    if (relayed || (isHome && !(sharesTargets && this.#isWaiting(runtime)))) return undefined;
+    const homes = plan.homes.filter(({ state }) => state === 'live');
+    const chosen = homes[Math.floor(this.options.random.next() * homes.length)];
+    return chosen?.id === this.options.selfId() ? undefined : chosen;
+  }
+
+  #isWaiting(runtime: ServiceRuntime): boolean {
+    if (runtime.placement.plan.homes.length < 2) return false;
+    return this.#findPool(runtime, undefined).pool.waiting > 0;
   }
 
   #rule({ runtime, call, request }: Passage): Ruling {
--- a/src/tool/rig.ts
+++ b/src/tool/rig.ts
@@ -50,6 +50,7 @@
 
 const CONNECTIONS = 4096;
 const SETTLE = 1500;
+const ANSWER_LIFE = 5000;
 const UPLOAD = Buffer.alloc(1_000_000, 'u');
 
 interface Costs {
@@ -133,6 +134,8 @@
     const stdin = this.targets.child.stdin as Writable;
     const steps = [...script];
     const running = new Set<Promise<void>>();
+    // Callers keep an answer for its time to live only.
+    const asking = setInterval(() => this.#findHomes().catch(() => undefined), ANSWER_LIFE);
     const started = performance.now();
     let number = 0;
     for (const arrival of arrivals) {
@@ -162,6 +165,7 @@
     }
     const seconds = (performance.now() - started) / 1000;
     await Promise.all(running);
+    clearInterval(asking);
     for (let target = 0; target < this.options.deployment.workers; target += 1) {
       stdin.write(`${JSON.stringify({ target, fault: { kind: 'none' } })}\n`);
     }
--- a/test/entry.test.ts
+++ b/test/entry.test.ts
@@ -87,6 +87,32 @@
     });
   });
 
+  describe('a caller that knows only one of two homes', () => {
+    it('has its waiting calls served by the targets of the other one too', async () => {
+      fleet = new Fleet();
+      const pair = [
+        await fleet.startTarget({ serviceTime: 100 }),
+        await fleet.startTarget({ serviceTime: 100 }),
+      ];
+      const text = writeService(
+        pair.map(({ address }) => address),
+        'homes = 2',
+        '[class normal]\nwait = 10s',
+      );
+      putDocuments(fleet.store, { 'service/test': text });
+      const [known] = [await fleet.start(), await fleet.start('hu/b')] as [Entry, Entry];
+      await waitUntil(() => known.membership.listCandidates().length === 2, 'joined');
+      await waitUntil(
+        () => known.table.findByName('test')?.listPools()[0]?.pool.targets.length === 1,
+        'each home has one target',
+      );
+      const calls = Array.from({ length: 40 }, () => send(known.callersAddress));
+      const replies = await Promise.all(calls);
+      expect(replies.every(({ status }) => status === 200)).to.equal(true);
+      for (const { counts } of pair) expect(counts.calls).to.be.above(5);
+    });
+  });
+
   describe('a posting that may run only once', () => {
     it('runs once when the same key comes to every entry at the same time', async () => {
       await open(3);
