One piece of code for what stood twice: counting slots, waiting for idleness, pausing

Change: Pool.#countSlots, Entry.#waitIdle, and pause from src/demo. Behaviour and assertions are as before. Left: Membership.pollAll and #exchange still each compose and send an exchange.

--- a/src/balance/pool.ts
+++ b/src/balance/pool.ts
@@ -215,8 +215,7 @@
 
   /** Estimates how long a call of this class waits behind the ones that go before it. */
   #estimateWait(request: SlotRequest): number {
-    let slots = 0;
-    for (const target of this.#targets) slots += target.limit;
+    const slots = this.#countSlots();
     if (slots === 0) return 0;
     const ahead = this.#queue.countClass(request.class.name) + 1;
     return (ahead * this.#serviceTime.read(FIRST_SERVICE_TIME)) / slots;
@@ -266,9 +265,14 @@
 
   #allowsHold(hold: Hold | undefined): boolean {
     if (hold === undefined) return true;
+    const slots = this.#countSlots();
+    return (this.#held.get(hold.policy) ?? 0) < Math.floor(hold.share * slots);
+  }
+
+  #countSlots(): number {
     let slots = 0;
     for (const target of this.#targets) slots += target.limit;
-    return (this.#held.get(hold.policy) ?? 0) < Math.floor(hold.share * slots);
+    return slots;
   }
 
   #hasUsable(): boolean {
--- a/src/bin/demo.ts
+++ b/src/bin/demo.ts
@@ -3,7 +3,14 @@
 import { build as buildHistogram } from 'hdr-histogram-js';
 import { formatAddress } from '../kernel/index.js';
 import { EXIT } from '../cli/index.js';
-import { Caller, type CallPlan, type CallResult, System, findExample } from '../demo/index.js';
+import {
+  Caller,
+  type CallPlan,
+  type CallResult,
+  System,
+  findExample,
+  pause,
+} from '../demo/index.js';
 
 const { values } = parseArgs({
   options: { keep: { type: 'boolean' }, seconds: { type: 'string', default: '8' } },
@@ -83,9 +90,7 @@
     const due = started + (index * 1000) / LEDGER_RATE;
     const early = due - performance.now();
     if (early > 0) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, early);
-      });
+      await pause(early);
     }
     const { kind, plan } = planCall(index);
     running.push(
@@ -201,9 +206,7 @@
     const seconds = Number(values.seconds);
     say(`calling for ${seconds} s; the entries stop one after the other in the last part`);
     const calling = sendCalls(caller, seconds);
-    await new Promise((resolve) => {
-      setTimeout(resolve, seconds * 600);
-    });
+    await pause(seconds * 600);
     await printCosts(system);
     const [first, second, third] = system.entries;
     const exits: (number | null)[] = [];
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -229,14 +229,10 @@
     await this.membership.announceStopping();
     await clock.sleep(Math.min(this.settings.limits.answer_ttl, grace), signal);
     await this.#front?.callers.drain();
-    while (this.#active() > 0 && clock.now() < limit && signal?.aborted !== true) {
-      await clock.sleep(STOP_CHECK, signal);
-    }
+    await this.#waitIdle(limit, signal);
     // Peers hand calls over until they have heard that this entry stops; by now all have.
     await this.#front?.relay.drain();
-    while (this.#active() > 0 && clock.now() < limit && signal?.aborted !== true) {
-      await clock.sleep(STOP_CHECK, signal);
-    }
+    await this.#waitIdle(limit, signal);
     const left = this.#active();
     this.#handler?.abortAll();
     await clock.sleep(STOP_PUSHES);
@@ -307,6 +303,14 @@
     });
   }
 
+  /** Waits until no call is in flight, or until `limit` on the clock, or until the signal aborts. */
+  async #waitIdle(limit: number, signal: AbortSignal | undefined): Promise<void> {
+    const clock = this.kernel.find(clockService);
+    while (this.#active() > 0 && clock.now() < limit && signal?.aborted !== true) {
+      await clock.sleep(STOP_CHECK, signal);
+    }
+  }
+
   #active(): number {
     return this.#handler?.active ?? 0;
   }
--- a/test/entry.test.ts
+++ b/test/entry.test.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import net from 'node:net';
 import { expect } from 'chai';
+import { pause } from '../src/demo/index.js';
 import type { Entry } from '../src/entry/index.js';
 import type { TargetServer } from '../src/standin/index.js';
 import { runSoak } from '../src/tool/index.js';
@@ -279,9 +280,7 @@
     const entries = [await fleet.start(), await fleet.start('hu/b'), await fleet.start('hu/c')];
     leaving.setFault({ kind: 'draining', refuses: false });
     for (const entry of entries) await send(entry.callersAddress);
-    await new Promise((resolve) => {
-      setTimeout(resolve, 2000);
-    });
+    await pause(2000);
     const before = leaving.counts.calls;
     for (let turn = 0; turn < 30; turn += 1) {
       for (const entry of entries) await send(entry.callersAddress);
--- a/test/helpers/fleet.ts
+++ b/test/helpers/fleet.ts
@@ -1,5 +1,6 @@
 /** Requests to daemons, and waiting for what they come to. */
 import http from 'node:http';
+import { pause } from '../../src/demo/index.js';
 import type { Address } from '../../src/kernel/index.js';
 
 export { Fleet, SECRET, putDocuments, writeService } from '../../src/demo/fleet.js';
@@ -50,9 +51,7 @@
 export async function waitUntil(holds: () => boolean, what: string): Promise<void> {
   for (let turn = 0; turn < 500; turn += 1) {
     if (holds()) return;
-    await new Promise((resolve) => {
-      setTimeout(resolve, 20);
-    });
+    await pause(20);
   }
   throw new Error(`never came true: ${what}`);
 }
--- a/test/spread.test.ts
+++ b/test/spread.test.ts
@@ -1,6 +1,7 @@
 /** The configuration everywhere within seconds and never back, through every kind of cut. */
 import { expect } from 'chai';
 import fc from 'fast-check';
+import { pause } from '../src/demo/index.js';
 import type { Entry } from '../src/entry/index.js';
 import type { Platform, Vm } from '../src/platform/index.js';
 import { rankCandidates } from '../src/balance/index.js';
@@ -118,9 +119,7 @@
     const entry = await fleet.start();
     fleet.store.setFault({ kind: 'down' });
     const before = entry.follower.proofAge;
-    await new Promise((resolve) => {
-      setTimeout(resolve, 50);
-    });
+    await pause(50);
     expect(entry.follower.configuration.revision).to.equal(1);
     expect(entry.follower.proofAge).to.be.above(before);
   });
