--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,7 +3,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['dist/', 'node_modules/', 'src/peer/generated/'] },
+  { ignores: ['dist/', 'target/', 'node_modules/', 'src/peer/generated/'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/src/balance/index.ts
+++ b/src/balance/index.ts
@@ -7,3 +7,6 @@
 export * from './budget.js';
 export * from './home.js';
 export * from './pool.js';
+export * from './window-budget.js';
+export * from './load-belief.js';
+export * from './expected-time.js';
--- /dev/null
+++ b/src/bin/gateway.ts
@@ -0,0 +1,67 @@
+#!/usr/bin/env node
+/** The gateway daemon as a process. The platform names its settings file in a variable. */
+import { readFileSync } from 'node:fs';
+import { parseArgs } from 'node:util';
+import {
+  Kernel,
+  clockService,
+  createLineLog,
+  createSystemClock,
+  createSystemRandom,
+  logService,
+  randomService,
+} from '../kernel/index.js';
+import { Gateway, type GatewaySettings, checkGatewaySettings } from '../gateway/index.js';
+import { createKvStore, kvStoreService } from '../platform/index.js';
+import { formatMistake } from '../settings/ini.js';
+
+const EXIT_SETTINGS = 3;
+const EXIT_BROKEN = 70;
+const SETTINGS_VARIABLE = 'ORCHIDBEAM_SETTINGS';
+
+function fail(code: number, message: string): never {
+  process.stderr.write(`${message}\n`);
+  process.exit(code);
+}
+
+function readSettings(file: string): GatewaySettings {
+  let text = '';
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch {
+    fail(EXIT_SETTINGS, `${file}: cannot be read; expected a settings file`);
+  }
+  return checkGatewaySettings(file, text).caseOf({
+    Left: (mistakes) => fail(EXIT_SETTINGS, mistakes.map(formatMistake).join('\n')),
+    Right: (settings) => settings,
+  });
+}
+
+async function main(): Promise<void> {
+  const { values } = parseArgs({ options: { settings: { type: 'string' } } });
+  const file = values.settings ?? process.env[SETTINGS_VARIABLE];
+  if (file === undefined) fail(EXIT_SETTINGS, `usage: --settings FILE, or ${SETTINGS_VARIABLE}`);
+  const settings = readSettings(file);
+  const { address, timeout } = settings.platform;
+  const clock = createSystemClock();
+  const log = createLineLog(clock, settings.log.level, { vm: settings.gateway.name });
+  const kernel = new Kernel()
+    .provide(clockService, clock)
+    .provide(randomService, createSystemRandom())
+    .provide(logService, log)
+    .provide(kvStoreService, createKvStore(address, timeout));
+  const gateway = new Gateway(kernel, settings);
+  let isStopping = false;
+  process.on('SIGTERM', () => {
+    if (isStopping) return;
+    isStopping = true;
+    gateway
+      .stop()
+      .then(() => process.exit(0))
+      .catch((error: Error) => fail(EXIT_BROKEN, error.stack ?? error.message));
+  });
+  process.on('SIGHUP', () => log.info('settings.reloaded', { file }));
+  await gateway.start();
+}
+
+main().catch((error: Error) => fail(EXIT_BROKEN, error.stack ?? error.message));
--- /dev/null
+++ b/src/gateway/attempt.ts
@@ -0,0 +1,200 @@
+/**
+ * One attempt at one target: sends a request and says truthfully what became of it.
+ *
+ * The answer is held until it is whole, up to a limit, so a broken one can be replaced by another
+ * attempt and never looks complete. What is longer is passed on as it comes.
+ */
+import http from 'node:http';
+import type { IncomingMessage } from 'node:http';
+import { HEADERS, MISDIRECTED, parseLoad } from '../platform/index.js';
+import { type TargetConnection, readRestLimit } from './connections.js';
+import type { GatewayTarget } from './target.js';
+
+/** What is sent. */
+export interface Sending {
+  readonly requestId: string;
+  readonly method: string;
+  /** Path and query as the caller sent them. */
+  readonly path: string;
+  readonly headers: readonly string[];
+  readonly body: Buffer | IncomingMessage | undefined;
+}
+
+/** A target's answer. The body is whole, or its first part with the stream of the rest. */
+export interface TargetAnswer {
+  readonly status: number;
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer;
+  readonly rest: IncomingMessage | undefined;
+  /** Whether the target signed it. */
+  readonly isSigned: boolean;
+}
+
+/** How an attempt ended. */
+export type AttemptOutcome =
+  | { readonly kind: 'answered'; readonly answer: TargetAnswer }
+  /** No byte was sent. */
+  | { readonly kind: 'not-connected'; readonly reason: string }
+  /** The target said that it did not run the request. */
+  | { readonly kind: 'not-run'; readonly cause: 'shed' | 'misdirected' }
+  /** It was sent and no whole answer came. */
+  | { readonly kind: 'lost'; readonly reason: string }
+  /** Given up by this daemon; `sent` tells whether the target may have had it. */
+  | { readonly kind: 'cancelled'; readonly sent: boolean };
+
+/** A running attempt. */
+export interface RunningAttempt {
+  readonly target: GatewayTarget;
+  readonly startedAt: number;
+  readonly done: Promise<AttemptOutcome>;
+  /** Gives it up; the target sees its connection close. */
+  abort(): void;
+}
+
+/** Longest answer that is held whole, in bytes: many times the users' longest. */
+const HELD_BYTES = 262_144;
+
+/** How long a connection may have rested when it carries what must not run twice. */
+const FRESH_REST = 1500;
+
+const ANY_REST = Infinity;
+
+function readHeader(response: IncomingMessage, name: string): string | undefined {
+  const value = response.headers[name.toLowerCase()];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+class TargetAttempt implements RunningAttempt {
+  #request: http.ClientRequest | undefined;
+
+  #isAborted = false;
+
+  #isSettled = false;
+
+  #resolve: (outcome: AttemptOutcome) => void = () => undefined;
+
+  readonly done: Promise<AttemptOutcome>;
+
+  constructor(
+    readonly target: GatewayTarget,
+    private readonly sending: Sending,
+    readonly startedAt: number,
+  ) {
+    this.done = new Promise((resolve) => {
+      this.#resolve = resolve;
+    });
+  }
+
+  async send(isRepeatable: boolean): Promise<void> {
+    const { target } = this;
+    const longest = isRepeatable ? ANY_REST : FRESH_REST;
+    const taken = await target.connections.take(target.keepsOrder ? longest : -1);
+    if (this.#isAborted) {
+      if (taken.kind === 'connected') taken.connection.socket.emit('free');
+      this.#settle({ kind: 'cancelled', sent: false });
+      return;
+    }
+    if (taken.kind === 'not-connected') {
+      this.#settle(taken);
+      return;
+    }
+    this.#write(taken.connection);
+  }
+
+  abort(): void {
+    this.#isAborted = true;
+    if (this.#request === undefined) return;
+    this.#request.destroy();
+    this.#settle({ kind: 'cancelled', sent: true });
+  }
+
+  #settle(outcome: AttemptOutcome): void {
+    if (this.#isSettled) return;
+    this.#isSettled = true;
+    this.#resolve(outcome);
+  }
+
+  #write(connection: TargetConnection): void {
+    const { method, path, headers, body } = this.sending;
+    const request = http.request({
+      ...{ agent: connection.agent, method, path, setHost: false },
+      headers: headers as unknown as http.OutgoingHttpHeaders,
+    });
+    this.#request = request;
+    request.on('error', (error: NodeJS.ErrnoException) => {
+      this.#settle({ kind: 'lost', reason: error.code ?? error.message });
+    });
+    request.on('response', (response) => this.#read(response, connection));
+    if (body === undefined || Buffer.isBuffer(body)) request.end(body);
+    else body.pipe(request);
+  }
+
+  #read(response: IncomingMessage, connection: TargetConnection): void {
+    const { target } = this;
+    const stop = (outcome: AttemptOutcome) => {
+      this.#settle(outcome);
+      connection.socket.destroy();
+    };
+    response.on('error', (error) => stop({ kind: 'lost', reason: error.message }));
+    const echoed = readHeader(response, HEADERS.requestId);
+    if (echoed !== undefined && echoed !== this.sending.requestId) {
+      target.noteStrayBytes();
+      stop({ kind: 'lost', reason: 'the answer belongs to another request' });
+      return;
+    }
+    const status = response.statusCode ?? 0;
+    target.noteLoad(parseLoad(readHeader(response, HEADERS.load)), target.belief.inFlight);
+    connection.restLimit = readRestLimit(readHeader(response, 'keep-alive'));
+    if (readHeader(response, HEADERS.notRun) !== undefined || status === MISDIRECTED) {
+      response.resume();
+      if (status === MISDIRECTED) target.noteMisdirected();
+      this.#settle({ kind: 'not-run', cause: status === MISDIRECTED ? 'misdirected' : 'shed' });
+      return;
+    }
+    this.#hold(response);
+  }
+
+  #hold(response: IncomingMessage): void {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    const answer = (rest: IncomingMessage | undefined): AttemptOutcome => ({
+      kind: 'answered',
+      answer: {
+        status: response.statusCode ?? 0,
+        rawHeaders: response.rawHeaders,
+        body: Buffer.concat(chunks),
+        rest,
+        isSigned: readHeader(response, HEADERS.signature) !== undefined,
+      },
+    });
+    const onData = (chunk: Buffer) => {
+      chunks.push(chunk);
+      length += chunk.length;
+      if (length <= HELD_BYTES) return;
+      response.pause();
+      response.removeListener('data', onData);
+      response.removeListener('end', onEnd);
+      this.#settle(answer(response));
+    };
+    const onEnd = () => {
+      if (response.complete) this.#settle(answer(undefined));
+      else this.#settle({ kind: 'lost', reason: 'the answer broke off' });
+    };
+    response.on('data', onData);
+    response.on('end', onEnd);
+    response.on('aborted', () => this.#settle({ kind: 'lost', reason: 'the answer broke off' }));
+  }
+}
+
+/** Starts an attempt. */
+export function startTargetAttempt(
+  target: GatewayTarget,
+  sending: Sending,
+  options: { readonly isRepeatable: boolean; readonly now: number },
+): RunningAttempt {
+  const attempt = new TargetAttempt(target, sending, options.now);
+  target.belief.start();
+  attempt.done.then(() => target.belief.finish()).catch(() => undefined);
+  attempt.send(options.isRepeatable).catch(() => undefined);
+  return attempt;
+}
--- /dev/null
+++ b/src/gateway/caller-server.ts
@@ -0,0 +1,132 @@
+/** The listener for callers: connections that are kept, drained and closed without losing a request. */
+import http, { type IncomingMessage, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import type { Address, Clock } from '../kernel/index.js';
+import type { RequestLimits } from '../routing/index.js';
+
+/** What the listener is made from. */
+export interface CallerServerOptions {
+  readonly address: Address;
+  readonly clock: Clock;
+  readonly serve: (request: IncomingMessage, response: ServerResponse) => void;
+}
+
+/** Longest head that the parser takes; the operators' own limit is checked after it. */
+const PARSER_HEADER_BYTES = 131_072;
+
+/** A connection is kept a little longer than callers are told, so that none meets its close. */
+const IDLE_MARGIN = 1000;
+
+const FIRST_HEADER_TIMEOUT = 10_000;
+const FIRST_IDLE_TIMEOUT = 15_000;
+const CHECK_PACE = 500;
+
+const PARSER_STATUS: Readonly<Record<string, number>> = {
+  HPE_HEADER_OVERFLOW: 431,
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
+
+/** How long a connection that this daemon closes is read from, for a request that crosses the close. */
+const LINGER = 150;
+
+/** The listener of one daemon. */
+export class CallerServer {
+  readonly #server: http.Server;
+
+  readonly #sockets = new Map<Socket, number>();
+
+  #draining = false;
+
+  constructor(private readonly options: CallerServerOptions) {
+    this.#server = http.createServer({
+      maxHeaderSize: PARSER_HEADER_BYTES,
+      headersTimeout: FIRST_HEADER_TIMEOUT,
+      requestTimeout: 0,
+      connectionsCheckingInterval: CHECK_PACE,
+      keepAliveTimeout: FIRST_IDLE_TIMEOUT,
+      noDelay: true,
+      requireHostHeader: false,
+    });
+    this.#server.maxHeadersCount = 0;
+    this.#server.on('connection', (socket: Socket) => {
+      this.#sockets.set(socket, 0);
+      socket.on('close', () => this.#sockets.delete(socket));
+    });
+    this.#server.on('request', (request, response) => this.#take(request, response));
+    this.#server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+      response.writeContinue();
+      this.#take(request, response);
+    });
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      const status = PARSER_STATUS[error.code ?? ''] ?? 400;
+      const isBusy = (this.#sockets.get(socket as Socket) ?? 0) > 0;
+      if (isBusy || !socket.writable || error.code === 'ECONNRESET') {
+        socket.destroy();
+        return;
+      }
+      const line = `HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? 'Error'}`;
+      socket.end(`${line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    });
+  }
+
+  /** Starts listening. */
+  listen(): Promise<void> {
+    const { host, port } = this.options.address;
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen({ host, port, backlog: 2048 }, resolve);
+    });
+  }
+
+  /** Takes the operators' limits for connections. */
+  setLimits(limits: RequestLimits): void {
+    const { headerTimeout, idleTimeout } = limits;
+    if (Number.isFinite(headerTimeout)) this.#server.headersTimeout = headerTimeout;
+    if (Number.isFinite(idleTimeout)) this.#server.keepAliveTimeout = idleTimeout + IDLE_MARGIN;
+  }
+
+  /** Requests that are being served. */
+  countActive(): number {
+    let active = 0;
+    for (const count of this.#sockets.values()) active += count;
+    return active;
+  }
+
+  /** Connections open now. */
+  countConnections(): number {
+    return this.#sockets.size;
+  }
+
+  /** From now on answers tell callers to close, and connections at rest are closed. */
+  drain(): void {
+    this.#draining = true;
+    for (const [socket, active] of this.#sockets) {
+      if (active === 0) this.#closeGently(socket);
+    }
+  }
+
+  /** Stops listening and closes everything. */
+  close(): void {
+    this.#server.close();
+    for (const socket of this.#sockets.keys()) socket.destroy();
+  }
+
+  #take(request: IncomingMessage, response: ServerResponse): void {
+    const { socket } = request;
+    this.#sockets.set(socket, (this.#sockets.get(socket) ?? 0) + 1);
+    response.on('close', () => {
+      const active = this.#sockets.get(socket);
+      if (active !== undefined) this.#sockets.set(socket, active - 1);
+    });
+    if (this.#draining) response.shouldKeepAlive = false;
+    this.options.serve(request, response);
+  }
+
+  /** Half-closes, then closes: what crosses the close was not read, so it has not run. */
+  #closeGently(socket: Socket): void {
+    socket.end();
+    this.options.clock.schedule(LINGER, () => {
+      if ((this.#sockets.get(socket) ?? 0) === 0) socket.destroy();
+    });
+  }
+}
--- /dev/null
+++ b/src/gateway/directory.ts
@@ -0,0 +1,48 @@
+/** Small interfaces beside the callers': which addresses to use, and whether this daemon is ready. */
+import http from 'node:http';
+import type { Address } from '../kernel/index.js';
+import { PATHS, type ResolveQuestion, encodeResolve, parseResolve } from '../platform/index.js';
+
+/** Starts a listener whose every answer is made at once from the path and query. */
+function serveAnswers(
+  address: Address,
+  answer: (url: URL) => { readonly status: number; readonly body: string },
+): Promise<http.Server> {
+  const server = http.createServer({ keepAliveTimeout: 30_000 }, (request, response) => {
+    const { status, body } = answer(new URL(request.url ?? '/', 'http://directory'));
+    response.writeHead(status, {
+      'Content-Type': 'application/json',
+      'Content-Length': Buffer.byteLength(body),
+    });
+    response.end(body);
+  });
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({ host: address.host, port: address.port, backlog: 2048 }, () => resolve(server));
+  });
+}
+
+const UNAVAILABLE = { status: 503, body: '{}' };
+const NOT_FOUND = { status: 404, body: '{}' };
+
+/** Answers callers that ask which addresses to use. */
+export function serveDirectory(
+  address: Address,
+  listAddresses: (question: ResolveQuestion) => readonly string[],
+  ttl: number,
+): Promise<http.Server> {
+  return serveAnswers(address, (url) => {
+    if (url.pathname !== PATHS.resolve) return NOT_FOUND;
+    const addresses = listAddresses(parseResolve(url.searchParams));
+    if (addresses.length === 0) return UNAVAILABLE;
+    return { status: 200, body: encodeResolve(addresses, ttl) };
+  });
+}
+
+/** Answers the platform's question whether this daemon is ready. */
+export function serveReadiness(address: Address, isReady: () => boolean): Promise<http.Server> {
+  return serveAnswers(address, (url) => {
+    if (url.pathname !== PATHS.ready) return NOT_FOUND;
+    return isReady() ? { status: 200, body: '{}' } : UNAVAILABLE;
+  });
+}
--- /dev/null
+++ b/src/gateway/forwarding.ts
@@ -0,0 +1,371 @@
+/**
+ * Serves one request: picks a target, watches over the attempt, and where it is allowed and worth it
+ * repeats the request at another target.
+ *
+ * What holds on every path: a request that may not be repeated is sent again only after each earlier
+ * sending was shown not to have run; *not run* is said only when no sending may have run; and a
+ * request that is given up gets its answer at once.
+ */
+import type { ServerResponse } from 'node:http';
+import type { Clock, Log, Timer } from '../kernel/index.js';
+import { SendLedger } from '../proxy/ledger.js';
+import type { Route } from '../routing/index.js';
+import type { DecayingMean } from '../balance/index.js';
+import { type Told, writeAnswer, writeTold } from './answers.js';
+import {
+  type AttemptOutcome,
+  type RunningAttempt,
+  type Sending,
+  type TargetAnswer,
+  startTargetAttempt,
+} from './attempt.js';
+import type { GatewayTarget } from './target.js';
+import type { TargetService } from './target-set.js';
+
+/** A request that was read and found its route. */
+export interface RoutedRequest {
+  readonly id: string;
+  readonly route: Route;
+  readonly service: TargetService;
+  /** When its head was read, on the kernel's clock. */
+  readonly arrivedAt: number;
+  /** When it is given up. */
+  readonly deadline: number;
+  readonly method: string;
+  readonly path: string;
+  readonly body: Sending['body'];
+  /** Builds the headers for a target, given the time left. */
+  readonly buildHeaders: (target: GatewayTarget, timeLeft: number) => readonly string[];
+}
+
+/** What forwarding uses besides the request. */
+export interface ForwardingContext {
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Time of a request of this route at a usual, idle target. */
+  readonly usualTime: DecayingMean;
+  readonly counts: ForwardingCounts;
+}
+
+/** Counters over all requests. */
+export interface ForwardingCounts {
+  answered: number;
+  failed: number;
+  notRun: number;
+  unknown: number;
+  gone: number;
+  retries: number;
+  hedges: number;
+}
+
+/** What can happen while a request is served. */
+type Happening =
+  | { readonly kind: 'ended'; readonly attempt: RunningAttempt; readonly outcome: AttemptOutcome }
+  | { readonly kind: 'look' }
+  | { readonly kind: 'deadline' }
+  | { readonly kind: 'gone' };
+
+/** How often a request that may be repeated looks whether another target would be quicker. */
+const LOOK_PACE = 40;
+
+/** Another target has to be expected to end first by this much, in milliseconds and as a factor. */
+const HEDGE_MARGIN = 15;
+const HEDGE_FACTOR = 1.3;
+
+/** Time of a request nothing is known of, before the first answer of its route. */
+const FIRST_TIME = 100;
+
+/** An attempt this many times over its expected time counts as stuck. */
+const STUCK_FACTOR = 4;
+
+/** When a refused caller may come back: some targets will have ended a call by then. */
+const RETRY_AFTER = 250;
+
+/** No attempt is begun with less time left than this, in milliseconds. */
+const LEAST_TIME = 5;
+
+const SERVER_ERROR = 500;
+
+/** Statuses that promise a caller that its request did not run; only we may say so, with proof. */
+const PROMISES = new Set([408, 421, 429, 503]);
+
+/** Serves one request. */
+export class Forwarding {
+  readonly #ledger: SendLedger;
+
+  readonly #running = new Set<RunningAttempt>();
+
+  readonly #tried = new Set<GatewayTarget>();
+
+  readonly #happenings: Happening[] = [];
+
+  #wake: () => void = () => undefined;
+
+  #sendings = 0;
+
+  #timers: Timer[] = [];
+
+  constructor(
+    private readonly context: ForwardingContext,
+    private readonly request: RoutedRequest,
+    private readonly response: ServerResponse,
+  ) {
+    this.#ledger = new SendLedger(this.#isRepeatable);
+  }
+
+  get #isRepeatable(): boolean {
+    return this.request.route.kind === 'repeatable';
+  }
+
+  /** Serves the request to its end. */
+  async run(): Promise<void> {
+    const { clock } = this.context;
+    const { request, response } = this;
+    const onClose = () => this.#happen({ kind: 'gone' });
+    response.once('close', onClose);
+    request.service.budget.noteRequest();
+    request.service.rate.add(clock.now());
+    this.#timers.push(
+      clock.schedule(request.deadline - clock.now(), () => this.#happen({ kind: 'deadline' })),
+    );
+    const onSlow = () => this.#happen({ kind: 'look' });
+    try {
+      this.#begin();
+      if (this.#isRepeatable) {
+        for (const { target } of this.#running) target.onSlow.add(onSlow);
+        this.#lookLater();
+      }
+      await this.#follow();
+    } finally {
+      for (const timer of this.#timers) timer.cancel();
+      for (const target of this.#tried) target.onSlow.delete(onSlow);
+      response.removeListener('close', onClose);
+      for (const attempt of this.#running) attempt.abort();
+    }
+  }
+
+  async #follow(): Promise<void> {
+    while (!this.response.writableEnded && !this.response.destroyed) {
+      const happening = await this.#nextHappening();
+      switch (happening.kind) {
+        case 'ended':
+          this.#running.delete(happening.attempt);
+          this.#conclude(happening.attempt, happening.outcome);
+          break;
+        case 'look':
+          this.#considerHedge();
+          break;
+        case 'deadline':
+          this.#giveUp('timeout');
+          return;
+        case 'gone':
+          this.context.counts.gone += 1;
+          return;
+        default:
+          happening satisfies never;
+      }
+    }
+  }
+
+  #happen(happening: Happening): void {
+    this.#happenings.push(happening);
+    this.#wake();
+  }
+
+  async #nextHappening(): Promise<Happening> {
+    for (;;) {
+      const next = this.#happenings.shift();
+      if (next !== undefined) return next;
+      await new Promise<void>((resolve) => {
+        this.#wake = resolve;
+      });
+    }
+  }
+
+  /** Starts an attempt at the best target, or tells the caller that there is none. */
+  #begin(): boolean {
+    const { clock } = this.context;
+    const { request } = this;
+    const target = request.service.pick(this.#tried);
+    const left = request.deadline - clock.now();
+    if (target === undefined || left < LEAST_TIME) {
+      this.#giveUp(target === undefined ? 'no-target' : 'timeout');
+      return false;
+    }
+    this.#start(target, left);
+    return true;
+  }
+
+  #start(target: GatewayTarget, left: number): void {
+    const { request } = this;
+    this.#tried.add(target);
+    this.#sendings += 1;
+    this.#ledger.noteSent();
+    const attempt = startTargetAttempt(
+      target,
+      {
+        ...{ requestId: request.id, method: request.method, path: request.path },
+        headers: request.buildHeaders(target, left),
+        body: request.body,
+      },
+      { isRepeatable: this.#isRepeatable, now: this.context.clock.now() },
+    );
+    this.#running.add(attempt);
+    attempt.done
+      .then((outcome) => this.#happen({ kind: 'ended', attempt, outcome }))
+      .catch((error: Error) => this.context.log.error('request.broken', { error: error.message }));
+  }
+
+  #conclude(attempt: RunningAttempt, outcome: AttemptOutcome): void {
+    const { target } = attempt;
+    switch (outcome.kind) {
+      case 'answered':
+        this.#takeAnswer(attempt, outcome.answer);
+        return;
+      case 'not-connected':
+        this.#ledger.noteNotRun();
+        this.#sendings -= 1;
+        target.noteFailure(1);
+        this.#logEnd(attempt, outcome.kind, outcome.reason);
+        if (this.#running.size === 0) this.#begin();
+        return;
+      case 'not-run':
+        this.#ledger.noteNotRun();
+        target.noteFailure(outcome.cause === 'shed' ? 0.5 : 1);
+        this.#logEnd(attempt, outcome.kind, outcome.cause);
+        this.#repeat('no-room');
+        return;
+      case 'lost':
+        target.noteFailure(1);
+        this.#logEnd(attempt, outcome.kind, outcome.reason);
+        this.#repeat('lost');
+        return;
+      case 'cancelled':
+        if (!outcome.sent) this.#ledger.noteNotRun();
+        return;
+      default:
+        outcome satisfies never;
+    }
+  }
+
+  #takeAnswer(attempt: RunningAttempt, answer: TargetAnswer): void {
+    const { target } = attempt;
+    const isFailure = answer.status >= SERVER_ERROR;
+    if (isFailure) {
+      target.noteFailure(1);
+      this.#logEnd(attempt, 'failed', `status ${answer.status}`);
+      if (this.#isRepeatable && this.#running.size > 0) return;
+      if (this.#isRepeatable && this.#mayRepeat()) {
+        this.context.counts.retries += 1;
+        if (this.#begin()) return;
+      }
+      if (this.response.writableEnded) return;
+    } else this.#learnTime(attempt);
+    if (PROMISES.has(answer.status) || !answer.isSigned) {
+      this.#tell({ kind: 'unknown', reason: 'lost' });
+      return;
+    }
+    if (isFailure) this.context.counts.failed += 1;
+    else this.context.counts.answered += 1;
+    writeAnswer(this.response, answer);
+  }
+
+  #learnTime(attempt: RunningAttempt): void {
+    const { clock, usualTime } = this.context;
+    const now = clock.now();
+    const slowdown = Math.max(1, attempt.target.belief.lastSlowdown ?? 1);
+    usualTime.add((now - attempt.startedAt) / slowdown, now);
+  }
+
+  /** Sends the request once more, after an attempt that brought nothing. */
+  #repeat(reason: 'no-room' | 'lost'): void {
+    if (this.#running.size > 0) return;
+    const isAllowed = this.#isRepeatable || !this.#ledger.mayHaveRun;
+    if (isAllowed && this.#mayRepeat()) {
+      this.context.counts.retries += 1;
+      this.#begin();
+      return;
+    }
+    this.#giveUp(reason);
+  }
+
+  /** Whether one more target may get the request: the route's attempts, and the fleet's budget. */
+  #mayRepeat(): boolean {
+    const { route, service, body } = this.request;
+    if (this.#sendings >= route.maxAttempts) return false;
+    if (body !== undefined && !Buffer.isBuffer(body)) return false;
+    return service.budget.spend();
+  }
+
+  #lookLater(): void {
+    this.#timers.push(
+      this.context.clock.schedule(LOOK_PACE, () => {
+        this.#happen({ kind: 'look' });
+        this.#lookLater();
+      }),
+    );
+    if (this.#timers.length > 2) this.#timers = [this.#timers[0], ...this.#timers.slice(-1)];
+  }
+
+  /** Begins a second attempt when the first is expected to be late and the second not to be. */
+  #considerHedge(): void {
+    const { clock, usualTime } = this.context;
+    const { route, service, arrivedAt, deadline } = this.request;
+    const [attempt] = this.#running;
+    if (this.#running.size !== 1 || attempt === undefined) return;
+    if (this.#sendings >= route.maxAttempts) return;
+    const now = clock.now();
+    const usual = usualTime.read(FIRST_TIME);
+    const elapsed = now - attempt.startedAt;
+    const slowdown = attempt.target.belief.readSlowdown(now, service.readUsual());
+    if (elapsed > STUCK_FACTOR * usual * Math.max(1, slowdown)) attempt.target.noteStuck();
+    const remaining = Math.max(usual * 0.25, usual - elapsed / Math.max(1, slowdown)) * slowdown;
+    const aim = arrivedAt + route.targetLatency;
+    const isLastChance = now + usual * HEDGE_FACTOR >= aim && now < aim;
+    if (now + remaining <= aim && !isLastChance) return;
+    const target = service.pick(this.#tried);
+    if (target === undefined) return;
+    const { slowdown: other } = target.view(service.readUsual(), '');
+    const expected = usual * other;
+    if (now + expected >= deadline) return;
+    if (!isLastChance && remaining < expected * HEDGE_FACTOR + HEDGE_MARGIN) return;
+    if (!this.#mayRepeat()) return;
+    this.context.counts.hedges += 1;
+    this.#start(target, deadline - now);
+  }
+
+  /** Ends the request without a target's answer. */
+  #giveUp(reason: 'timeout' | 'no-target' | 'no-room' | 'lost'): void {
+    for (const attempt of this.#running) attempt.abort();
+    if (!this.#ledger.mayHaveRun) {
+      this.#ledger.assertNotRun();
+      this.#tell({ kind: 'not-run', reason, retryAfter: RETRY_AFTER });
+      return;
+    }
+    this.#tell({ kind: 'unknown', reason: reason === 'timeout' ? 'timeout' : 'lost' });
+  }
+
+  #tell(told: Told): void {
+    const { counts, log, clock } = this.context;
+    const { id, route, service, arrivedAt } = this.request;
+    if (told.kind === 'not-run') counts.notRun += 1;
+    else counts.unknown += 1;
+    log.info('request.told', {
+      ...{ id, route: route.name, service: service.name, told: told.kind },
+      ...{ reason: 'reason' in told ? told.reason : undefined, sendings: this.#sendings },
+      held: Math.round(clock.now() - arrivedAt),
+    });
+    writeTold(this.response, id, told);
+  }
+
+  #logEnd({ target, startedAt }: RunningAttempt, outcome: string, reason: string): void {
+    const { clock, log } = this.context;
+    const now = clock.now();
+    log.info('attempt.failed', {
+      ...{ id: this.request.id, target: target.record.incarnation, outcome, reason },
+      ...{ took: Math.round(now - startedAt), calls: target.belief.countCalls(now) },
+      report_age: Math.round(now - target.belief.reportedAt),
+      slowdown: target.belief.lastSlowdown,
+    });
+  }
+}
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,383 @@
+/** The daemon in front of the users' targets: puts the parts together, starts them, and stops them. */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import {
+  type Kernel,
+  clockService,
+  formatAddress,
+  logService,
+  randomService,
+} from '../kernel/index.js';
+import { DecayingMean, WindowBudget } from '../balance/index.js';
+import { type Knowledge, FeedClient, type MemberInfo, type MemberState } from '../peering/index.js';
+import { PeerLink, Roster, serveFeed } from '../peering/index.js';
+import { HEADERS, type ResolveQuestion, kvStoreService } from '../platform/index.js';
+import { type RouteTable, SplitDealer } from '../routing/index.js';
+import { FleetView, StoreReader } from '../view/index.js';
+import { type Told, writeTold } from './answers.js';
+import { CallerServer } from './caller-server.js';
+import { serveDirectory, serveReadiness } from './directory.js';
+import { Forwarding, type ForwardingCounts } from './forwarding.js';
+import { buildPassedHeaders, buildTargetHeaders, checkRequest, readBody } from './intake.js';
+import { Prober } from './prober.js';
+import type { GatewaySettings } from './settings.js';
+import { TargetSet } from './target-set.js';
+
+/** Readers of the store: two, so that one may die without anybody noticing late. */
+const READERS = 2;
+
+/** When nobody has shown for this long that the view is the newest, a daemon reads for itself. */
+const STALE_AFTER = 1300;
+
+/** A daemon that starts waits this long for a proof before it serves what it knows unproven. */
+const START_WAIT = 2500;
+
+const START_PACE = 25;
+const TRIM_PACE = 500;
+
+/** How long callers are told to keep an answer, in milliseconds; some keep it three times as long. */
+const ANSWER_TTL = 2000;
+
+/** How long a route's usual time follows its answers. */
+const USUAL_TIME_HALF_LIFE = 3000;
+
+/** When a caller may come back to a daemon that knows no configuration yet. */
+const STARTING_RETRY = 300;
+
+/** When a caller that was told to go elsewhere may do so. */
+const STOPPING_RETRY = 20;
+
+/** Parts of the grace in which a stopping daemon takes requests, and waits for those in flight. */
+const TAKE_PART = 0.5;
+const WAIT_PART = 0.93;
+
+/** Callers have heard of the stop after this long. */
+const LEAVE_TIME = 2200;
+
+const STOP_PACE = 20;
+
+/** The gateway daemon of one VM. */
+export class Gateway {
+  readonly #running = new AbortController();
+
+  readonly #clock;
+
+  readonly #log;
+
+  readonly #view: FleetView;
+
+  readonly #reader: StoreReader;
+
+  readonly #roster: Roster;
+
+  readonly #link: PeerLink;
+
+  readonly #feed: FeedClient;
+
+  readonly #targets: TargetSet;
+
+  readonly #dealer: SplitDealer;
+
+  readonly #callers: CallerServer;
+
+  readonly #prober: Prober;
+
+  readonly #servers: Server[] = [];
+
+  readonly #usualTimes = new Map<string, DecayingMean>();
+
+  readonly counts: ForwardingCounts = {
+    ...{ answered: 0, failed: 0, notRun: 0, unknown: 0, gone: 0, retries: 0, hedges: 0 },
+  };
+
+  #state: MemberState = 'starting';
+
+  #takesRequests = true;
+
+  constructor(
+    private readonly kernel: Kernel,
+    private readonly settings: GatewaySettings,
+  ) {
+    const clock = kernel.find(clockService);
+    const random = kernel.find(randomService);
+    const log = kernel.find(logService);
+    const store = kernel.find(kvStoreService);
+    const { gateway, machine, promises, tuning } = settings;
+    this.#clock = clock;
+    this.#log = log;
+    const capacity = machine.cpu_share * machine.core_speed;
+    const self: MemberInfo = { ip: gateway.ip, domain: gateway.domain, capacity };
+    const selfState = () => this.#state;
+    this.#roster = new Roster({
+      ...{ clock, self, selfState },
+      ...{ homes: tuning.homes, capacity: tuning.home_capacity },
+    });
+    this.#targets = new TargetSet({
+      ...{ clock, random, domain: gateway.domain },
+      createBudget: () =>
+        new WindowBudget(clock, () => ({
+          ratio: promises.retry_ratio,
+          window: promises.retry_window * 1000,
+          slack: this.#isHome() ? promises.retry_slack / (2 * this.#roster.listHomes().length) : 0,
+        })),
+    });
+    this.#view = new FleetView({
+      onTable: (table) => this.#adopt(table),
+      onTargets: () => this.#targets.update(this.#view),
+      onFault: (what) => log.error('configuration.unreadable', { what }),
+    });
+    this.#reader = new StoreReader({
+      ...{ store, view: this.#view, clock, random, log },
+      isReader: () => this.#isReader(),
+    });
+    const [port = 0] = gateway.peer_ports;
+    this.#link = new PeerLink({
+      ...{ address: { host: gateway.ip, port }, self, selfState, roster: this.#roster, clock, log },
+      readKnowledge: () => this.#readKnowledge(),
+      onKnowledge: (from, knowledge) => {
+        this.#hear(from, knowledge).catch(() => undefined);
+      },
+    });
+    this.#feed = new FeedClient(port, ({ delta, members }) => {
+      this.#view.applyDelta(delta, clock.now());
+      for (const member of members) this.#roster.note(member);
+    });
+    this.#dealer = new SplitDealer(() => random.next());
+    this.#callers = new CallerServer({
+      ...{ address: gateway.callers, clock },
+      serve: (request, response) => {
+        this.#serve(request, response).catch((error: Error) => this.#fail(error));
+      },
+    });
+    this.#prober = new Prober({
+      ...{ targets: this.#targets, clock, interval: tuning.probe_interval },
+      readTable: () => this.#view.table,
+    });
+  }
+
+  /** Starts everything; resolves when this daemon is ready to serve. */
+  async start(): Promise<void> {
+    const { gateway } = this.settings;
+    const [port = 0] = gateway.peer_ports;
+    const { signal } = this.#running;
+    this.#log.info('gateway.starting', { callers: formatAddress(gateway.callers) });
+    this.#servers.push(
+      await serveReadiness(gateway.readiness, () => this.#state === 'ready'),
+      await serveFeed({ host: gateway.ip, port }, (after) => ({
+        delta: this.#view.diffSince(after, this.#clock.now()),
+        members: this.#roster.list(),
+      })),
+      await serveDirectory(
+        gateway.directory,
+        (question) => this.#listAddresses(question),
+        Math.min(ANSWER_TTL, this.settings.promises.answer_ttl * 1000),
+      ),
+    );
+    await this.#callers.listen();
+    this.#link.addSeeds(gateway.seeds.map(({ host }) => host));
+    const tasks = [
+      this.#link.run(signal),
+      this.#reader.readStale(),
+      this.#reader.run(signal),
+      this.#prober.run(signal),
+      this.#trim(signal),
+    ];
+    for (const task of tasks) task.catch((error: Error) => this.#fail(error));
+    await this.#waitReady();
+  }
+
+  /**
+   * Stops without losing a request: callers hear of it, what is read is answered, and the process
+   * ends before the platform's grace does.
+   */
+  async stop(): Promise<void> {
+    const clock = this.#clock;
+    const startedAt = clock.now();
+    const grace = this.settings.promises.grace * 1000;
+    this.#state = 'stopping';
+    this.#link.tellAll();
+    this.#log.info('gateway.stopping', { active: this.#callers.countActive() });
+    this.#callers.drain();
+    while (clock.now() - startedAt < grace * WAIT_PART) {
+      const elapsed = clock.now() - startedAt;
+      if (elapsed > grace * TAKE_PART) this.#takesRequests = false;
+      const isQuiet = this.#callers.countActive() === 0;
+      if (isQuiet && elapsed > LEAVE_TIME && this.#callers.countConnections() === 0) break;
+      if (isQuiet && elapsed > grace * TAKE_PART) break;
+      await clock.sleep(STOP_PACE);
+    }
+    const left = this.#callers.countActive();
+    this.destroy();
+    this.#log.info('gateway.stopped', { cut: left, took: Math.round(clock.now() - startedAt) });
+  }
+
+  /** Ends at once, as a crash would. */
+  destroy(): void {
+    this.#running.abort();
+    this.#callers.close();
+    this.#feed.close();
+    for (const server of this.#servers) server.close();
+    this.kernel.find(kvStoreService).close();
+  }
+
+  async #waitReady(): Promise<void> {
+    const clock = this.#clock;
+    const startedAt = clock.now();
+    for (;;) {
+      const isProven = clock.now() - this.#view.provenAt < STALE_AFTER;
+      const isLate = clock.now() - startedAt > START_WAIT;
+      if (this.#view.table !== undefined && (isProven || isLate)) break;
+      await clock.sleep(START_PACE);
+    }
+    if (this.#state === 'starting') this.#state = 'ready';
+    this.#link.tellAll();
+    this.#log.info('gateway.ready', {
+      ...{ version: this.#view.table?.version, revision: this.#view.revision },
+      targets: this.#view.listTargets().length,
+      took: Math.round(clock.now() - startedAt),
+    });
+  }
+
+  #isHome(): boolean {
+    const { ip } = this.settings.gateway;
+    return this.#roster.listHomes().some((home) => home.ip === ip);
+  }
+
+  /** The first homes read the store; everybody does whom no news has reached for long. */
+  #isReader(): boolean {
+    const { ip } = this.settings.gateway;
+    const readers = this.#roster.listHomes().slice(0, READERS);
+    if (readers.some((reader) => reader.ip === ip)) return true;
+    return this.#clock.now() - this.#view.provenAt > STALE_AFTER;
+  }
+
+  #readKnowledge(): Knowledge {
+    return {
+      revision: this.#view.revision,
+      proofAge: this.#clock.now() - this.#view.provenAt,
+      targetsRevision: this.#view.targetsRevision,
+      members: this.#roster.readFingerprint(),
+    };
+  }
+
+  /** Takes what another daemon knows, and fetches it when it is more. */
+  async #hear(from: MemberInfo, knowledge: Knowledge): Promise<void> {
+    const provenAt = this.#clock.now() - knowledge.proofAge;
+    const isBehind = knowledge.revision > this.#view.revision;
+    if (isBehind || knowledge.members !== this.#roster.readFingerprint()) {
+      const fetched = await this.#feed.fetch(from.ip, this.#view.revision);
+      if (isBehind && !fetched) return;
+    }
+    if (this.#view.table === undefined) return;
+    this.#view.prove(provenAt, knowledge.targetsRevision);
+  }
+
+  #adopt(table: RouteTable): void {
+    this.#callers.setLimits(table.limits);
+    this.#log.info('configuration.adopted', { version: table.version });
+  }
+
+  #listAddresses(question: ResolveQuestion): readonly string[] {
+    const { port } = this.settings.gateway.callers;
+    const homes = this.#roster.listHomes();
+    const near = homes.filter((home) => home.domain === question.domain);
+    const chosen =
+      near.length > 0 ? [...near, ...homes.filter((home) => !near.includes(home))] : homes;
+    if (chosen.length > 0) return chosen.map(({ ip }) => `${ip}:${port}`);
+    return this.#state === 'ready' ? [formatAddress(this.settings.gateway.callers)] : [];
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const arrivedAt = this.#clock.now();
+    const id = String(request.headers[HEADERS.requestId.toLowerCase()] ?? '');
+    const tell = (told: Told) => {
+      this.#log.info('request.refused', { id, told: told.kind, path: request.url });
+      writeTold(response, id, told);
+    };
+    const { table } = this.#view;
+    if (table === undefined || this.#state === 'starting') {
+      tell({ kind: 'not-run', reason: 'starting', retryAfter: STARTING_RETRY });
+      return;
+    }
+    if (!this.#takesRequests) {
+      response.shouldKeepAlive = false;
+      tell({ kind: 'not-run', reason: 'stopping', retryAfter: STOPPING_RETRY });
+      return;
+    }
+    const refusal = checkRequest(request, table.limits);
+    if (refusal !== undefined) {
+      response.shouldKeepAlive = false;
+      tell(refusal);
+      return;
+    }
+    const [path = '/'] = (request.url ?? '/').split('?', 1);
+    const [host = ''] = (request.headers.host ?? '').split(':', 1);
+    const route = table.findRoute(host, path);
+    if (route === undefined) {
+      tell({ kind: 'no-route' });
+      return;
+    }
+    const name = this.#dealer.pick(route);
+    if (name === undefined) {
+      tell({ kind: 'not-run', reason: 'no-target', retryAfter: STARTING_RETRY });
+      return;
+    }
+    const body = await readBody(request, table.limits);
+    if (body.kind === 'gone') return;
+    if (body.kind === 'refused') {
+      response.shouldKeepAlive = false;
+      tell(body.told);
+      return;
+    }
+    const asked = Number(request.headers[HEADERS.timeLeft.toLowerCase()]);
+    const allowed = Math.min(asked > 0 ? asked : Infinity, route.timeout);
+    const passed = buildPassedHeaders(request);
+    const data = body.kind === 'whole' ? body.data : request;
+    const forwarding = new Forwarding(
+      {
+        ...{ clock: this.#clock, log: this.#log, counts: this.counts },
+        usualTime: this.#findUsualTime(route.name),
+      },
+      {
+        ...{ id, route, service: this.#targets.find(name), arrivedAt },
+        deadline: arrivedAt + Math.min(allowed, LONGEST_HOLD),
+        ...{ method: request.method ?? 'GET', path: request.url ?? '/', body: data },
+        buildHeaders: (target, timeLeft) =>
+          buildTargetHeaders(passed, target, {
+            timeLeft,
+            length: body.kind === 'whole' ? body.data?.length : this.#readLength(request),
+          }),
+      },
+      response,
+    );
+    await forwarding.run();
+  }
+
+  #readLength(request: IncomingMessage): number | undefined {
+    const text = request.headers['content-length'];
+    return text === undefined ? undefined : Number(text);
+  }
+
+  #findUsualTime(route: string): DecayingMean {
+    const known = this.#usualTimes.get(route);
+    if (known !== undefined) return known;
+    const usual = new DecayingMean(USUAL_TIME_HALF_LIFE);
+    this.#usualTimes.set(route, usual);
+    return usual;
+  }
+
+  async #trim(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#clock.sleep(TRIM_PACE, signal);
+      this.#targets.trim();
+    }
+  }
+
+  /** A task that ends with an error met a broken invariant: the process must not go on. */
+  #fail(error: Error): void {
+    this.#log.error('gateway.broken', { error: error.stack ?? error.message });
+    throw error;
+  }
+}
+
+/** A request whose caller and route name no time is held this long at most. */
+const LONGEST_HOLD = 60_000;
--- /dev/null
+++ b/src/gateway/index.ts
@@ -0,0 +1,3 @@
+/** The gateway daemon on the users' platform. */
+export * from './gateway.js';
+export * from './settings.js';
--- /dev/null
+++ b/src/gateway/settings.ts
@@ -0,0 +1,111 @@
+/** The settings of a gateway daemon, in INI. */
+import { Either, Left, Right } from 'purify-ts';
+import { LOG_LEVELS } from '../kernel/index.js';
+import { type Mistake, readIni } from '../settings/ini.js';
+import {
+  type Fields,
+  type Values,
+  checkSection,
+  describeAddress,
+  describeChoice,
+  describeDuration,
+  describeInteger,
+  describeList,
+  describeName,
+  describeNumber,
+} from '../settings/schema.js';
+
+const PORT: readonly [number, number] = [1, 65_535];
+const COUNT: readonly [number, number] = [0, 1_000_000];
+
+const gatewayFields = {
+  name: describeName('Name of this VM, shown in logs'),
+  ip: describeName('IP number of this VM'),
+  domain: describeName('Failure domain of this VM'),
+  region: describeName('Region of this VM'),
+  callers: describeAddress('Where callers connect'),
+  readiness: describeAddress('Where the platform asks whether this daemon is ready'),
+  directory: describeAddress('Where callers ask which addresses to use'),
+  peer_ports: describeList(
+    describeInteger('First and last port for daemons among themselves', PORT),
+  ),
+  seeds: describeList(describeAddress('Addresses of some other daemons; ports do not matter'), []),
+} satisfies Fields;
+
+const machineFields = {
+  cpu_share: describeNumber('Share of a core that this VM has', [0, 1000]),
+  core_speed: describeNumber('Speed of that core, as a multiple of the usual', [0, 1000], 1),
+} satisfies Fields;
+
+const platformFields = {
+  address: describeAddress("Address of the platform's store"),
+  timeout: describeDuration('Longest wait for one call to the store', 1000),
+} satisfies Fields;
+
+const promiseFields = {
+  grace: describeInteger(
+    'Seconds from the order to stop until the platform ends the process',
+    COUNT,
+  ),
+  answer_ttl: describeInteger('Most seconds for which callers keep an answer', COUNT),
+  retry_ratio: describeNumber('Repeats allowed for each request, over all daemons', [0, 100]),
+  retry_window: describeInteger('Seconds over which repeats are counted', COUNT),
+  retry_slack: describeNumber('Repeats allowed besides, over all daemons', COUNT),
+  probes_per_second: describeNumber('Most probes a second and target, over all daemons', COUNT),
+} satisfies Fields;
+
+const tuningFields = {
+  homes: describeInteger('Entries that callers are sent to, at least', [1, 1000], 3),
+  home_capacity: describeNumber('Cores that the homes bring together, at least', [0, 1000], 1.2),
+  probe_interval: describeDuration('Time between two probes of a target from one home', 100),
+} satisfies Fields;
+
+const logFields = {
+  level: describeChoice('The lowest level that is written', LOG_LEVELS, 'info'),
+} satisfies Fields;
+
+/** The sections of the settings, for the reference. */
+export const gatewaySections = {
+  gateway: gatewayFields,
+  machine: machineFields,
+  platform: platformFields,
+  promises: promiseFields,
+  tuning: tuningFields,
+  log: logFields,
+} as const;
+
+/** The checked settings of a gateway daemon. */
+export interface GatewaySettings {
+  readonly gateway: Values<typeof gatewayFields>;
+  readonly machine: Values<typeof machineFields>;
+  readonly platform: Values<typeof platformFields>;
+  readonly promises: Values<typeof promiseFields>;
+  readonly tuning: Values<typeof tuningFields>;
+  readonly log: Values<typeof logFields>;
+}
+
+/** Checks the text of a settings file; all its mistakes come together. */
+export function checkGatewaySettings(
+  file: string,
+  text: string,
+): Either<readonly Mistake[], GatewaySettings> {
+  const ini = readIni(file, text);
+  const mistakes: Mistake[] = [...ini.mistakes];
+  const checked: Record<string, unknown> = {};
+  for (const [name, fields] of Object.entries(gatewaySections)) {
+    const section = ini.sections.find((candidate) => candidate.name === name) ?? {
+      ...{ name, line: 0, entries: [] },
+    };
+    checkSection(file, section, fields as Fields)
+      .ifLeft((more) => mistakes.push(...more))
+      .ifRight((values) => {
+        checked[name] = values;
+      });
+  }
+  const known = Object.keys(gatewaySections);
+  for (const { name, line } of ini.sections) {
+    if (known.includes(name)) continue;
+    mistakes.push({ file, line, what: `unknown section [${name}]`, expected: known.join(', ') });
+  }
+  return mistakes.length > 0 ? Left(mistakes) : Right(checked as unknown as GatewaySettings);
+}
--- /dev/null
+++ b/src/gateway/target.ts
@@ -0,0 +1,128 @@
+/** One target as this daemon uses it: its entry in the list, its load, its failures, its connections. */
+import { LoadBelief, type Prospect } from '../balance/index.js';
+import type { Clock } from '../kernel/index.js';
+import type { LoadReport, TargetRecord } from '../platform/index.js';
+import type { ListedTarget } from '../view/index.js';
+import { TargetConnections } from './connections.js';
+
+/** A failure counts half after this time, in milliseconds: long against a redraw, short against a repair. */
+const FAILURE_HALF_LIFE = 1500;
+
+/** A target that ran slow after its start works this many times longer at first; told by the users. */
+const COLD_FACTOR = 2;
+
+/** A target that has spoilt the order of answers gets a new connection for each call this long. */
+const SUSPECT_TIME = 10_000;
+
+/** Reports this slow make calls there look for another target. */
+const SLOW = 2.5;
+
+/** A target in use. */
+export class GatewayTarget {
+  readonly belief = new LoadBelief();
+
+  readonly connections: TargetConnections;
+
+  #listed: ListedTarget;
+
+  #failures = 0;
+
+  #failuresAt = 0;
+
+  #ill = false;
+
+  #stuckUntil = -Infinity;
+
+  #suspectUntil = -Infinity;
+
+  #misdirected = false;
+
+  /** Called when the target has turned slow, so that calls there can look for another one. */
+  readonly onSlow = new Set<() => void>();
+
+  constructor(
+    listed: ListedTarget,
+    private readonly clock: Clock,
+    onOpened: () => void,
+  ) {
+    this.#listed = listed;
+    this.connections = new TargetConnections(listed.record.address, clock, onOpened);
+  }
+
+  /** The target's entry. */
+  get record(): TargetRecord {
+    return this.#listed.record;
+  }
+
+  /** Whether new calls may go there. */
+  get isUsable(): boolean {
+    return this.record.state === 'ready' && !this.#misdirected;
+  }
+
+  /** Takes a newer entry. */
+  update(listed: ListedTarget): void {
+    this.#listed = listed;
+  }
+
+  /** Views the target for the choice. @param usual the mean slowdown of all targets */
+  view(usual: number, domain: string): Prospect {
+    const now = this.clock.now();
+    const { slots } = this.record;
+    return {
+      ...{ slots, calls: this.belief.countCalls(now) },
+      slowdown: this.belief.readSlowdown(now, usual),
+      cold: now < this.#listed.coldUntil ? COLD_FACTOR : 1,
+      failures: this.readFailures(now),
+      doubtful: this.#ill || now < this.#stuckUntil,
+      isFar: this.record.domain !== domain,
+    };
+  }
+
+  /** Failures of late, each counting less as it ages. */
+  readFailures(now: number): number {
+    return this.#failures * 0.5 ** ((now - this.#failuresAt) / FAILURE_HALF_LIFE);
+  }
+
+  /** Notes a failure of a call; `weight` is 1 for a full one. */
+  noteFailure(weight: number): void {
+    const now = this.clock.now();
+    this.#failures = this.readFailures(now) + weight;
+    this.#failuresAt = now;
+  }
+
+  /** Notes that a call has been there for far too long. */
+  noteStuck(): void {
+    this.#stuckUntil = this.clock.now() + FAILURE_HALF_LIFE;
+  }
+
+  /** Notes that bytes came that belong to no call: connections are not used twice for a while. */
+  noteStrayBytes(): void {
+    this.#suspectUntil = this.clock.now() + SUSPECT_TIME;
+    this.connections.close();
+  }
+
+  /** Whether a connection may carry a second call. */
+  get keepsOrder(): boolean {
+    return this.clock.now() >= this.#suspectUntil;
+  }
+
+  /** Notes that another incarnation answers at this address. */
+  noteMisdirected(): void {
+    this.#misdirected = true;
+  }
+
+  /** Takes the outcome of a health check. */
+  noteHealth(healthy: boolean): void {
+    this.#ill = !healthy;
+  }
+
+  /** Takes a load report. @param own this daemon's calls that the report may count */
+  noteLoad(report: LoadReport | undefined, own: number): void {
+    if (report === undefined) return;
+    const before = this.belief.lastSlowdown ?? 1;
+    this.belief.hear(report, own, this.clock.now());
+    if (report.slowdown >= SLOW && before < SLOW) {
+      for (const wake of [...this.onSlow]) wake();
+    }
+  }
+}
--- /dev/null
+++ b/src/kernel/log-format.ts
@@ -0,0 +1,47 @@
+/** What a log is, and how an event becomes a line: key=value pairs. */
+import { nameService } from './kernel.js';
+
+/** A value that can stand in a log line. */
+export type LogValue = string | number | boolean | undefined;
+
+/** The fields of one event. */
+export type LogFields = Readonly<Record<string, LogValue>>;
+
+/** The logging service. `event` is a short dotted name, such as `call.end`. */
+export interface Log {
+  debug(event: string, fields?: LogFields): void;
+  info(event: string, fields?: LogFields): void;
+  warn(event: string, fields?: LogFields): void;
+  error(event: string, fields?: LogFields): void;
+}
+
+/** The name of the logging service. */
+export const logService = nameService<Log>('log');
+
+/** The levels that can be set, from the quietest. */
+export const LOG_LEVELS = ['silent', 'error', 'warn', 'info', 'debug'] as const;
+
+/** One of {@link LOG_LEVELS}. */
+export type LogLevel = (typeof LOG_LEVELS)[number];
+
+const PLAIN = /^[\w.:/@+,-]+$/;
+
+function formatValue(value: Exclude<LogValue, undefined>): string {
+  const text = String(value);
+  return PLAIN.test(text) ? text : JSON.stringify(text);
+}
+
+/** Writes an event as `key=value` pairs; undefined fields are left out. */
+export function formatEvent(event: string, fields: LogFields): string {
+  const pairs = [`event=${event}`];
+  for (const [key, value] of Object.entries(fields)) {
+    if (value !== undefined) pairs.push(`${key}=${formatValue(value)}`);
+  }
+  return pairs.join(' ');
+}
+
+/** Creates a log that drops every event. */
+export function createSilentLog(): Log {
+  const drop = () => undefined;
+  return { debug: drop, info: drop, warn: drop, error: drop };
+}
--- /dev/null
+++ b/src/peering/index.ts
@@ -0,0 +1,4 @@
+/** The daemons among themselves: who is there, who is a home, and news from those who read the store. */
+export * from './roster.js';
+export * from './peer-link.js';
+export * from './feed.js';
--- /dev/null
+++ b/src/peering/peer-link.ts
@@ -0,0 +1,171 @@
+/**
+ * Short questions between daemons, as datagrams: are you there, what do you know, how old is it?
+ *
+ * A question and its answer are about a hundred bytes; what changed travels over {@link Feed}.
+ */
+import dgram from 'node:dgram';
+import type { Address, Clock, Log } from '../kernel/index.js';
+import type { MemberInfo, MemberState, Roster } from './roster.js';
+
+/** What a daemon answers when it is asked. */
+export interface Knowledge {
+  /** The store's revision at the last change that it knows of. */
+  readonly revision: number;
+  /** How long ago that was shown to be the newest, in milliseconds; Infinity when never. */
+  readonly proofAge: number;
+  /** Up to which revision it knows all changes of targets. */
+  readonly targetsRevision: number;
+  /** Differs when two daemons know other members. */
+  readonly members: number;
+}
+
+/** The datagrams. Keys are short because many are sent. */
+type Datagram =
+  | { readonly t: 'ask'; readonly d: string; readonly c: number; readonly s: MemberState }
+  | {
+      readonly t: 'tell';
+      readonly d: string;
+      readonly c: number;
+      readonly s: MemberState;
+      readonly r: number;
+      readonly a: number | null;
+      readonly p: number;
+      readonly m: number;
+    };
+
+/** What the link is made from. */
+export interface PeerLinkOptions {
+  readonly address: Address;
+  readonly self: MemberInfo;
+  readonly selfState: () => MemberState;
+  readonly roster: Roster;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly readKnowledge: () => Knowledge;
+  /** Called with what another daemon knows, as of the moment when it was asked. */
+  readonly onKnowledge: (from: MemberInfo, knowledge: Knowledge) => void;
+}
+
+/** How often homes and their successors are asked. */
+const PACE = 250;
+
+/** How often daemons in the settings or the store that never answered are asked. */
+const SEED_PACE = 1000;
+
+/** A silent daemon is looked for among all those known this often. */
+const FORGET_PACE = 10_000;
+
+function parseDatagram(text: string): Datagram | undefined {
+  try {
+    const value = JSON.parse(text) as Datagram;
+    return value.t === 'ask' || value.t === 'tell' ? value : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/** The datagram socket of one daemon. */
+export class PeerLink {
+  readonly #socket = dgram.createSocket('udp4');
+
+  /** When each daemon was last asked, to know how old its answer is at most. */
+  readonly #askedAt = new Map<string, number>();
+
+  /** Who asked of late, to be told at once when this daemon stops. */
+  readonly #askers = new Map<string, number>();
+
+  #seeds: ReadonlySet<string> = new Set();
+
+  constructor(private readonly options: PeerLinkOptions) {}
+
+  /** Opens the socket and asks until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { address, clock, roster, log } = this.options;
+    this.#socket.on('message', (message, from) => this.#take(message.toString(), from.address));
+    this.#socket.on('error', (error) => log.warn('peer.socket', { error: error.message }));
+    await new Promise<void>((resolve) => {
+      this.#socket.bind(address.port, address.host, resolve);
+    });
+    let seedsAt = -Infinity;
+    let forgetAt = clock.now() + FORGET_PACE;
+    while (!signal.aborted) {
+      const now = clock.now();
+      const asked = new Set(roster.listToAsk().map(({ ip }) => ip));
+      if (now - seedsAt >= SEED_PACE) {
+        seedsAt = now;
+        for (const seed of this.#seeds) asked.add(seed);
+      }
+      if (now >= forgetAt) {
+        forgetAt = now + FORGET_PACE;
+        roster.forgetSilent(this.#seeds);
+      }
+      for (const ip of asked) this.#ask(ip);
+      await clock.sleep(PACE, signal);
+    }
+    this.#socket.close();
+  }
+
+  /** Names daemons to ask until they answer. */
+  addSeeds(ips: readonly string[]): void {
+    const others = ips.filter((ip) => ip !== this.options.self.ip);
+    this.#seeds = new Set([...this.#seeds, ...others]);
+  }
+
+  /** Tells everybody who asked of late how things are now, without being asked. */
+  tellAll(): void {
+    const now = this.options.clock.now();
+    for (const [ip, at] of this.#askers) {
+      if (now - at < ASKER_LIFE) this.#tell(ip);
+    }
+  }
+
+  #ask(ip: string): void {
+    const { self, selfState, clock } = this.options;
+    if (ip === self.ip) return;
+    this.#askedAt.set(ip, clock.now());
+    this.#send(ip, { t: 'ask', d: self.domain, c: self.capacity, s: selfState() });
+  }
+
+  #tell(ip: string): void {
+    const { self, selfState, readKnowledge } = this.options;
+    const { revision, proofAge, targetsRevision, members } = readKnowledge();
+    this.#send(ip, {
+      ...{ t: 'tell', d: self.domain, c: self.capacity, s: selfState() },
+      ...{ r: revision, a: Number.isFinite(proofAge) ? Math.round(proofAge) : null },
+      ...{ p: targetsRevision, m: members },
+    });
+  }
+
+  #send(ip: string, datagram: Datagram): void {
+    this.#socket.send(JSON.stringify(datagram), this.options.address.port, ip, (error) => {
+      // A VM that is gone refuses; that it does not answer is noticed by its silence.
+      if (error !== null) this.options.log.debug('peer.unsent', { to: ip, error: error.message });
+    });
+  }
+
+  #take(text: string, ip: string): void {
+    const { roster, clock, onKnowledge } = this.options;
+    const datagram = parseDatagram(text);
+    if (datagram === undefined) return;
+    const info = { ip, domain: datagram.d, capacity: datagram.c };
+    if (datagram.t === 'ask') {
+      roster.note(info);
+      this.#askers.set(ip, clock.now());
+      this.#tell(ip);
+      return;
+    }
+    roster.hear(info, datagram.s);
+    this.#seeds = new Set([...this.#seeds].filter((seed) => seed !== ip));
+    // The answer may have been on its way since the question was sent.
+    const travelled = clock.now() - (this.#askedAt.get(ip) ?? clock.now());
+    onKnowledge(info, {
+      revision: datagram.r,
+      proofAge: datagram.a === null ? Infinity : datagram.a + travelled,
+      targetsRevision: datagram.p,
+      members: datagram.m,
+    });
+  }
+}
+
+/** Who has not asked for this long does not wait for news. */
+const ASKER_LIFE = 3000;
--- /dev/null
+++ b/src/platform/documents.ts
@@ -0,0 +1,169 @@
+/** Decodes what the operator and the targets keep in the platform's store, once, into typed values. */
+import { type Address, parseAddress } from '../kernel/index.js';
+import {
+  type RequestKind,
+  type RequestLimits,
+  type Route,
+  RouteTable,
+  type ServiceSpec,
+  type Share,
+} from '../routing/index.js';
+
+/** One start of a target, as it describes itself. */
+export interface TargetRecord {
+  /** Names this start; a later start has another one. */
+  readonly incarnation: string;
+  readonly service: string;
+  readonly address: Address;
+  readonly domain: string;
+  readonly slots: number;
+  readonly state: 'ready' | 'draining';
+  /** For how long the target is still slow after its start, in milliseconds. */
+  readonly coldLeft: number;
+}
+
+/** A text that could not be decoded, and why. */
+export interface DecodeFault {
+  readonly kind: 'fault';
+  readonly what: string;
+  readonly expected: string;
+}
+
+type Json = Readonly<Record<string, unknown>>;
+
+/** A message for one fault; thrown and caught within this file only. */
+class Misfit extends Error {
+  constructor(
+    readonly what: string,
+    readonly expected: string,
+  ) {
+    super(`${what}; expected ${expected}`);
+  }
+}
+
+function readObject(value: unknown, what: string): Json {
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) {
+    throw new Misfit(what, 'an object');
+  }
+  return value as Json;
+}
+
+function readList(value: unknown, what: string): readonly unknown[] {
+  if (!Array.isArray(value)) throw new Misfit(what, 'a list');
+  return value;
+}
+
+function readText(value: unknown, what: string): string {
+  if (typeof value !== 'string') throw new Misfit(what, 'a text');
+  return value;
+}
+
+function readNumber(value: unknown, what: string): number {
+  if (typeof value !== 'number' || !Number.isFinite(value)) throw new Misfit(what, 'a number');
+  return value;
+}
+
+const KINDS: Readonly<Record<string, RequestKind>> = {
+  safe: 'repeatable',
+  unsafe: 'once',
+  upload: 'upload',
+};
+
+function readShares(action: Json, rule: string): readonly Share[] {
+  if (action.split === undefined) {
+    return [{ service: readText(action.service, `${rule}: service`), weight: 1 }];
+  }
+  return readList(action.split, `${rule}: split`).map((part) => {
+    const share = readObject(part, `${rule}: split`);
+    return {
+      service: readText(share.service, `${rule}: split service`),
+      weight: readNumber(share.weight, `${rule}: split weight`),
+    };
+  });
+}
+
+function readRoute(value: unknown): Route {
+  const rule = readObject(value, 'rule');
+  const name = readText(rule.name, 'rule name');
+  const match = readObject(rule.match, `${name}: match`);
+  const action = readObject(rule.action, `${name}: action`);
+  const kind = KINDS[readText(rule.kind, `${name}: kind`)];
+  if (kind === undefined) throw new Misfit(`${name}: kind`, Object.keys(KINDS).join(', '));
+  const timeout = action.timeout_ms;
+  return {
+    ...{ name, kind, pathPrefix: readText(match.path_prefix, `${name}: path_prefix`) },
+    targetLatency: readNumber(rule.target_latency_ms ?? Infinity, `${name}: target_latency_ms`),
+    priority: readNumber(rule.priority ?? 0, `${name}: priority`),
+    timeout: timeout === undefined ? Infinity : readNumber(timeout, `${name}: timeout_ms`),
+    maxAttempts: readNumber(action.max_attempts ?? 1, `${name}: max_attempts`),
+    shares: readShares(action, name),
+  };
+}
+
+function readService(value: unknown): ServiceSpec {
+  const cluster = readObject(value, 'cluster');
+  return {
+    name: readText(cluster.name, 'cluster name'),
+    healthPath: typeof cluster.health_path === 'string' ? cluster.health_path : '',
+    maxConnections: Number(cluster.max_connections ?? 0),
+  };
+}
+
+function readLimits(value: unknown): RequestLimits {
+  const limits = readObject(value ?? {}, 'limits');
+  const read = (key: string) => Number(limits[key] ?? Infinity) || Infinity;
+  return {
+    headerBytes: read('max_header_bytes'),
+    bodyBytes: read('max_body_bytes'),
+    headerTimeout: read('header_timeout_ms'),
+    idleTimeout: read('idle_timeout_ms'),
+  };
+}
+
+function decode<T>(text: string, read: (value: Json) => T): T | DecodeFault {
+  try {
+    return read(readObject(JSON.parse(text), 'document'));
+  } catch (error) {
+    if (error instanceof Misfit) {
+      return { kind: 'fault', what: error.what, expected: error.expected };
+    }
+    return { kind: 'fault', what: String(error), expected: 'JSON' };
+  }
+}
+
+/** Decodes the operators' configuration. */
+export function decodeConfiguration(text: string): RouteTable | DecodeFault {
+  return decode(text, (document) => {
+    const routes = new Map<string, readonly Route[]>();
+    for (const value of readList(document.listeners, 'listeners')) {
+      const listener = readObject(value, 'listener');
+      const host = readText(listener.host, 'host').toLowerCase();
+      const rules = readList(listener.rule_set, `${host}: rule_set`).map(readRoute);
+      routes.set(host, [...(routes.get(host) ?? []), ...rules]);
+    }
+    return new RouteTable(
+      readNumber(document.version, 'version'),
+      routes,
+      readList(document.clusters, 'clusters').map(readService),
+      readLimits(document.limits),
+    );
+  });
+}
+
+/** Decodes what a target keeps under its own key. */
+export function decodeTarget(incarnation: string, text: string): TargetRecord | DecodeFault {
+  return decode(text, (document) => {
+    const info = readObject(document.info, 'info');
+    const status = readObject(document.status, 'status');
+    const address = parseAddress(readText(document.address, 'address'));
+    if (address === undefined) throw new Misfit('address', 'a.b.c.d:port');
+    return {
+      ...{ incarnation, address },
+      service: readText(info.service, 'service'),
+      domain: readText(info.zone, 'zone'),
+      slots: readNumber(info.slots, 'slots'),
+      state: status.state === 'draining' ? 'draining' : 'ready',
+      coldLeft: Number(status.warmup_left_ms ?? 0) || 0,
+    };
+  });
+}
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -3,3 +3,6 @@
 export * from './http.js';
 export * from './metered.js';
 export * from './connector.js';
+export * from './wire.js';
+export * from './documents.js';
+export * from './kv-store.js';
--- /dev/null
+++ b/src/platform/wire.ts
@@ -0,0 +1,80 @@
+/**
+ * The names that the users' platform gives to headers, keys and paths.
+ *
+ * Nothing outside this folder spells them. Where a name misleads, the constant says what it holds.
+ */
+
+/** Headers of requests and answers, spelt as the platform spells them. */
+export const HEADERS = {
+  /** One try of a client: a client that tries again sends another one. */
+  requestId: 'Attempt-Id',
+  /** Milliseconds left, not a point in time. */
+  timeLeft: 'Request-Deadline-Ms',
+  /** Shows that an answer is a target's own. */
+  signature: 'Server-Signature',
+  /** The incarnation that must serve the request; any other one answers {@link MISDIRECTED}. */
+  expectedIncarnation: 'Expect-Instance',
+  incarnation: 'Instance-Id',
+  load: 'Server-Load',
+  /** Present only when the target did not run the request. */
+  notRun: 'Not-Executed',
+} as const;
+
+/** The status by which another incarnation says that it did not run the request. */
+export const MISDIRECTED = 421;
+
+/** Keys in the store. */
+export const KEYS = {
+  configuration: 'op/config',
+  targets: 'servers/',
+  /** Ours: the VMs that run the system, for one that starts and reaches no seed. */
+  members: 'orchidbeam/members',
+} as const;
+
+/** Paths that callers of the system's own interfaces use. */
+export const PATHS = {
+  ready: '/ready',
+  resolve: '/resolve',
+} as const;
+
+/** What a target says of its load. */
+export interface LoadReport {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** How long work takes there now, as a multiple of the usual; 1 where it is not told. */
+  readonly slowdown: number;
+}
+
+const USUAL_PERCENT = 100;
+
+/** Reads the load header: running, waiting, slots, and the slowdown in hundredths. */
+export function parseLoad(text: string | undefined): LoadReport | undefined {
+  if (text === undefined) return undefined;
+  const [running, waiting, slots, percent = USUAL_PERCENT] = text.split(',').map(Number);
+  if (![running, waiting, slots, percent].every((value) => Number.isFinite(value) && value >= 0)) {
+    return undefined;
+  }
+  return { running, waiting, slots, slowdown: percent / USUAL_PERCENT };
+}
+
+/** The question of a client that wants to know which addresses to use. */
+export interface ResolveQuestion {
+  readonly host: string;
+  readonly region: string;
+  readonly domain: string;
+}
+
+/** Reads the query of a resolve call. */
+export function parseResolve(query: URLSearchParams): ResolveQuestion {
+  return {
+    host: query.get('name') ?? '',
+    region: query.get('region') ?? '',
+    domain: query.get('zone') ?? '',
+  };
+}
+
+/** Writes the answer to a resolve call; `ttl` is in milliseconds. */
+export function encodeResolve(addresses: readonly string[], ttl: number): string {
+  return JSON.stringify({ addresses, ttl_s: ttl / 1000 });
+}
--- /dev/null
+++ b/src/view/fleet-view.ts
@@ -0,0 +1,211 @@
+/**
+ * What one daemon believes of the configuration and the targets, with the revision of each part.
+ *
+ * Every part carries the revision of the store at which it changed, so news may come from the store
+ * or from another daemon, in any order and more than once: a part only ever moves to a higher
+ * revision. A configuration never falls to an older version within the life of a daemon.
+ */
+import type { RouteTable } from '../routing/index.js';
+import { type TargetRecord, decodeConfiguration } from '../platform/documents.js';
+
+/** A target as listed, and the revision at which that became so. */
+export interface ListedTarget {
+  readonly record: TargetRecord;
+  readonly revision: number;
+  /** Until when the target is slow after its start, on this daemon's clock. */
+  readonly coldUntil: number;
+}
+
+/** A target that left the list, and the revision at which it did. */
+export interface LeftTarget {
+  readonly incarnation: string;
+  readonly revision: number;
+}
+
+/** The changes after a revision, to be sent to another daemon. */
+export interface ViewDelta {
+  readonly revision: number;
+  /** Whether targets that are not named here are to be forgotten. */
+  readonly isWhole: boolean;
+  readonly configuration?: { readonly text: string; readonly revision: number };
+  readonly targets: readonly { readonly record: TargetRecord; readonly revision: number }[];
+  readonly left: readonly LeftTarget[];
+}
+
+/** What is told when something changed. */
+export interface ViewListener {
+  onTable(table: RouteTable): void;
+  onTargets(): void;
+  /** A configuration could not be decoded; the one in force stays. */
+  onFault(what: string): void;
+}
+
+/** Departures remembered for daemons that ask what changed; the history of some minutes. */
+const MAX_LEFT = 2000;
+
+function matchRecords(a: TargetRecord, b: TargetRecord): boolean {
+  return (
+    a.service === b.service &&
+    a.address.host === b.address.host &&
+    a.address.port === b.address.port &&
+    a.domain === b.domain &&
+    a.slots === b.slots &&
+    a.state === b.state
+  );
+}
+
+/** The view of one daemon. */
+export class FleetView {
+  #table: RouteTable | undefined;
+
+  #configuration: { readonly text: string; readonly revision: number } | undefined;
+
+  readonly #targets = new Map<string, ListedTarget>();
+
+  #left: readonly LeftTarget[] = [];
+
+  readonly #leftAt = new Map<string, number>();
+
+  /** Departures up to this revision are no longer remembered. */
+  #leftFloor = 0;
+
+  #revision = 0;
+
+  #provenAt = -Infinity;
+
+  #targetsRevision = 0;
+
+  constructor(private readonly listener: ViewListener) {}
+
+  /** The configuration in force; undefined until one is known. */
+  get table(): RouteTable | undefined {
+    return this.#table;
+  }
+
+  /** The store's revision at the last change that matters here. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** The last moment, on this daemon's clock, at which nothing newer was in the store. */
+  get provenAt(): number {
+    return this.#provenAt;
+  }
+
+  /** The revision of the store up to which all changes of targets are known. */
+  get targetsRevision(): number {
+    return this.#targetsRevision;
+  }
+
+  /** The revision of the newest configuration that is known; 0 when none is. */
+  get configurationRevision(): number {
+    return this.#configuration?.revision ?? 0;
+  }
+
+  /** The targets of the list, leaving ones included. */
+  listTargets(): readonly ListedTarget[] {
+    return [...this.#targets.values()];
+  }
+
+  /** Notes that at time `at` the store held nothing newer, and up to which revision targets are known. */
+  prove(at: number, targetsRevision: number): void {
+    this.#provenAt = Math.max(this.#provenAt, at);
+    this.#targetsRevision = Math.max(this.#targetsRevision, targetsRevision);
+  }
+
+  /** Takes the configuration as the store held it at a revision. */
+  setConfiguration(text: string, revision: number): void {
+    if (this.#configuration !== undefined && revision <= this.#configuration.revision) return;
+    const table = decodeConfiguration(text);
+    this.#configuration = { text, revision };
+    this.#note(revision);
+    if ('kind' in table) {
+      this.listener.onFault(`${table.what}; expected ${table.expected}`);
+      return;
+    }
+    if (this.#table !== undefined && table.version <= this.#table.version) return;
+    this.#table = table;
+    this.listener.onTable(table);
+  }
+
+  /** Takes a target's entry; one that says nothing new but that it lives changes no revision. */
+  putTarget(record: TargetRecord, revision: number, now: number): void {
+    const { incarnation } = record;
+    if (revision <= (this.#leftAt.get(incarnation) ?? 0)) return;
+    const known = this.#targets.get(incarnation);
+    if (known !== undefined && revision <= known.revision) return;
+    const coldUntil = record.coldLeft > 0 ? now + record.coldLeft : -Infinity;
+    if (known !== undefined && matchRecords(known.record, record)) {
+      this.#targets.set(incarnation, { ...known, coldUntil });
+      return;
+    }
+    this.#targets.set(incarnation, { record, revision, coldUntil });
+    this.#leftAt.delete(incarnation);
+    this.#note(revision);
+    this.listener.onTargets();
+  }
+
+  /** Forgets a target whose entry is gone. */
+  removeTarget(incarnation: string, revision: number): void {
+    const known = this.#targets.get(incarnation);
+    if (known !== undefined && revision <= known.revision) return;
+    if (revision <= (this.#leftAt.get(incarnation) ?? 0)) return;
+    this.#leftAt.set(incarnation, revision);
+    this.#left = [...this.#left, { incarnation, revision }];
+    if (this.#left.length > MAX_LEFT) this.#trimLeft();
+    this.#note(revision);
+    if (this.#targets.delete(incarnation)) this.listener.onTargets();
+  }
+
+  /** Tells what changed after a revision, or everything when that is no longer known. */
+  diffSince(revision: number, now: number): ViewDelta {
+    const isWhole = revision < this.#leftFloor || revision === 0;
+    const configuration = this.#configuration;
+    const targets = this.listTargets()
+      .filter((listed) => isWhole || listed.revision > revision)
+      .map((listed) => ({
+        revision: listed.revision,
+        record: { ...listed.record, coldLeft: Math.max(0, listed.coldUntil - now) },
+      }));
+    return {
+      ...{ revision: this.#revision, isWhole, targets },
+      configuration:
+        configuration !== undefined && (isWhole || configuration.revision > revision)
+          ? configuration
+          : undefined,
+      left: this.#left.filter((left) => left.revision > revision),
+    };
+  }
+
+  /** Takes what another daemon tells. */
+  applyDelta(delta: ViewDelta, now: number): void {
+    const { configuration } = delta;
+    if (configuration !== undefined) {
+      this.setConfiguration(configuration.text, configuration.revision);
+    }
+    for (const { record, revision } of delta.targets) this.putTarget(record, revision, now);
+    for (const { incarnation, revision } of delta.left) this.removeTarget(incarnation, revision);
+    if (delta.isWhole) {
+      const named = new Set(delta.targets.map(({ record }) => record.incarnation));
+      for (const [incarnation, listed] of this.#targets) {
+        if (!named.has(incarnation) && listed.revision <= delta.revision) {
+          this.removeTarget(incarnation, delta.revision);
+        }
+      }
+    }
+    this.#note(delta.revision);
+  }
+
+  #note(revision: number): void {
+    this.#revision = Math.max(this.#revision, revision);
+  }
+
+  #trimLeft(): void {
+    const dropped = this.#left.slice(0, MAX_LEFT / 2);
+    this.#left = this.#left.slice(MAX_LEFT / 2);
+    for (const { incarnation, revision } of dropped) {
+      this.#leftFloor = Math.max(this.#leftFloor, revision);
+      if (this.#leftAt.get(incarnation) === revision) this.#leftAt.delete(incarnation);
+    }
+  }
+}
--- /dev/null
+++ b/src/view/store-reader.ts
@@ -0,0 +1,289 @@
+/**
+ * Reads configuration and targets from the store, at a pace, while this daemon is a reader.
+ *
+ * A call is dear and each target writes every second or so, which would answer a waiting watch at
+ * once, over and over. One paced call brings all changes since the last one and misses none.
+ */
+import type { Clock, Log, Random } from '../kernel/index.js';
+import { KEYS, type KvStore, type StoredItem, decodeTarget } from '../platform/index.js';
+import type { FleetView } from './fleet-view.js';
+
+/** What a reader is made from. */
+export interface StoreReaderOptions {
+  readonly store: KvStore;
+  readonly view: FleetView;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  /** Whether this daemon is to read now; others hear from readers. */
+  readonly isReader: () => boolean;
+}
+
+/** Time from one reading of the targets to the next: half of it is spent within the 2 s that count. */
+const PACE = 750;
+
+/** How often a daemon that does not read looks whether it has to. */
+const IDLE_PACE = 100;
+
+/** Least time between two answers of the configuration's watch, for configurations in quick succession. */
+const CONFIGURATION_PACE = 150;
+
+/** How long one watch of the configuration waits. A cut that nobody shows ends with it. */
+const CONFIGURATION_WAIT = 4000;
+
+/** Pauses after a call that the store did not answer well; each next one is longer. */
+const FIRST_PAUSE = 200;
+const LONGEST_PAUSE = 1000;
+
+/** An outage longer than this may have made entries lapse. */
+const LAPSE_OUTAGE = 1000;
+
+/** Entries that lapsed in an outage are back within this time, or gone. */
+const LAPSE_GRACE = 1900;
+
+interface PendingRemoval {
+  readonly revision: number;
+  readonly due: number;
+}
+
+/** Pauses that grow with each failure in a row and are spread at random. */
+class Backoff {
+  #failures = 0;
+
+  constructor(private readonly random: Random) {}
+
+  next(): number {
+    const pause = Math.min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** this.#failures);
+    this.#failures += 1;
+    return pause * (0.75 + this.random.next() / 2);
+  }
+
+  clear(): void {
+    this.#failures = 0;
+  }
+}
+
+/** The reader of one daemon. */
+export class StoreReader {
+  /** The revision after which the targets' changes are asked for; undefined when all are to be read. */
+  #targetsAfter: number | undefined;
+
+  #configurationAfter: number | undefined;
+
+  #failingSince: number | undefined;
+
+  #lapseUntil = -Infinity;
+
+  readonly #pending = new Map<string, PendingRemoval>();
+
+  constructor(private readonly options: StoreReaderOptions) {}
+
+  /** Reads once, cheaply and perhaps seconds late, so that a starting daemon knows something. */
+  async readStale(): Promise<void> {
+    const [configuration] = await Promise.all([
+      this.options.store.readItem(KEYS.configuration, true),
+      this.#readAllTargets(true),
+    ]);
+    if (configuration.kind === 'item') this.#takeConfiguration(configuration.item);
+  }
+
+  /** Reads until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this.#followTargets(signal), this.#followConfiguration(signal)]);
+  }
+
+  async #followTargets(signal: AbortSignal): Promise<void> {
+    const { clock, isReader, random } = this.options;
+    const backoff = new Backoff(random);
+    while (!signal.aborted) {
+      this.#settlePending();
+      if (!isReader()) {
+        await clock.sleep(IDLE_PACE, signal);
+        continue;
+      }
+      const startedAt = clock.now();
+      const read = await this.#readTargets();
+      if (read) {
+        backoff.clear();
+        await clock.sleep(Math.max(0, startedAt + PACE - clock.now()), signal);
+      } else {
+        this.#noteFailure();
+        await clock.sleep(backoff.next(), signal);
+      }
+    }
+  }
+
+  /** One reading of the targets; false when the store did not answer. */
+  async #readTargets(): Promise<boolean> {
+    const { store, view, clock } = this.options;
+    const after = Math.max(this.#targetsAfter ?? 0, view.targetsRevision);
+    if (after === 0) return this.#readAllTargets(false);
+    const startedAt = clock.now();
+    const answer = await store.watch(KEYS.targets, after, PACE);
+    switch (answer.kind) {
+      case 'events':
+        this.#noteSuccess();
+        for (const event of answer.events) {
+          if (event.kind === 'written') this.#takeTarget(event.item);
+          else this.#takeRemoval(event.key, event.revision);
+        }
+        this.#targetsAfter = Math.max(after, answer.storeRevision);
+        view.prove(startedAt, this.#targetsAfter);
+        return true;
+      case 'history-gone':
+        this.options.log.warn('store.history-gone', { after });
+        return this.#readAllTargets(false);
+      case 'not-done':
+      case 'unknown':
+        this.options.log.warn('store.unanswered', { call: 'watch', reason: answer.reason });
+        return false;
+      default:
+        return answer satisfies never;
+    }
+  }
+
+  async #readAllTargets(stale: boolean): Promise<boolean> {
+    const { store, view, clock } = this.options;
+    const startedAt = clock.now();
+    const seen = new Set<string>();
+    let firstRevision = 0;
+    for (let after = ''; ;) {
+      const page = await store.readItems(KEYS.targets, after, stale);
+      if (page.kind !== 'items') {
+        this.options.log.warn('store.unanswered', { call: 'range', reason: page.reason });
+        return false;
+      }
+      if (firstRevision === 0) firstRevision = page.storeRevision;
+      for (const item of page.items) {
+        seen.add(item.key.slice(KEYS.targets.length));
+        this.#takeTarget(item);
+      }
+      const last = page.items.at(-1);
+      if (!page.hasMore || last === undefined) break;
+      after = last.key;
+    }
+    this.#targetsAfter = Math.max(this.#targetsAfter ?? 0, firstRevision);
+    if (stale) return true;
+    this.#noteSuccess();
+    for (const { record, revision } of view.listTargets()) {
+      if (seen.has(record.incarnation) || revision > firstRevision) continue;
+      this.#takeRemoval(KEYS.targets + record.incarnation, firstRevision);
+    }
+    view.prove(startedAt, firstRevision);
+    return true;
+  }
+
+  #takeTarget(item: StoredItem): void {
+    const { view, clock, log } = this.options;
+    const incarnation = item.key.slice(KEYS.targets.length);
+    const record = decodeTarget(incarnation, item.text);
+    if ('kind' in record) {
+      log.warn('target.unreadable', { incarnation, what: record.what, expected: record.expected });
+      return;
+    }
+    this.#pending.delete(incarnation);
+    view.putTarget(record, item.revision, clock.now());
+  }
+
+  /** Entries that lapsed while the store was away come back; until that is clear they stay in use. */
+  #takeRemoval(key: string, revision: number): void {
+    const incarnation = key.slice(KEYS.targets.length);
+    const now = this.options.clock.now();
+    if (now < this.#lapseUntil) {
+      this.#pending.set(incarnation, { revision, due: this.#lapseUntil });
+      return;
+    }
+    this.options.view.removeTarget(incarnation, revision);
+  }
+
+  #settlePending(): void {
+    const { clock, view, log } = this.options;
+    const now = clock.now();
+    for (const [incarnation, { revision, due }] of this.#pending) {
+      if (now < due) continue;
+      this.#pending.delete(incarnation);
+      log.info('target.lapsed', { incarnation, revision });
+      // Others have heard of a later revision meanwhile, so the removal is told as of now.
+      view.removeTarget(incarnation, Math.max(revision, view.revision, view.targetsRevision));
+    }
+  }
+
+  #noteSuccess(): void {
+    const { clock, log } = this.options;
+    if (this.#failingSince === undefined) return;
+    const outage = clock.now() - this.#failingSince;
+    this.#failingSince = undefined;
+    log.info('store.regained', { outage: Math.round(outage) });
+    if (outage >= LAPSE_OUTAGE) this.#lapseUntil = clock.now() + LAPSE_GRACE;
+    // A watch that waited through the outage may have lost its answer.
+    this.#readWholeConfiguration().catch((error: Error) => {
+      log.error('store.broken', { error: error.message });
+    });
+  }
+
+  #noteFailure(): void {
+    const { clock, log } = this.options;
+    if (this.#failingSince !== undefined) return;
+    this.#failingSince = clock.now();
+    log.warn('store.lost', { proven_age: Math.round(clock.now() - this.options.view.provenAt) });
+  }
+
+  async #followConfiguration(signal: AbortSignal): Promise<void> {
+    const { clock, isReader, random } = this.options;
+    const backoff = new Backoff(random);
+    while (!signal.aborted) {
+      if (!isReader()) {
+        await clock.sleep(IDLE_PACE, signal);
+        continue;
+      }
+      const read = await this.#readConfiguration();
+      if (read) backoff.clear();
+      await clock.sleep(read ? CONFIGURATION_PACE : backoff.next(), signal);
+    }
+  }
+
+  async #readConfiguration(): Promise<boolean> {
+    const { store, view } = this.options;
+    const after = Math.max(this.#configurationAfter ?? 0, view.configurationRevision);
+    if (after === 0) return this.#readWholeConfiguration();
+    const answer = await store.watch(KEYS.configuration, after, CONFIGURATION_WAIT);
+    switch (answer.kind) {
+      case 'events':
+        for (const event of answer.events) {
+          if (event.kind === 'written') this.#takeConfiguration(event.item);
+        }
+        this.#configurationAfter = Math.max(after, answer.storeRevision);
+        return true;
+      case 'history-gone':
+        return this.#readWholeConfiguration();
+      case 'not-done':
+      case 'unknown':
+        return false;
+      default:
+        return answer satisfies never;
+    }
+  }
+
+  async #readWholeConfiguration(): Promise<boolean> {
+    const answer = await this.options.store.readItem(KEYS.configuration, false);
+    switch (answer.kind) {
+      case 'item':
+        this.#takeConfiguration(answer.item);
+        this.#configurationAfter = answer.storeRevision;
+        return true;
+      case 'absent':
+        // There is none before the operators' first one; ask again soon.
+        return false;
+      case 'not-done':
+      case 'unknown':
+        return false;
+      default:
+        return answer satisfies never;
+    }
+  }
+
+  #takeConfiguration(item: StoredItem): void {
+    if (item.key !== KEYS.configuration) return;
+    this.options.view.setConfiguration(item.text, item.revision);
+  }
+}
