An answer without a length is passed on without one

A faulty target breaks off an answer that has neither length nor chunks with an orderly end of its connection, and the gateway put a length on what had come. Ruled out: a reset that Node reads as an end (14 answers traced: each ended with FIN). Change: such answers go out delimited by their connection's end, as they came.

--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -67,9 +67,14 @@
     headers.push(name, value);
   }
   const { rest, body, status } = answer;
+  const hasBody = status !== 204 && status !== 304;
+  if (hasBody && !answer.isDelimited) {
+    // Nobody can tell whether such an answer broke off; a length of ours would say that it did not.
+    response.shouldKeepAlive = false;
+    response.useChunkedEncodingByDefault = false;
+  }
   if (rest === undefined) {
-    const hasBody = status !== 204 && status !== 304;
-    if (hasBody) headers.push('Content-Length', String(body.length));
+    if (hasBody && answer.isDelimited) headers.push('Content-Length', String(body.length));
     response.writeHead(status, headers);
     response.end(body);
     return;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -28,6 +28,8 @@
   readonly rest: IncomingMessage | undefined;
   /** Whether the target signed it. */
   readonly isSigned: boolean;
+  /** Whether it told its length, or came in chunks; else only its connection's end ended it. */
+  readonly isDelimited: boolean;
 }
 
 /** How an attempt ended. */
@@ -165,6 +167,9 @@
         body: Buffer.concat(chunks),
         rest,
         isSigned: readHeader(response, HEADERS.signature) !== undefined,
+        isDelimited:
+          readHeader(response, 'content-length') !== undefined ||
+          readHeader(response, 'transfer-encoding') !== undefined,
       },
     });
     const onData = (chunk: Buffer) => {
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -156,7 +156,11 @@
           );
         };
       }
-      expect(await sendTo(ip)).to.include({ status: 200, text: 'whole', whole: true });
+      const reply = await sendTo(ip);
+      expect(reply).to.include({ status: 200, text: 'whole', whole: true });
+      // It may have broken off, so the caller is not told a length that nobody knows.
+      expect(reply.headers).to.not.have.any.keys('content-length', 'transfer-encoding');
+      expect(reply.headers.connection).to.equal('close');
     });
     it('sends a second answer on a kept connection: nobody gets it', async () => {
       for (const target of site.targets) {
