Calls wait in the gateway for a free slot; homes tell each other their calls

Targets of three slots were given up to ten calls by three homes that each counted on reports 100 ms old; what they cannot queue they never answer, so calls hung. Change: a slot is counted when it is granted; homes tell each other their calls and the slowdowns they heard every 20 ms, in packed datagrams, and divide the probes; a learnt knee keeps targets from the slots that bring nothing; calls are ordered by whether they can still be in time, then priority; aims count what callers spent before they sent; late ones are sent back at once.

--- a/src/balance/expected-time.ts
+++ b/src/balance/expected-time.ts
@@ -46,20 +46,57 @@
   return estimateTime(prospect) * doubt * (prospect.isFar ? FAR : 1);
 }
 
-/** Picks the cheapest of the candidates; undefined when there is none. */
-export function pickTarget<T>(
+/** What is best for a call that asks for a target. */
+export type Advice<T> =
+  | { readonly kind: 'now'; readonly candidate: T; readonly prospect: Prospect }
+  /** Every target that is free is slower than waiting for one that is not. */
+  | { readonly kind: 'wait'; readonly time: number }
+  | { readonly kind: 'none' };
+
+/** What an advice depends on besides the targets. */
+export interface AdviceTerms {
+  readonly ahead: number;
+  readonly sharers: number;
+  readonly random: Random;
+}
+
+/** What an idle slot of the target costs, whether or not one is free now. */
+function measureIdleCost(prospect: Prospect): number {
+  return measureCost({ ...prospect, calls: 0 });
+}
+
+/**
+ * Advises a call: the cheapest target with a free slot, or to wait for a better one.
+ *
+ * Work that waits here can still go to whichever target is quick when its turn comes; work that
+ * waits at a target that has turned slow is lost. Times are multiples of a call's usual time.
+ *
+ * @param terms.ahead calls that wait already and go first
+ * @param terms.sharers daemons that share the targets, each with as many calls
+ */
+export function advise<T>(
   candidates: readonly T[],
   view: (candidate: T) => Prospect,
-  random: Random,
-): T | undefined {
-  let best: T | undefined;
+  { ahead, sharers, random }: AdviceTerms,
+): Advice<T> {
+  let best: { readonly candidate: T; readonly prospect: Prospect } | undefined;
   let bestCost = Infinity;
+  let bestFull = Infinity;
+  let slotsPerTime = 0;
   for (const candidate of candidates) {
-    const cost = measureCost(view(candidate)) * (1 + NOISE * random.next());
-    if (cost < bestCost) {
-      best = candidate;
-      bestCost = cost;
+    const prospect = view(candidate);
+    slotsPerTime += prospect.slots / (prospect.slowdown * prospect.cold);
+    if (prospect.calls >= prospect.slots) {
+      bestFull = Math.min(bestFull, measureIdleCost(prospect));
+      continue;
     }
+    const cost = measureCost(prospect) * (1 + NOISE * random.next());
+    if (cost >= bestCost) continue;
+    best = { candidate, prospect };
+    bestCost = cost;
   }
-  return best;
+  if (slotsPerTime === 0) return { kind: 'none' };
+  const wait = ((ahead + 1) * Math.max(1, sharers)) / slotsPerTime;
+  if (best !== undefined && bestCost <= wait + bestFull) return { kind: 'now', ...best };
+  return { kind: 'wait', time: wait };
 }
--- a/src/balance/home.ts
+++ b/src/balance/home.ts
@@ -33,7 +33,7 @@
 }
 
 /** The same, remembered: every service is ranked again whenever a member or VM changes. */
-function recallPair(a: string, b: string): number {
+export function recallPair(a: string, b: string): number {
   const pair = `${a}\0${b}`;
   const known = knownPairs.get(pair);
   if (known !== undefined) return known;
--- a/src/balance/index.ts
+++ b/src/balance/index.ts
@@ -10,3 +10,4 @@
 export * from './window-budget.js';
 export * from './load-belief.js';
 export * from './expected-time.js';
+export * from './knee.js';
--- /dev/null
+++ b/src/balance/knee.ts
@@ -0,0 +1,60 @@
+/**
+ * Learns whether the targets of a service slow down when they are nearly full.
+ *
+ * Where they do, the last slots bring nothing: three calls that each take 1.7 times as long end no
+ * sooner than two that don't. Calls that ran at a nearly full target are compared with the others.
+ */
+import { DecayingMean } from './estimate.js';
+
+/** From this share of the slots on a target counts as nearly full. */
+const NEARLY_FULL = 0.8;
+
+/** Both means follow some seconds of calls. */
+const HALF_LIFE = 10_000;
+
+/** Samples of each kind that are needed before the limit is lowered. */
+const LEAST_SAMPLES = 30;
+
+/** Calls of both kinds are partly full and partly not in between, so the factor seen is too small. */
+const DILUTION = 0.6;
+
+/** The comparison for one service. */
+export class KneeEstimate {
+  readonly #full = new DecayingMean(HALF_LIFE);
+
+  readonly #easy = new DecayingMean(HALF_LIFE);
+
+  #fullSamples = 0;
+
+  #easySamples = 0;
+
+  /**
+   * Learns from one call.
+   *
+   * @param time how long it took, in multiples of its route's usual time at the slowdown told
+   * @param shares the shares of the slots that were busy at its start and at its end, its own included
+   */
+  note(time: number, [atStart, atEnd]: readonly [number, number], now: number): void {
+    // A call that met both says nothing of either.
+    if (Math.min(atStart, atEnd) >= NEARLY_FULL) {
+      this.#full.add(time, now);
+      this.#fullSamples += 1;
+    } else if (Math.max(atStart, atEnd) < NEARLY_FULL) {
+      this.#easy.add(time, now);
+      this.#easySamples += 1;
+    }
+  }
+
+  /** How many times longer a call takes at a nearly full target. */
+  readFactor(): number {
+    if (this.#fullSamples < LEAST_SAMPLES || this.#easySamples < LEAST_SAMPLES) return 1;
+    return Math.max(1, this.#full.read(1) / this.#easy.read(1));
+  }
+
+  /** The number of calls at which a target with these slots does the most work. */
+  findLimit(slots: number): number {
+    const below = Math.max(1, Math.ceil(slots * NEARLY_FULL) - 1);
+    const worth = 1 + (slots / below - 1) * DILUTION;
+    return this.readFactor() > worth ? below : slots;
+  }
+}
--- a/src/balance/load-belief.ts
+++ b/src/balance/load-belief.ts
@@ -18,8 +18,17 @@
 /** Within this time the slowdown of a target is drawn anew; measured by the users at about 500 ms. */
 export const REDRAW = 500;
 
-/** Others' calls in a report older than this are no longer counted. */
-const OTHERS_LIFE = 1500;
+/** A report older than this says nothing of how many calls are there now. */
+const COUNT_LIFE = 1000;
+
+/** What another home told of its own calls counts for this long; it tells again sooner than that. */
+const SHARE_LIFE = 1200;
+
+/** A report counts calls that end or arrive while it travels, so it may be off by this many. */
+const REPORT_ERROR = 1;
+
+/** A call that was sent this shortly before a report came is not counted in it yet. */
+const ON_ITS_WAY = 4;
 
 /** The belief about one target. */
 export class LoadBelief {
@@ -27,10 +36,22 @@
 
   #at = -Infinity;
 
+  #slowdown = 1;
+
+  #slowdownAt = -Infinity;
+
+  /** Calls in the report that are not this daemon's; below 0 when some of its own are not there. */
   #others = 0;
 
+  /** Calls in the report that neither this daemon nor any other home told of. */
+  #unexplained = 0;
+
   #inFlight = 0;
 
+  #starts: readonly number[] = [];
+
+  readonly #shares = new Map<string, { readonly inFlight: number; readonly at: number }>();
+
   /** Calls that this daemon has in flight at the target. */
   get inFlight(): number {
     return this.#inFlight;
@@ -41,9 +62,25 @@
     return this.#at;
   }
 
+  /** The last slowdown heard of, whatever its age. */
+  get lastSlowdown(): number {
+    return this.#slowdown;
+  }
+
+  /** When the last slowdown was so. */
+  get slowdownAt(): number {
+    return this.#slowdownAt;
+  }
+
+  /** The last report. */
+  get lastWord(): LoadWord | undefined {
+    return this.#word;
+  }
+
   /** Counts a call that starts. */
-  start(): void {
+  start(now: number): void {
     this.#inFlight += 1;
+    this.#starts = [...this.#starts.filter((at) => now - at < ON_ITS_WAY), now];
   }
 
   /** Counts a call that ended. */
@@ -51,28 +88,67 @@
     this.#inFlight -= 1;
   }
 
+  /** This daemon's calls that a report may count which arrives now. */
+  countArrived(now: number): number {
+    let onTheirWay = 0;
+    for (const at of this.#starts) {
+      if (now - at < ON_ITS_WAY) onTheirWay += 1;
+    }
+    return Math.max(0, this.#inFlight - onTheirWay);
+  }
+
+  /** Takes another home's count of its own calls at the target. */
+  hearHome(home: string, inFlight: number, now: number): void {
+    this.#shares.set(home, { inFlight, at: now });
+  }
+
+  /** Takes what another home heard of the target's slowdown. @param at when it heard it */
+  hearSlowdown(slowdown: number, at: number): void {
+    if (at <= this.#slowdownAt) return;
+    this.#slowdown = slowdown;
+    this.#slowdownAt = at;
+  }
+
   /** Takes a report. @param own this daemon's calls that it may count */
   hear(word: LoadWord, own: number, now: number): void {
     this.#word = word;
     this.#at = now;
-    this.#others = Math.max(0, word.running + word.waiting - own);
+    this.hearSlowdown(word.slowdown, now);
+    this.#others = word.running + word.waiting - own;
+    const { others } = this.#countTold(now);
+    this.#unexplained = Math.max(0, this.#others - others - REPORT_ERROR);
   }
 
-  /** Calls at the target now, of all daemons. */
-  countCalls(now: number): number {
-    const others = now - this.#at < OTHERS_LIFE ? this.#others : 0;
-    return this.#inFlight + others;
+  /**
+   * Calls at the target now, of all daemons.
+   *
+   * The homes tell each other their own calls, which is nearly exact. A report adds what nobody told
+   * of. Without either, each of the homes is taken to have as many there as this one.
+   */
+  countCalls(now: number, homes: number): number {
+    const { told, others } = this.#countTold(now);
+    const isReported = now - this.#at < COUNT_LIFE;
+    if (told >= homes - 1) return this.#inFlight + others + (isReported ? this.#unexplained : 0);
+    return isReported
+      ? Math.max(0, this.#inFlight + this.#others)
+      : this.#inFlight * Math.max(1, homes);
   }
 
-  /** How slow the target is now; `usual` is the mean over all targets, which an old report fades to. */
-  readSlowdown(now: number, usual: number): number {
-    if (this.#word === undefined) return usual;
-    const trust = Math.max(0, 1 - (now - this.#at) / REDRAW);
-    return this.#word.slowdown * trust + usual * (1 - trust);
+  /** Counts the homes that told of their calls of late, and those calls. */
+  #countTold(now: number): { readonly told: number; readonly others: number } {
+    let told = 0;
+    let others = 0;
+    for (const { inFlight, at } of this.#shares.values()) {
+      if (now - at >= SHARE_LIFE) continue;
+      told += 1;
+      others += inFlight;
+    }
+    return { told, others };
   }
 
-  /** The slowdown of the last report, whatever its age. */
-  get lastSlowdown(): number | undefined {
-    return this.#word?.slowdown;
+  /** How slow the target is now; `usual` is the mean over all targets, which an old report fades to. */
+  readSlowdown(now: number, usual: number): number {
+    const trust = Math.max(0, 1 - (now - this.#slowdownAt) / REDRAW);
+    return this.#slowdown * trust + usual * (1 - trust);
   }
 }
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -54,6 +54,9 @@
 /** A running attempt. */
 export interface RunningAttempt {
   readonly timing: AttemptTiming;
+  /** Calls at the target when this one started, itself included, and how slow the target was. */
+  readonly callsAtStart: number;
+  readonly slowdownAtStart: number;
   readonly target: GatewayTarget;
   readonly startedAt: number;
   readonly done: Promise<AttemptOutcome>;
@@ -87,12 +90,18 @@
 
   readonly timing: AttemptTiming = { connected: 0, head: 0 };
 
+  readonly callsAtStart: number;
+
+  readonly slowdownAtStart: number;
+
   constructor(
     readonly target: GatewayTarget,
     private readonly sending: Sending,
     readonly startedAt: number,
     private readonly clock: Clock,
   ) {
+    this.callsAtStart = target.belief.countCalls(startedAt, 1);
+    this.slowdownAtStart = target.belief.lastSlowdown;
     this.done = new Promise((resolve) => {
       this.#resolve = resolve;
     });
@@ -158,7 +167,9 @@
       return;
     }
     const status = response.statusCode ?? 0;
-    target.noteLoad(parseLoad(readHeader(response, HEADERS.load)), target.belief.inFlight);
+    // The answered call is still counted here, and no longer there.
+    const own = target.belief.countArrived(this.clock.now()) - 1;
+    target.noteLoad(parseLoad(readHeader(response, HEADERS.load)), own);
     connection.restLimit = readRestLimit(readHeader(response, 'keep-alive'));
     if (readHeader(response, HEADERS.notRun) !== undefined || status === MISDIRECTED) {
       response.resume();
@@ -204,14 +215,13 @@
   }
 }
 
-/** Starts an attempt. */
+/** Starts an attempt at a target where the call is counted already. */
 export function startTargetAttempt(
   target: GatewayTarget,
   sending: Sending,
   options: { readonly isRepeatable: boolean; readonly clock: Clock },
 ): RunningAttempt {
   const attempt = new TargetAttempt(target, sending, options.clock.now(), options.clock);
-  target.belief.start();
   attempt.done.then(() => target.belief.finish()).catch(() => undefined);
   attempt.send(options.isRepeatable).catch(() => undefined);
   return attempt;
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -19,6 +19,7 @@
   type TargetAnswer,
   startTargetAttempt,
 } from './attempt.js';
+import type { SlotAnswer, SlotCall } from './slot-queue.js';
 import type { GatewayTarget } from './target.js';
 import type { TargetService } from './target-set.js';
 
@@ -29,6 +30,8 @@
   readonly service: TargetService;
   /** When its head was read, on the kernel's clock. */
   readonly arrivedAt: number;
+  /** When an answer that leaves here stops to be fully useful to the caller. */
+  readonly aimAt: number;
   /** When it is given up. */
   readonly deadline: number;
   readonly method: string;
@@ -61,6 +64,7 @@
 /** What can happen while a request is served. */
 type Happening =
   | { readonly kind: 'ended'; readonly attempt: RunningAttempt; readonly outcome: AttemptOutcome }
+  | { readonly kind: 'placed'; readonly answer: SlotAnswer }
   | { readonly kind: 'look' }
   | { readonly kind: 'deadline' }
   | { readonly kind: 'gone' };
@@ -75,9 +79,18 @@
 /** Time of a request nothing is known of, before the first answer of its route. */
 const FIRST_TIME = 100;
 
+/** A call at a target this slow holds its slot for longer than running it anew takes. */
+const RESCUE_SLOWDOWN = 2.5;
+
 /** An attempt this many times over its expected time counts as stuck. */
 const STUCK_FACTOR = 4;
 
+/** A call that is late already may wait until this many times its aim has passed. */
+const LATE_WAIT = 1;
+
+/** A caller that is sent back still has more than half of its time to try again. */
+const LONGEST_WAIT_PART = 0.45;
+
 /** When a refused caller may come back: some targets will have ended a call by then. */
 const RETRY_AFTER = 250;
 
@@ -89,6 +102,11 @@
 /** Statuses that promise a caller that its request did not run; only we may say so, with proof. */
 const PROMISES = new Set([408, 421, 429, 503]);
 
+/** Gives back a slot that is not used after all. */
+function giveBack(answer: SlotAnswer): void {
+  if (answer.kind === 'target') answer.target.belief.finish();
+}
+
 /** Serves one request. */
 export class Forwarding {
   readonly #ledger: SendLedger;
@@ -105,6 +123,13 @@
 
   #timers: Timer[] = [];
 
+  #isOver = false;
+
+  /** The call in the service's queue, while it waits there. */
+  #waiting: SlotCall | undefined;
+
+  readonly #onSlow = () => this.#happen({ kind: 'look' });
+
   constructor(
     private readonly context: ForwardingContext,
     private readonly request: RoutedRequest,
@@ -128,17 +153,18 @@
     this.#timers.push(
       clock.schedule(request.deadline - clock.now(), () => this.#happen({ kind: 'deadline' })),
     );
-    const onSlow = () => this.#happen({ kind: 'look' });
     try {
       this.#begin();
-      if (this.#isRepeatable) {
-        for (const { target } of this.#running) target.onSlow.add(onSlow);
-        this.#lookLater();
-      }
+      if (this.#isRepeatable) this.#lookLater();
       await this.#follow();
     } finally {
+      this.#isOver = true;
+      for (const happening of this.#happenings) {
+        if (happening.kind === 'placed') giveBack(happening.answer);
+      }
       for (const timer of this.#timers) timer.cancel();
-      for (const target of this.#tried) target.onSlow.delete(onSlow);
+      for (const target of this.#tried) target.onSlow.delete(this.#onSlow);
+      if (this.#waiting !== undefined) request.service.queue.leave(this.#waiting);
       response.removeListener('close', onClose);
       for (const attempt of this.#running) attempt.abort();
     }
@@ -150,8 +176,12 @@
       switch (happening.kind) {
         case 'ended':
           this.#running.delete(happening.attempt);
+          this.request.service.queue.pump();
           this.#conclude(happening.attempt, happening.outcome);
           break;
+        case 'placed':
+          this.#place(happening.answer);
+          break;
         case 'look':
           this.#considerHedge();
           break;
@@ -182,18 +212,55 @@
     }
   }
 
-  /** Starts an attempt at the best target, or tells the caller that there is none. */
-  #begin(): boolean {
-    const { clock } = this.context;
+  /** Asks for a target; the attempt starts when there is one. */
+  #begin(): void {
     const { request } = this;
-    const target = request.service.pick(this.#tried);
-    const left = request.deadline - clock.now();
-    if (target === undefined || left < LEAST_TIME) {
-      this.#giveUp(target === undefined ? 'no-target' : 'timeout');
-      return false;
+    const { clock, usualTime } = this.context;
+    const usual = usualTime.read(FIRST_TIME);
+    const call: SlotCall = {
+      priority: request.route.priority,
+      aimAt: Math.min(request.aimAt, request.deadline),
+      usualTime: usual,
+      mayBeRefused: this.#sendings === 0,
+      refusedAt: Math.min(
+        request.aimAt + LATE_WAIT * request.route.targetLatency,
+        request.arrivedAt + LONGEST_WAIT_PART * (request.deadline - request.arrivedAt),
+        request.deadline - usual,
+      ),
+      tried: this.#tried,
+    };
+    if (request.deadline - clock.now() < LEAST_TIME) {
+      this.#giveUp('timeout');
+      return;
+    }
+    const answer = request.service.queue.take(call);
+    if ('kind' in answer) {
+      this.#place(answer);
+      return;
     }
-    this.#start(target, left);
-    return true;
+    this.#waiting = call;
+    answer
+      .then((placed) => {
+        if (this.#isOver) giveBack(placed);
+        else this.#happen({ kind: 'placed', answer: placed });
+      })
+      .catch((error: Error) => this.context.log.error('request.broken', { error: error.message }));
+  }
+
+  /** Starts an attempt at the target that was given, or tells the caller that there is none. */
+  #place(answer: SlotAnswer): void {
+    this.#waiting = undefined;
+    const left = this.request.deadline - this.context.clock.now();
+    if (answer.kind === 'refused') {
+      this.#giveUp(answer.reason, answer.wait);
+      return;
+    }
+    if (left < LEAST_TIME) {
+      giveBack(answer);
+      this.#giveUp('timeout');
+      return;
+    }
+    this.#start(answer.target, left);
   }
 
   #start(target: GatewayTarget, left: number): void {
@@ -211,6 +278,7 @@
       { isRepeatable: this.#isRepeatable, clock: this.context.clock },
     );
     this.#running.add(attempt);
+    if (this.#isRepeatable) target.onSlow.add(this.#onSlow);
     attempt.done
       .then((outcome) => this.#happen({ kind: 'ended', attempt, outcome }))
       .catch((error: Error) => this.context.log.error('request.broken', { error: error.message }));
@@ -257,9 +325,9 @@
       if (this.#isRepeatable && this.#running.size > 0) return;
       if (this.#isRepeatable && this.#mayRepeat()) {
         this.context.counts.retries += 1;
-        if (this.#begin()) return;
+        this.#begin();
+        return;
       }
-      if (this.response.writableEnded) return;
     } else this.#learnTime(attempt);
     if (PROMISES.has(answer.status) || !answer.isSigned) {
       this.#tell({ kind: 'unknown', reason: 'lost' });
@@ -274,8 +342,19 @@
   #learnTime(attempt: RunningAttempt): void {
     const { clock, usualTime } = this.context;
     const now = clock.now();
-    const slowdown = Math.max(1, attempt.target.belief.lastSlowdown ?? 1);
-    usualTime.add((now - attempt.startedAt) / slowdown, now);
+    const { belief, record } = attempt.target;
+    const slowdown = Math.max(1, belief.lastSlowdown);
+    const time = (now - attempt.startedAt) / slowdown;
+    const word = belief.lastWord;
+    // A slowdown that was redrawn meanwhile would be taken for the effect of other calls.
+    if (word !== undefined && attempt.slowdownAtStart === belief.lastSlowdown) {
+      const shares = [
+        attempt.callsAtStart / record.slots,
+        (word.running + 1) / record.slots,
+      ] as const;
+      this.request.service.knee.note(time / usualTime.read(time), shares, now);
+    }
+    usualTime.add(time, now);
   }
 
   /** Sends the request once more, after an attempt that brought nothing. */
@@ -311,7 +390,7 @@
   /** Begins a second attempt when the first is expected to be late and the second not to be. */
   #considerHedge(): void {
     const { clock, usualTime } = this.context;
-    const { route, service, arrivedAt, deadline } = this.request;
+    const { route, service, aimAt: aim, deadline } = this.request;
     const [attempt] = this.#running;
     if (this.#running.size !== 1 || attempt === undefined) return;
     if (this.#sendings >= route.maxAttempts) return;
@@ -321,26 +400,29 @@
     const slowdown = attempt.target.belief.readSlowdown(now, service.readUsual());
     if (elapsed > STUCK_FACTOR * usual * Math.max(1, slowdown)) attempt.target.noteStuck();
     const remaining = Math.max(usual * 0.25, usual - elapsed / Math.max(1, slowdown)) * slowdown;
-    const aim = arrivedAt + route.targetLatency;
     const isLastChance = now + usual * HEDGE_FACTOR >= aim && now < aim;
     if (now + remaining <= aim && !isLastChance) return;
-    const target = service.pick(this.#tried);
-    if (target === undefined) return;
-    const { slowdown: other } = target.view(service.readUsual(), '');
-    const expected = usual * other;
+    // A second attempt takes a slot. While others wait for one it is worth it only if it frees one
+    // that would be held for long.
+    if (service.queue.size > 0 && slowdown < RESCUE_SLOWDOWN) return;
+    const advice = service.advise(this.#tried, 0);
+    if (advice.kind !== 'now') return;
+    const { candidate: target, prospect } = advice;
+    const expected = usual * prospect.slowdown;
     if (now + expected >= deadline) return;
     if (!isLastChance && remaining < expected * HEDGE_FACTOR + HEDGE_MARGIN) return;
     if (!this.#mayRepeat()) return;
     this.context.counts.hedges += 1;
+    target.belief.start(now);
     this.#start(target, deadline - now);
   }
 
   /** Ends the request without a target's answer. */
-  #giveUp(reason: 'timeout' | 'no-target' | 'no-room' | 'lost'): void {
+  #giveUp(reason: 'timeout' | 'no-target' | 'no-room' | 'lost', wait = 0): void {
     for (const attempt of this.#running) attempt.abort();
     if (!this.#ledger.mayHaveRun) {
       this.#ledger.assertNotRun();
-      this.#tell({ kind: 'not-run', reason, retryAfter: RETRY_AFTER });
+      this.#tell({ kind: 'not-run', reason, retryAfter: wait > 0 ? wait : RETRY_AFTER });
       return;
     }
     this.#tell({ kind: 'unknown', reason: reason === 'timeout' ? 'timeout' : 'lost' });
@@ -367,7 +449,7 @@
       ...{ id, route: route.name, target: target.record.incarnation, sendings: this.#sendings },
       ...{ before: Math.round(startedAt - arrivedAt), connect: Math.round(timing.connected) },
       ...{ head: Math.round(timing.head), held: Math.round(now - arrivedAt) },
-      ...{ slowdown: target.belief.lastSlowdown, calls: target.belief.countCalls(now) },
+      ...{ slowdown: target.belief.lastSlowdown, calls: target.belief.countCalls(now, 1) },
     });
   }
 
@@ -376,7 +458,7 @@
     const now = clock.now();
     log.info('attempt.failed', {
       ...{ id: this.request.id, target: target.record.incarnation, outcome, reason },
-      ...{ took: Math.round(now - startedAt), calls: target.belief.countCalls(now) },
+      ...{ took: Math.round(now - startedAt), calls: target.belief.countCalls(now, 1) },
       report_age: Math.round(now - target.belief.reportedAt),
       slowdown: target.belief.lastSlowdown,
     });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,10 +14,12 @@
 import { type RouteTable, SplitDealer } from '../routing/index.js';
 import { FleetView, StoreReader } from '../view/index.js';
 import { type Told, writeTold } from './answers.js';
+import { CallerAims } from './caller-aims.js';
 import { CallerServer } from './caller-server.js';
 import { serveDirectory, serveReadiness } from './directory.js';
 import { Forwarding, type ForwardingCounts } from './forwarding.js';
 import { buildPassedHeaders, buildTargetHeaders, checkRequest, readBody } from './intake.js';
+import { LoadSharing } from './load-sharing.js';
 import { Prober } from './prober.js';
 import type { GatewaySettings } from './settings.js';
 import { TargetSet } from './target-set.js';
@@ -84,6 +86,8 @@
 
   readonly #prober: Prober;
 
+  readonly #sharing: LoadSharing;
+
   readonly #servers: Server[] = [];
 
   readonly #usualTimes = new Map<string, DecayingMean>();
@@ -98,6 +102,8 @@
 
   #isRefreshing = false;
 
+  readonly #aims = new CallerAims();
+
   #lookups = 0;
 
   constructor(
@@ -120,6 +126,7 @@
     });
     this.#targets = new TargetSet({
       ...{ clock, random, domain: gateway.domain },
+      countHomes: () => this.#roster.listHomes().length,
       createBudget: () =>
         new WindowBudget(clock, () => ({
           ratio: promises.retry_ratio,
@@ -149,6 +156,7 @@
       onKnowledge: (from, knowledge) => {
         this.#hear(from, knowledge).catch(() => undefined);
       },
+      onShares: (from, shares) => this.#sharing.hear(from, shares),
     });
     this.#feed = new FeedClient(port, ({ delta, members }) => {
       this.#view.applyDelta(delta, clock.now());
@@ -161,8 +169,14 @@
         this.#serve(request, response).catch((error: Error) => this.#fail(error));
       },
     });
+    const listHomes = () => this.#roster.listHomes().map(({ ip }) => ip);
+    this.#sharing = new LoadSharing({
+      ...{ clock, targets: this.#targets, self: gateway.ip, listHomes },
+      send: (ip, shares) => this.#link.sendShares(ip, shares),
+    });
     this.#prober = new Prober({
       ...{ targets: this.#targets, clock, interval: tuning.probe_interval },
+      ...{ self: gateway.ip, listHomes },
       readTable: () => this.#view.table,
     });
   }
@@ -192,6 +206,7 @@
       this.#reader.readStale(),
       this.#reader.run(signal),
       this.#prober.run(signal),
+      this.#sharing.run(signal),
       this.#trim(signal),
       this.#reportStatus(signal),
     ];
@@ -371,6 +386,7 @@
       },
       {
         ...{ id, route, service: this.#targets.find(name), arrivedAt },
+        aimAt: arrivedAt + this.#aims.read(route, asked),
         deadline: arrivedAt + Math.min(allowed, LONGEST_HOLD),
         ...{ method: request.method ?? 'GET', path: request.url ?? '/', body: data },
         buildHeaders: (target, timeLeft) =>
@@ -413,6 +429,10 @@
       this.#log.info('gateway.status', {
         ...{ state: this.#state, homes: homes.map(({ ip }) => ip).join(','), ...this.counts },
         ...{ members: this.#roster.list().length, version: this.#view.table?.version },
+        knee: this.#targets
+          .list()
+          .map((service) => `${service.name}:${service.knee.readFactor().toFixed(2)}`)
+          .join(','),
         proof_age: Math.round(this.#clock.now() - this.#view.provenAt),
         ...{ accepted: this.#callers.accepted, connections: this.#callers.countConnections() },
         ...{ lookups: this.#lookups, probes: this.#prober.sent },
--- /dev/null
+++ b/src/gateway/incarnation-hash.ts
@@ -0,0 +1,9 @@
+/** The number that stands for an incarnation in datagrams between daemons. */
+import { hashPair } from '../balance/home.js';
+
+const HASHES = 2 ** 32;
+
+/** Returns the number; two targets of one installation share one about never. */
+export function hashIncarnation(incarnation: string): number {
+  return hashPair('incarnation', incarnation) % HASHES;
+}
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -1,5 +1,6 @@
 /** Asks targets how loaded they are, while calls for them come to this daemon. */
 import http from 'node:http';
+import { recallPair as hashPair } from '../balance/home.js';
 import type { Clock } from '../kernel/index.js';
 import { HEADERS, parseLoad } from '../platform/index.js';
 import type { RouteTable } from '../routing/index.js';
@@ -13,6 +14,9 @@
   readonly readTable: () => RouteTable | undefined;
   /** Time between two probes of a target, in milliseconds. */
   readonly interval: number;
+  readonly self: string;
+  /** The IP numbers of the homes. */
+  readonly listHomes: () => readonly string[];
 }
 
 /** A service with fewer calls a second here is not worth measuring from here. */
@@ -26,6 +30,22 @@
 
 const HEALTHY = 200;
 
+/** Another home's probe is this many intervals late before this one stands in. */
+const STAND_IN_FACTOR = 3;
+
+/** Returns the home that probes a target: the one of the highest hash. */
+function findProber(target: GatewayTarget, homes: readonly string[]): string | undefined {
+  let best: string | undefined;
+  let bestRank = -1;
+  for (const home of homes) {
+    const rank = hashPair(home, String(target.hash));
+    if (rank <= bestRank) continue;
+    best = home;
+    bestRank = rank;
+  }
+  return best;
+}
+
 /** Probes the targets of the services that are in use here. */
 export class Prober {
   readonly #probing = new Set<GatewayTarget>();
@@ -48,6 +68,7 @@
     const { targets, clock, readTable } = this.options;
     const table = readTable();
     if (table === undefined) return;
+    const homes = this.options.listHomes();
     for (const service of targets.list()) {
       const path = table.findService(service.name)?.healthPath ?? '';
       if (path === '' || service.rate.read(clock.now()) < LEAST_RATE) continue;
@@ -55,15 +76,23 @@
       for (const target of service.targets.values()) {
         index += 1;
         if (index % BATCHES !== batch || !target.isUsable || this.#probing.has(target)) continue;
+        if (!this.#isDue(target, homes)) continue;
         this.#probe(service, target, path).catch(() => undefined);
       }
     }
   }
 
+  /** Homes divide the targets among themselves; what a home has not heard of in time it asks itself. */
+  #isDue(target: GatewayTarget, homes: readonly string[]): boolean {
+    const { clock, interval, self } = this.options;
+    const age = clock.now() - target.belief.slowdownAt;
+    const isMine = !homes.includes(self) || findProber(target, homes) === self;
+    return age >= (isMine ? interval / 2 : interval * STAND_IN_FACTOR);
+  }
+
   async #probe(service: TargetService, target: GatewayTarget, path: string): Promise<void> {
     const { clock } = this.options;
     const startedAt = clock.now();
-    if (startedAt - target.belief.reportedAt < this.options.interval / 2) return;
     this.#probing.add(target);
     try {
       const taken = await target.connections.take(Infinity);
@@ -72,7 +101,7 @@
         return;
       }
       this.sent += 1;
-      const own = target.belief.inFlight;
+      const own = target.belief.countArrived(startedAt);
       const answer = await this.#ask(taken.connection, path);
       target.noteHealth(answer?.statusCode === HEALTHY);
       const { incarnation } = target.record;
@@ -85,6 +114,7 @@
       if (load === undefined) return;
       target.noteLoad(load, own);
       service.noteSlowdown(load.slowdown);
+      service.queue.pump();
     } finally {
       this.#probing.delete(target);
     }
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -1,7 +1,15 @@
 /** The targets in use, by service, kept in step with the view. */
 import type { Clock, Random } from '../kernel/index.js';
-import { DecayingMean, RateMeter, WindowBudget, pickTarget } from '../balance/index.js';
+import {
+  type Advice,
+  DecayingMean,
+  KneeEstimate,
+  RateMeter,
+  WindowBudget,
+  advise,
+} from '../balance/index.js';
 import type { FleetView } from '../view/index.js';
+import { SlotQueue } from './slot-queue.js';
 import { GatewayTarget } from './target.js';
 
 /** What the set is made from. */
@@ -9,6 +17,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly domain: string;
+  /** Daemons that share the targets. */
+  readonly countHomes: () => number;
   /** Makes the budget for repeats of one service. */
   readonly createBudget: () => WindowBudget;
 }
@@ -27,6 +37,11 @@
 
   readonly budget: WindowBudget;
 
+  /** Calls that wait for a target. */
+  readonly queue: SlotQueue;
+
+  readonly knee = new KneeEstimate();
+
   readonly #usual = new DecayingMean(USUAL_HALF_LIFE);
 
   constructor(
@@ -35,6 +50,7 @@
   ) {
     this.rate = new RateMeter(options.clock.now());
     this.budget = options.createBudget();
+    this.queue = new SlotQueue(options.clock, (call, ahead) => this.advise(call.tried, ahead));
   }
 
   /** The mean slowdown of the service's targets. */
@@ -47,13 +63,17 @@
     this.#usual.add(slowdown, this.options.clock.now());
   }
 
-  /** Picks a target for one more call; those tried before only if no other is left. */
-  pick(tried: ReadonlySet<GatewayTarget>): GatewayTarget | undefined {
-    const usable = [...this.targets.values()].filter((target) => target.isUsable);
-    const fresh = usable.filter((target) => !tried.has(target));
-    const usual = this.readUsual();
+  /** Advises a call that has tried some targets already. @param ahead calls that go first */
+  advise(tried: ReadonlySet<GatewayTarget>, ahead: number): Advice<GatewayTarget> {
     const { random, domain } = this.options;
-    return pickTarget(fresh, (target) => target.view(usual, domain), random);
+    const usual = this.readUsual();
+    const candidates: GatewayTarget[] = [];
+    for (const target of this.targets.values()) {
+      if (target.isUsable && !tried.has(target)) candidates.push(target);
+    }
+    const homes = this.options.countHomes();
+    const terms = { usual, domain, homes, knee: this.knee };
+    return advise(candidates, (target) => target.view(terms), { ahead, sharers: homes, random });
   }
 }
 
@@ -61,6 +81,8 @@
 export class TargetSet {
   readonly #services = new Map<string, TargetService>();
 
+  readonly #byHash = new Map<number, GatewayTarget>();
+
   /** Connections opened to targets since the start. */
   opened = 0;
 
@@ -89,6 +111,7 @@
       for (const [incarnation, target] of service.targets) {
         if (listed.get(incarnation)?.record.service === service.name) continue;
         service.targets.delete(incarnation);
+        this.#byHash.delete(target.hash);
         target.connections.close();
       }
     }
@@ -102,10 +125,17 @@
       const onOpened = () => {
         this.opened += 1;
       };
-      targets.set(incarnation, new GatewayTarget(entry, this.options.clock, onOpened));
+      const target = new GatewayTarget(entry, this.options.clock, onOpened);
+      targets.set(incarnation, target);
+      this.#byHash.set(target.hash, target);
     }
   }
 
+  /** Finds a target by the number that stands for it between daemons. */
+  findByHash(hash: number): GatewayTarget | undefined {
+    return this.#byHash.get(hash);
+  }
+
   /** Closes connections that have rested too long. */
   trim(): void {
     for (const { targets } of this.#services.values()) {
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -1,9 +1,11 @@
 /** One target as this daemon uses it: its entry in the list, its load, its failures, its connections. */
-import { LoadBelief, type Prospect } from '../balance/index.js';
+import { type KneeEstimate, LoadBelief, type Prospect } from '../balance/index.js';
 import type { Clock } from '../kernel/index.js';
 import type { LoadReport, TargetRecord } from '../platform/index.js';
+import type { LoadShare } from '../peering/index.js';
 import type { ListedTarget } from '../view/index.js';
 import { TargetConnections } from './connections.js';
+import { hashIncarnation } from './incarnation-hash.js';
 
 /** A failure counts half after this time, in milliseconds: long against a redraw, short against a repair. */
 const FAILURE_HALF_LIFE = 1500;
@@ -17,12 +19,26 @@
 /** Reports this slow make calls there look for another target. */
 const SLOW = 2.5;
 
+/** What a view of a target depends on besides the target. */
+export interface ViewTerms {
+  /** The mean slowdown of all targets of the service. */
+  readonly usual: number;
+  /** The failure domain of this daemon. */
+  readonly domain: string;
+  /** Daemons that send calls to the target. */
+  readonly homes: number;
+  readonly knee: KneeEstimate;
+}
+
 /** A target in use. */
 export class GatewayTarget {
   readonly belief = new LoadBelief();
 
   readonly connections: TargetConnections;
 
+  /** Stands for the incarnation in datagrams between daemons. */
+  readonly hash: number;
+
   #listed: ListedTarget;
 
   #failures = 0;
@@ -46,6 +62,7 @@
     onOpened: () => void,
   ) {
     this.#listed = listed;
+    this.hash = hashIncarnation(listed.record.incarnation);
     this.connections = new TargetConnections(listed.record.address, clock, onOpened);
   }
 
@@ -64,12 +81,12 @@
     this.#listed = listed;
   }
 
-  /** Views the target for the choice. @param usual the mean slowdown of all targets */
-  view(usual: number, domain: string): Prospect {
+  /** Views the target for the choice. */
+  view({ usual, domain, homes, knee }: ViewTerms): Prospect {
     const now = this.clock.now();
-    const { slots } = this.record;
     return {
-      ...{ slots, calls: this.belief.countCalls(now) },
+      slots: knee.findLimit(this.record.slots),
+      calls: this.belief.countCalls(now, homes),
       slowdown: this.belief.readSlowdown(now, usual),
       cold: now < this.#listed.coldUntil ? COLD_FACTOR : 1,
       failures: this.readFailures(now),
@@ -119,10 +136,22 @@
   /** Takes a load report. @param own this daemon's calls that the report may count */
   noteLoad(report: LoadReport | undefined, own: number): void {
     if (report === undefined) return;
-    const before = this.belief.lastSlowdown ?? 1;
+    const before = this.belief.lastSlowdown;
     this.belief.hear(report, own, this.clock.now());
-    if (report.slowdown >= SLOW && before < SLOW) {
-      for (const wake of [...this.onSlow]) wake();
-    }
+    this.#wakeIfSlow(before);
+  }
+
+  /** Takes what another home knows of the target. */
+  noteShare(home: string, { inFlight, slowdown, age }: LoadShare): void {
+    const now = this.clock.now();
+    const before = this.belief.lastSlowdown;
+    this.belief.hearHome(home, inFlight, now);
+    if (slowdown !== undefined) this.belief.hearSlowdown(slowdown, now - age);
+    this.#wakeIfSlow(before);
+  }
+
+  #wakeIfSlow(before: number): void {
+    if (before >= SLOW || this.belief.lastSlowdown < SLOW) return;
+    for (const wake of [...this.onSlow]) wake();
   }
 }
--- /dev/null
+++ b/src/peering/datagram.ts
@@ -0,0 +1,143 @@
+/** The datagrams between daemons, packed: their bytes between failure domains are paid for. */
+import { decode, encode } from '@msgpack/msgpack';
+import type { ViewPosition } from '../view/index.js';
+import type { MemberState } from './roster.js';
+
+/** What a daemon says of itself in each question and answer. */
+export interface SelfWord {
+  readonly domain: string;
+  readonly capacity: number;
+  readonly state: MemberState;
+}
+
+/** What a daemon answers when it is asked. */
+export interface Knowledge {
+  /** The last changes that it knows of. */
+  readonly position: ViewPosition;
+  /** How long ago that was shown to be the newest, in milliseconds; Infinity when never. */
+  readonly proofAge: number;
+  /** Up to which revision it knows all changes of targets. */
+  readonly targetsRevision: number;
+  /** Differs when two daemons know other members. */
+  readonly members: number;
+}
+
+/** What one home knows of one target that the others do not. */
+export interface LoadShare {
+  /** Stands for the target's incarnation. */
+  readonly target: number;
+  /** Calls that the home has in flight there. */
+  readonly inFlight: number;
+  /** How slow the target is, as the home last heard, and how many milliseconds ago; none if it has not. */
+  readonly slowdown: number | undefined;
+  readonly age: number;
+}
+
+/** A datagram. */
+export type Datagram =
+  | { readonly kind: 'ask'; readonly self: SelfWord }
+  | { readonly kind: 'tell'; readonly self: SelfWord; readonly knowledge: Knowledge }
+  | { readonly kind: 'load'; readonly shares: readonly LoadShare[] };
+
+const STATES: readonly MemberState[] = ['starting', 'ready', 'stopping'];
+
+const ASK = 0;
+const TELL = 1;
+const LOAD = 2;
+
+/** Slowdowns travel as whole tenths, and none as 0. */
+const SLOWDOWN_STEPS = 10;
+
+function packSelf({ domain, capacity, state }: SelfWord): readonly unknown[] {
+  return [domain, capacity, STATES.indexOf(state)];
+}
+
+/** Packs a datagram. */
+export function encodeDatagram(datagram: Datagram): Uint8Array {
+  switch (datagram.kind) {
+    case 'ask':
+      return encode([ASK, ...packSelf(datagram.self)]);
+    case 'tell': {
+      const { position, proofAge, targetsRevision, members } = datagram.knowledge;
+      const age = Number.isFinite(proofAge) ? Math.max(0, Math.round(proofAge)) : null;
+      return encode([
+        ...[TELL, ...packSelf(datagram.self), position.targets, position.configuration],
+        ...[age, targetsRevision, members],
+      ]);
+    }
+    case 'load':
+      return encode([
+        LOAD,
+        ...datagram.shares.flatMap(({ target, inFlight, slowdown, age }) => [
+          ...[target, inFlight, Math.round((slowdown ?? 0) * SLOWDOWN_STEPS), Math.round(age)],
+        ]),
+      ]);
+    default:
+      return datagram satisfies never;
+  }
+}
+
+function isNumbers(values: readonly unknown[]): values is readonly number[] {
+  return values.every((value) => typeof value === 'number');
+}
+
+function unpackSelf([domain, capacity, state]: readonly unknown[]): SelfWord | undefined {
+  const known = STATES[Number(state)];
+  if (typeof domain !== 'string' || typeof capacity !== 'number' || known === undefined) {
+    return undefined;
+  }
+  return { domain, capacity, state: known };
+}
+
+const SELF_LENGTH = 3;
+const SHARE_LENGTH = 4;
+
+function unpackTell(fields: readonly unknown[]): Datagram | undefined {
+  const self = unpackSelf(fields);
+  const [targets, configuration, age, targetsRevision, members] = fields.slice(SELF_LENGTH);
+  const numbers = [targets, configuration, targetsRevision, members];
+  if (self === undefined || !isNumbers(numbers)) return undefined;
+  if (age !== null && typeof age !== 'number') return undefined;
+  return {
+    ...{ kind: 'tell', self },
+    knowledge: {
+      position: { targets: numbers[0], configuration: numbers[1] },
+      ...{ proofAge: age ?? Infinity, targetsRevision: numbers[2], members: numbers[3] },
+    },
+  };
+}
+
+function unpackLoad(fields: readonly unknown[]): Datagram | undefined {
+  if (fields.length % SHARE_LENGTH !== 0 || !isNumbers(fields)) return undefined;
+  const shares: LoadShare[] = [];
+  for (let at = 0; at < fields.length; at += SHARE_LENGTH) {
+    const [target, inFlight, steps, age] = fields.slice(at, at + SHARE_LENGTH);
+    const slowdown = steps === 0 ? undefined : steps / SLOWDOWN_STEPS;
+    shares.push({ target, inFlight, slowdown, age });
+  }
+  return { kind: 'load', shares };
+}
+
+/** Unpacks a datagram; undefined when it is none of ours. */
+export function decodeDatagram(bytes: Uint8Array): Datagram | undefined {
+  let value: unknown;
+  try {
+    value = decode(bytes);
+  } catch {
+    return undefined;
+  }
+  if (!Array.isArray(value)) return undefined;
+  const [kind, ...fields] = value as readonly unknown[];
+  switch (kind) {
+    case ASK: {
+      const self = unpackSelf(fields);
+      return self === undefined ? undefined : { kind: 'ask', self };
+    }
+    case TELL:
+      return unpackTell(fields);
+    case LOAD:
+      return unpackLoad(fields);
+    default:
+      return undefined;
+  }
+}
--- a/src/peering/index.ts
+++ b/src/peering/index.ts
@@ -2,3 +2,4 @@
 export * from './roster.js';
 export * from './peer-link.js';
 export * from './feed.js';
+export * from './datagram.js';
--- a/src/peering/peer-link.ts
+++ b/src/peering/peer-link.ts
@@ -5,35 +5,16 @@
  */
 import dgram from 'node:dgram';
 import type { Address, Clock, Log } from '../kernel/index.js';
-import type { ViewPosition } from '../view/index.js';
+import {
+  type Datagram,
+  type Knowledge,
+  type LoadShare,
+  type SelfWord,
+  decodeDatagram,
+  encodeDatagram,
+} from './datagram.js';
 import type { MemberInfo, MemberState, Roster } from './roster.js';
 
-/** What a daemon answers when it is asked. */
-export interface Knowledge {
-  /** The last changes that it knows of. */
-  readonly position: ViewPosition;
-  /** How long ago that was shown to be the newest, in milliseconds; Infinity when never. */
-  readonly proofAge: number;
-  /** Up to which revision it knows all changes of targets. */
-  readonly targetsRevision: number;
-  /** Differs when two daemons know other members. */
-  readonly members: number;
-}
-
-/** The datagrams. Keys are short because many are sent. */
-type Datagram =
-  | { readonly t: 'ask'; readonly d: string; readonly c: number; readonly s: MemberState }
-  | {
-      readonly t: 'tell';
-      readonly d: string;
-      readonly c: number;
-      readonly s: MemberState;
-      readonly r: readonly [targets: number, configuration: number];
-      readonly a: number | null;
-      readonly p: number;
-      readonly m: number;
-    };
-
 /** What the link is made from. */
 export interface PeerLinkOptions {
   readonly address: Address;
@@ -45,6 +26,8 @@
   readonly readKnowledge: () => Knowledge;
   /** Called with what another daemon knows, as of the moment when it was asked. */
   readonly onKnowledge: (from: MemberInfo, knowledge: Knowledge) => void;
+  /** Called with what another home knows of targets. */
+  readonly onShares: (from: string, shares: readonly LoadShare[]) => void;
 }
 
 /** How often homes and their successors are asked. */
@@ -56,15 +39,6 @@
 /** A silent daemon is looked for among all those known this often. */
 const FORGET_PACE = 10_000;
 
-function parseDatagram(text: string): Datagram | undefined {
-  try {
-    const value = JSON.parse(text) as Datagram;
-    return value.t === 'ask' || value.t === 'tell' ? value : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
 /** The datagram socket of one daemon. */
 export class PeerLink {
   readonly #socket = dgram.createSocket('udp4');
@@ -82,7 +56,7 @@
   /** Opens the socket and asks until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { address, clock, roster, log } = this.options;
-    this.#socket.on('message', (message, from) => this.#take(message.toString(), from.address));
+    this.#socket.on('message', (message, from) => this.#take(message, from.address));
     this.#socket.on('error', (error) => log.warn('peer.socket', { error: error.message }));
     await new Promise<void>((resolve) => {
       this.#socket.bind(address.port, address.host, resolve);
@@ -120,52 +94,56 @@
     }
   }
 
+  /** Tells another home what this one knows of targets. */
+  sendShares(ip: string, shares: readonly LoadShare[]): void {
+    this.#send(ip, { kind: 'load', shares });
+  }
+
+  #describeSelf(): SelfWord {
+    const { self, selfState } = this.options;
+    return { domain: self.domain, capacity: self.capacity, state: selfState() };
+  }
+
   #ask(ip: string): void {
-    const { self, selfState, clock } = this.options;
-    if (ip === self.ip) return;
-    this.#askedAt.set(ip, clock.now());
-    this.#send(ip, { t: 'ask', d: self.domain, c: self.capacity, s: selfState() });
+    if (ip === this.options.self.ip) return;
+    this.#askedAt.set(ip, this.options.clock.now());
+    this.#send(ip, { kind: 'ask', self: this.#describeSelf() });
   }
 
   #tell(ip: string): void {
-    const { self, selfState, readKnowledge } = this.options;
-    const { position, proofAge, targetsRevision, members } = readKnowledge();
-    this.#send(ip, {
-      ...{ t: 'tell', d: self.domain, c: self.capacity, s: selfState() },
-      r: [position.targets, position.configuration],
-      a: Number.isFinite(proofAge) ? Math.round(proofAge) : null,
-      ...{ p: targetsRevision, m: members },
-    });
+    const knowledge = this.options.readKnowledge();
+    this.#send(ip, { kind: 'tell', self: this.#describeSelf(), knowledge });
   }
 
   #send(ip: string, datagram: Datagram): void {
-    this.#socket.send(JSON.stringify(datagram), this.options.address.port, ip, (error) => {
+    this.#socket.send(encodeDatagram(datagram), this.options.address.port, ip, (error) => {
       // A VM that is gone refuses; that it does not answer is noticed by its silence.
       if (error !== null) this.options.log.debug('peer.unsent', { to: ip, error: error.message });
     });
   }
 
-  #take(text: string, ip: string): void {
-    const { roster, clock, onKnowledge } = this.options;
-    const datagram = parseDatagram(text);
+  #take(bytes: Uint8Array, ip: string): void {
+    const { roster, clock, onKnowledge, onShares } = this.options;
+    const datagram = decodeDatagram(bytes);
     if (datagram === undefined) return;
-    const info = { ip, domain: datagram.d, capacity: datagram.c };
-    if (datagram.t === 'ask') {
+    if (datagram.kind === 'load') {
+      onShares(ip, datagram.shares);
+      return;
+    }
+    const { domain, capacity, state } = datagram.self;
+    const info = { ip, domain, capacity };
+    if (datagram.kind === 'ask') {
       roster.note(info);
       this.#askers.set(ip, clock.now());
       this.#tell(ip);
       return;
     }
-    roster.hear(info, datagram.s);
+    roster.hear(info, state);
     this.#seeds = new Set([...this.#seeds].filter((seed) => seed !== ip));
     // The answer may have been on its way since the question was sent.
     const travelled = clock.now() - (this.#askedAt.get(ip) ?? clock.now());
-    onKnowledge(info, {
-      position: { targets: datagram.r[0], configuration: datagram.r[1] },
-      proofAge: datagram.a === null ? Infinity : datagram.a + travelled,
-      targetsRevision: datagram.p,
-      members: datagram.m,
-    });
+    const { knowledge } = datagram;
+    onKnowledge(info, { ...knowledge, proofAge: knowledge.proofAge + travelled });
   }
 }
 
--- a/src/view/store-reader.ts
+++ b/src/view/store-reader.ts
@@ -127,7 +127,11 @@
     switch (answer.kind) {
       case 'events':
         this.options.log.debug('store.watched', {
-          ...{ after, store_revision: answer.storeRevision, took: Math.round(clock.now() - startedAt) },
+          ...{
+            after,
+            store_revision: answer.storeRevision,
+            took: Math.round(clock.now() - startedAt),
+          },
           events: answer.events
             .map((event) => (event.kind === 'written' ? event.item.revision : -event.revision))
             .join(','),
@@ -218,7 +222,10 @@
       this.#pending.delete(incarnation);
       log.info('target.lapsed', { incarnation, revision });
       // Others have heard of a later revision meanwhile, so the removal is told as of now.
-      view.removeTarget(incarnation, Math.max(revision, view.position.targets, view.targetsRevision));
+      view.removeTarget(
+        incarnation,
+        Math.max(revision, view.position.targets, view.targetsRevision),
+      );
     }
   }
 
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -68,7 +68,11 @@
       ['no route', { path: '/nowhere/' }, 404],
       ['a service without targets', { path: '/empty/1' }, 503],
       ['a head over the limit', { headers: { x: 'y'.repeat(9000) } }, 431],
-      ['a body over the limit', { path: '/up/', method: 'POST', body: Buffer.alloc(4_100_000) }, 413],
+      [
+        'a body over the limit',
+        { path: '/up/', method: 'POST', body: Buffer.alloc(4_100_000) },
+        413,
+      ],
     ] as const) {
       it(`${what}: ${status}`, async () => {
         const reply = await sendTo(ip, sending);
@@ -150,7 +154,7 @@
       for (const target of site.targets) {
         target.behaviour = (request, response) => {
           const id = String(request.headers['attempt-id']);
-          response.detachSocket(request.socket as never);
+          response.detachSocket(request.socket);
           request.socket.end(
             `HTTP/1.1 200 OK\r\nServer-Signature: s\r\nAttempt-Id: ${id}\r\n\r\nwhole`,
           );
@@ -219,7 +223,10 @@
   describe('targets that come and go', () => {
     it('sends nothing more to one that is draining, or gone, a second later', async () => {
       const [one, other] = site.targets;
-      site.store.put(KEYS.targets + one.incarnation, writeTarget(one.address, { state: 'draining' }));
+      site.store.put(
+        KEYS.targets + one.incarnation,
+        writeTarget(one.address, { state: 'draining' }),
+      );
       await pause(1200);
       for (let count = 0; count < 10; count += 1) await sendTo(ip);
       expect(one.ran).to.have.length(0);
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -90,7 +90,8 @@
       ...['retry_slack = 64', 'probes_per_second = 60', '[tuning]', tuning],
     ].join('\n');
     const settings = checkGatewaySettings('test.ini', text).unsafeCoerce();
-    const write = (event: string, fields: LogFields = {}) => this.events.push({ ip, event, fields });
+    const write = (event: string, fields: LogFields = {}) =>
+      this.events.push({ ip, event, fields });
     const log: Log = { debug: () => undefined, info: write, warn: write, error: write };
     const kernel = new Kernel()
       .provide(clockService, createSystemClock())
--- a/test/kv-store.test.ts
+++ b/test/kv-store.test.ts
@@ -35,7 +35,10 @@
     });
     it('says that a key is absent, a condition failed, or history is gone', async () => {
       expect(await store.readItem('x', false)).to.deep.equal({ kind: 'absent' });
-      expect(await store.write({ key: 'x', text: '1', expected: 0 })).to.have.property('kind', 'done');
+      expect(await store.write({ key: 'x', text: '1', expected: 0 })).to.have.property(
+        'kind',
+        'done',
+      );
       const again = await store.write({ key: 'x', text: '2', expected: 0 });
       expect(again).to.deep.equal({ kind: 'condition-failed' });
       standin.compact();
--- a/test/view.test.ts
+++ b/test/view.test.ts
@@ -198,9 +198,9 @@
     store.change('i3', undefined);
     await clock.advance(1000);
     expect(listIds()).to.have.members(['i1', 'i2']);
-    expect(view.listTargets().find(({ record }) => record.incarnation === 'i2')?.record.state).to.equal(
-      'draining',
-    );
+    expect(
+      view.listTargets().find(({ record }) => record.incarnation === 'i2')?.record.state,
+    ).to.equal('draining');
   });
   it('makes no call while another daemon reads', async () => {
     isReader = false;
