--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -149,8 +149,7 @@
     const { request, response } = this;
     const onClose = () => this.#happen({ kind: 'gone' });
     response.once('close', onClose);
-    request.service.budget.noteRequest();
-    request.service.rate.add(clock.now());
+    request.service.noteCall();
     this.#timers.push(
       clock.schedule(request.deadline - clock.now(), () => this.#happen({ kind: 'deadline' })),
     );
--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -20,6 +20,9 @@
 /** Time between two datagrams: short against a call, long against what a datagram costs. */
 const PACE = 20;
 
+/** How often a daemon that is no home looks whether it has become one. */
+const IDLE_PACE = 250;
+
 /** What has not changed is told again after this long, since datagrams get lost. */
 const REPEAT = 500;
 
@@ -45,9 +48,10 @@
   async run(signal: AbortSignal): Promise<void> {
     const { clock, listHomes, self } = this.options;
     while (!signal.aborted) {
-      await clock.sleep(PACE, signal);
       const homes = listHomes();
-      if (!homes.includes(self) || homes.length < 2) continue;
+      const hasOthers = homes.includes(self) && homes.length > 1;
+      await clock.sleep(hasOthers ? PACE : IDLE_PACE, signal);
+      if (!hasOthers) continue;
       this.#tell(homes.filter((ip) => ip !== self));
     }
   }
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -22,6 +22,15 @@
 /** A service with fewer calls a second here is not worth measuring from here. */
 const LEAST_RATE = 1;
 
+/** How often a daemon without calls looks whether some have come. */
+const IDLE_PACE = 100;
+
+/** Targets are probed twice as often for this long after a call has had to wait. */
+const HURRY_TIME = 1000;
+
+/** A home goes on probing this long after the last call, in milliseconds. */
+const IN_USE = 2000;
+
 /** A probe that takes longer tells that the target is mute or cut off. */
 const TIMEOUT = 400;
 
@@ -57,34 +66,54 @@
 
   /** Probes until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, interval } = this.options;
+    const { clock, interval, targets } = this.options;
     for (let turn = 0; !signal.aborted; turn += 1) {
       this.#probeBatch(turn % BATCHES);
-      await clock.sleep(interval / BATCHES, signal);
+      const isHurried = targets.list().some((service) => this.#isHurried(service));
+      const pace = isHurried ? interval / 2 : interval;
+      await clock.sleep(this.#isIdle() ? IDLE_PACE : pace / BATCHES, signal);
     }
   }
 
+  /** Where calls have had to wait of late, knowing sooner which target is quick saves slots. */
+  #isHurried(service: TargetService): boolean {
+    return this.options.clock.now() - service.queue.waitedAt < HURRY_TIME;
+  }
+
+  #isIdle(): boolean {
+    const homes = this.options.listHomes();
+    return !this.options.targets.list().some((service) => this.#isInUse(service, homes));
+  }
+
   #probeBatch(batch: number): void {
-    const { targets, clock, readTable } = this.options;
+    const { targets, readTable } = this.options;
     const table = readTable();
     if (table === undefined) return;
     const homes = this.options.listHomes();
     for (const service of targets.list()) {
       const path = table.findService(service.name)?.healthPath ?? '';
-      if (path === '' || service.rate.read(clock.now()) < LEAST_RATE) continue;
+      if (path === '' || !this.#isInUse(service, homes)) continue;
       let index = 0;
       for (const target of service.targets.values()) {
         index += 1;
         if (index % BATCHES !== batch || !target.isUsable || this.#probing.has(target)) continue;
-        if (!this.#isDue(target, homes)) continue;
+        if (!this.#isDue(service, target, homes)) continue;
         this.#probe(service, target, path).catch(() => undefined);
       }
     }
   }
 
+  /** Calls meet at homes, so one call shows that more will come; elsewhere a few are no reason. */
+  #isInUse(service: TargetService, homes: readonly string[]): boolean {
+    const now = this.options.clock.now();
+    if (homes.includes(this.options.self)) return now - service.lastCallAt < IN_USE;
+    return service.rate.read(now) >= LEAST_RATE;
+  }
+
   /** Homes divide the targets among themselves; what a home has not heard of in time it asks itself. */
-  #isDue(target: GatewayTarget, homes: readonly string[]): boolean {
-    const { clock, interval, self } = this.options;
+  #isDue(service: TargetService, target: GatewayTarget, homes: readonly string[]): boolean {
+    const { clock, self } = this.options;
+    const interval = this.options.interval * (this.#isHurried(service) ? 0.5 : 1);
     const age = clock.now() - target.belief.slowdownAt;
     const isMine = !homes.includes(self) || findProber(target, homes) === self;
     return age >= (isMine ? interval / 2 : interval * STAND_IN_FACTOR);
--- a/src/gateway/slot-queue.ts
+++ b/src/gateway/slot-queue.ts
@@ -53,6 +53,9 @@
 
   #timer: Timer | undefined;
 
+  /** When a call last had to wait. */
+  waitedAt = -Infinity;
+
   constructor(
     private readonly clock: Clock,
     private readonly adviser: SlotAdviser,
@@ -124,6 +127,7 @@
   }
 
   #wait(call: SlotCall): Promise<SlotAnswer> {
+    this.waitedAt = this.clock.now();
     return new Promise((resolve) => {
       this.#waiting = [...this.#waiting, { ...call, resolve }];
       this.#pumpLater();
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -35,6 +35,8 @@
 
   readonly rate: RateMeter;
 
+  lastCallAt = -Infinity;
+
   readonly budget: WindowBudget;
 
   /** Calls that wait for a target. */
@@ -53,6 +55,13 @@
     this.queue = new SlotQueue(options.clock, (call, ahead) => this.advise(call.tried, ahead));
   }
 
+  /** Counts a call that arrives. */
+  noteCall(): void {
+    this.lastCallAt = this.options.clock.now();
+    this.rate.add(this.lastCallAt);
+    this.budget.noteRequest();
+  }
+
   /** The mean slowdown of the service's targets. */
   readUsual(): number {
     return this.#usual.read(FIRST_USUAL);
--- a/src/view/store-reader.ts
+++ b/src/view/store-reader.ts
@@ -27,7 +27,7 @@
 const TARGETS_PACE = 200;
 
 /** How often a daemon that does not read looks whether it has to. */
-const IDLE_PACE = 100;
+const IDLE_PACE = 200;
 
 /** Least time between two answers of the configuration's watch, for configurations in quick succession. */
 const CONFIGURATION_PACE = 150;
