An overdue attempt is not about to end; reception and second attempts in modules of their own

Traced: when the moment of the last chance passed unseen, the work left of an overdue attempt was taken for a quarter of a call, so nothing seemed quicker, and the request stayed with a mute target until its deadline. Ruled out: the budget (32 repeats left), the number of attempts. Change: what is overdue is expected to go on for as long as it is overdue. The new test fails without it.

--- a/src/balance/index.ts
+++ b/src/balance/index.ts
@@ -11,3 +11,4 @@
 export * from './load-belief.js';
 export * from './expected-time.js';
 export * from './knee.js';
+export * from './second-attempt.js';
--- a/src/cli/local-commands.ts
+++ b/src/cli/local-commands.ts
@@ -8,6 +8,7 @@
   operatorSections,
   serviceSections,
 } from '../config/index.js';
+import { checkGatewaySettings, gatewaySections } from '../gateway/settings.js';
 import {
   POLICY_DECISIONS,
   POLICY_VARIABLES,
@@ -128,6 +129,7 @@
 export function writeReference(): string {
   const groups = [
     { title: 'Settings of an entry', sections: entrySections },
+    { title: 'Settings of a gateway', sections: gatewaySections },
     { title: 'A service document', sections: serviceSections },
     { title: 'An operator document', sections: operatorSections },
   ];
@@ -151,6 +153,13 @@
     options: {},
     run: (input) => checkFile(input, checkEntrySettings),
   },
+  {
+    name: 'settings check-gateway',
+    operands: 'FILE',
+    summary: 'Check the settings of a gateway and report every mistake',
+    options: {},
+    run: (input) => checkFile(input, checkGatewaySettings),
+  },
   {
     name: 'settings reference',
     operands: '',
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -10,7 +10,13 @@
 import type { Clock, Log, TextMetrics, Timer } from '../kernel/index.js';
 import { SendLedger } from '../proxy/ledger.js';
 import type { Route } from '../routing/index.js';
-import type { DecayingMean } from '../balance/index.js';
+import {
+  type DecayingMean,
+  type FirstAttempt,
+  isQuicker,
+  isStuck,
+  judgeNeed,
+} from '../balance/index.js';
 import { type Told, writeAnswer, writeTold } from './answers.js';
 import {
   type AttemptOutcome,
@@ -73,19 +79,9 @@
 /** How often a request that may be repeated looks whether another target would be quicker. */
 const LOOK_PACE = 40;
 
-/** Another target has to be expected to end first by this much, in milliseconds and as a factor. */
-const HEDGE_MARGIN = 15;
-const HEDGE_FACTOR = 1.3;
-
 /** Time of a request nothing is known of, before the first answer of its route. */
 const FIRST_TIME = 100;
 
-/** A call at a target this slow holds its slot for longer than running it anew takes. */
-const RESCUE_SLOWDOWN = 2.5;
-
-/** An attempt this many times over its expected time counts as stuck. */
-const STUCK_FACTOR = 4;
-
 /** A call that is late already may wait until this many times its aim has passed. */
 const LATE_WAIT = 1;
 
@@ -390,27 +386,28 @@
   /** Begins a second attempt when the first is expected to be late and the second not to be. */
   #considerHedge(): void {
     const { clock, usualTime } = this.context;
-    const { route, service, aimAt: aim, deadline } = this.request;
+    const { route, service, aimAt, deadline } = this.request;
     const [attempt] = this.#running;
     if (this.#running.size !== 1 || attempt === undefined) return;
     if (this.#sendings >= route.maxAttempts) return;
     const now = clock.now();
-    const usual = usualTime.read(FIRST_TIME);
-    const elapsed = now - attempt.startedAt;
-    const slowdown = attempt.target.belief.readSlowdown(now, service.readUsual());
-    if (elapsed > STUCK_FACTOR * usual * Math.max(1, slowdown)) attempt.target.noteStuck();
-    const remaining = Math.max(usual * 0.25, usual - elapsed / Math.max(1, slowdown)) * slowdown;
-    const isLastChance = now + usual * HEDGE_FACTOR >= aim && now < aim;
-    if (now + remaining <= aim && !isLastChance) return;
+    const { belief } = attempt.target;
+    const first: FirstAttempt = {
+      usual: usualTime.read(FIRST_TIME),
+      elapsed: now - attempt.startedAt,
+      slowdown: belief.readSlowdown(now, service.readUsual()),
+    };
+    if (isStuck(first)) attempt.target.noteStuck();
+    const times = { untilAim: aimAt - now, untilDeadline: deadline - now };
+    const need = judgeNeed(first, times);
+    if (need === 'none') return;
     // A second attempt takes a slot. While others wait for one it is worth it only if it frees one
     // that would be held for long.
-    if (service.queue.size > 0 && slowdown < RESCUE_SLOWDOWN) return;
+    if (service.queue.size > 0 && need !== 'rescue') return;
     const advice = service.advise(this.#tried, 0);
     if (advice.kind !== 'now') return;
     const { candidate: target, prospect } = advice;
-    const expected = usual * prospect.slowdown;
-    if (now + expected >= deadline) return;
-    if (!isLastChance && remaining < expected * HEDGE_FACTOR + HEDGE_MARGIN) return;
+    if (!isQuicker(first, prospect.slowdown, times)) return;
     if (!this.#mayRepeat()) return;
     this.context.counts.hedges += 1;
     target.belief.start(now);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,5 @@
 /** The daemon in front of the users' targets: puts the parts together, starts them, and stops them. */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Server } from 'node:http';
 import {
   type Kernel,
   TextMetrics,
@@ -8,20 +8,17 @@
   logService,
   randomService,
 } from '../kernel/index.js';
-import { DecayingMean, WindowBudget } from '../balance/index.js';
+import { WindowBudget } from '../balance/index.js';
 import { type Knowledge, FeedClient, type MemberInfo, type MemberState } from '../peering/index.js';
 import { MemberRegistry, PeerLink, Roster, serveFeed } from '../peering/index.js';
-import { HEADERS, type ResolveQuestion, kvStoreService } from '../platform/index.js';
-import { type RouteTable, SplitDealer } from '../routing/index.js';
+import { type ResolveQuestion, kvStoreService } from '../platform/index.js';
+import type { RouteTable } from '../routing/index.js';
 import { FleetView, StoreReader } from '../view/index.js';
-import { type Told, writeTold } from './answers.js';
-import { CallerAims } from './caller-aims.js';
 import { CallerServer } from './caller-server.js';
 import { serveDirectory, serveMetrics, serveReadiness } from './directory.js';
-import { Forwarding, type ForwardingCounts } from './forwarding.js';
-import { buildPassedHeaders, buildTargetHeaders, checkRequest, readBody } from './intake.js';
 import { LoadSharing } from './load-sharing.js';
 import { Prober } from './prober.js';
+import { Reception } from './reception.js';
 import type { GatewaySettings } from './settings.js';
 import { TargetSet } from './target-set.js';
 
@@ -40,15 +37,6 @@
 /** How long callers are told to keep an answer, in milliseconds; some keep it three times as long. */
 const ANSWER_TTL = 5000;
 
-/** How long a route's usual time follows its answers. */
-const USUAL_TIME_HALF_LIFE = 3000;
-
-/** When a caller may come back to a daemon that knows no configuration yet. */
-const STARTING_RETRY = 300;
-
-/** When a caller that was told to go elsewhere may do so. */
-const STOPPING_RETRY = 20;
-
 /** Parts of the grace in which a stopping daemon takes requests, and waits for those in flight. */
 const TAKE_PART = 0.5;
 const WAIT_PART = 0.93;
@@ -86,8 +74,6 @@
 
   readonly #targets: TargetSet;
 
-  readonly #dealer: SplitDealer;
-
   readonly #callers: CallerServer;
 
   readonly #prober: Prober;
@@ -96,24 +82,16 @@
 
   readonly #servers: Server[] = [];
 
-  readonly #usualTimes = new Map<string, DecayingMean>();
-
-  readonly counts: ForwardingCounts = {
-    ...{ answered: 0, failed: 0, notRun: 0, unknown: 0, gone: 0, retries: 0, hedges: 0 },
-  };
+  readonly #reception: Reception;
 
   #settings: GatewaySettings;
 
   #state: MemberState = 'starting';
 
-  #takesRequests = true;
-
   readonly #metrics = new TextMetrics();
 
   #isRefreshing = false;
 
-  readonly #aims = new CallerAims();
-
   #lookups = 0;
 
   constructor(
@@ -178,11 +156,14 @@
       isWriter: () => this.#roster.listHomes()[0]?.ip === gateway.ip,
       onFound: (ips) => this.#link.addSeeds(ips),
     });
-    this.#dealer = new SplitDealer(() => random.next());
+    this.#reception = new Reception({
+      ...{ clock, random, log, targets: this.#targets, metrics: this.#metrics },
+      readTable: () => (this.#state === 'starting' ? undefined : this.#view.table),
+    });
     this.#callers = new CallerServer({
       ...{ address: gateway.callers, clock },
       serve: (request, response) => {
-        this.#serve(request, response).catch((error: Error) => this.#fail(error));
+        this.#reception.serve(request, response).catch((error: Error) => this.#fail(error));
       },
     });
     const listHomes = () => this.#roster.listHomes().map(({ ip }) => ip);
@@ -259,14 +240,14 @@
     this.#callers.drain();
     while (clock.now() - startedAt < grace * WAIT_PART) {
       const elapsed = clock.now() - startedAt;
-      if (elapsed > grace * TAKE_PART) this.#takesRequests = false;
+      if (elapsed > grace * TAKE_PART) this.#reception.close();
       const isQuiet = this.#callers.countActive() === 0;
       if (isQuiet && elapsed > LEAVE_TIME && this.#callers.countConnections() === 0) break;
       if (isQuiet && elapsed > grace * TAKE_PART) break;
       await clock.sleep(STOP_PACE);
     }
     const left = this.#callers.countActive();
-    this.#takesRequests = false;
+    this.#reception.close();
     await this.#callers.closeResting();
     this.destroy();
     this.#log.info('gateway.stopped', { cut: left, took: Math.round(clock.now() - startedAt) });
@@ -364,86 +345,6 @@
     return this.#state === 'ready' ? [formatAddress(this.#settings.gateway.callers)] : [];
   }
 
-  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const arrivedAt = this.#clock.now();
-    const id = String(request.headers[HEADERS.requestId.toLowerCase()] ?? '');
-    const tell = (told: Told) => {
-      this.#log.info('request.refused', { id, told: told.kind, path: request.url });
-      writeTold(response, id, told);
-    };
-    const { table } = this.#view;
-    if (table === undefined || this.#state === 'starting') {
-      tell({ kind: 'not-run', reason: 'starting', retryAfter: STARTING_RETRY });
-      return;
-    }
-    if (!this.#takesRequests) {
-      response.shouldKeepAlive = false;
-      tell({ kind: 'not-run', reason: 'stopping', retryAfter: STOPPING_RETRY });
-      return;
-    }
-    const refusal = checkRequest(request, table.limits);
-    if (refusal !== undefined) {
-      response.shouldKeepAlive = false;
-      tell(refusal);
-      return;
-    }
-    const [path = '/'] = (request.url ?? '/').split('?', 1);
-    const [host = ''] = (request.headers.host ?? '').split(':', 1);
-    const route = table.findRoute(host, path);
-    if (route === undefined) {
-      tell({ kind: 'no-route' });
-      return;
-    }
-    const name = this.#dealer.pick(route);
-    if (name === undefined) {
-      tell({ kind: 'not-run', reason: 'no-target', retryAfter: STARTING_RETRY });
-      return;
-    }
-    const body = await readBody(request, table.limits);
-    if (body.kind === 'gone') return;
-    if (body.kind === 'refused') {
-      response.shouldKeepAlive = false;
-      tell(body.told);
-      return;
-    }
-    const asked = Number(request.headers[HEADERS.timeLeft.toLowerCase()]);
-    const allowed = Math.min(asked > 0 ? asked : Infinity, route.timeout);
-    const passed = buildPassedHeaders(request);
-    const data = body.kind === 'whole' ? body.data : request;
-    const forwarding = new Forwarding(
-      {
-        ...{ clock: this.#clock, log: this.#log, counts: this.counts, metrics: this.#metrics },
-        usualTime: this.#findUsualTime(route.name),
-      },
-      {
-        ...{ id, route, service: this.#targets.find(name), arrivedAt },
-        aimAt: arrivedAt + this.#aims.read(route, asked),
-        deadline: arrivedAt + Math.min(allowed, LONGEST_HOLD),
-        ...{ method: request.method ?? 'GET', path: request.url ?? '/', body: data },
-        buildHeaders: (target, timeLeft) =>
-          buildTargetHeaders(passed, target, {
-            timeLeft,
-            length: body.kind === 'whole' ? body.data?.length : this.#readLength(request),
-          }),
-      },
-      response,
-    );
-    await forwarding.run();
-  }
-
-  #readLength(request: IncomingMessage): number | undefined {
-    const text = request.headers['content-length'];
-    return text === undefined ? undefined : Number(text);
-  }
-
-  #findUsualTime(route: string): DecayingMean {
-    const known = this.#usualTimes.get(route);
-    if (known !== undefined) return known;
-    const usual = new DecayingMean(USUAL_TIME_HALF_LIFE);
-    this.#usualTimes.set(route, usual);
-    return usual;
-  }
-
   async #trim(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.#clock.sleep(TRIM_PACE, signal);
@@ -462,7 +363,8 @@
       ...{ probes: this.#prober.sent, target_connections_opened: this.#targets.opened },
       rss_bytes: process.memoryUsage.rss(),
     };
-    for (const [name, count] of Object.entries(this.counts)) gauges[`requests_${name}`] = count;
+    for (const [name, count] of Object.entries(this.#reception.counts))
+      gauges[`requests_${name}`] = count;
     for (const [kind, count] of Object.entries(this.kernel.find(kvStoreService).counts())) {
       gauges[`store_calls{kind="${kind}"}`] = count;
     }
@@ -481,7 +383,11 @@
       await this.#clock.sleep(STATUS_PACE, signal);
       const homes = this.#roster.listHomes();
       this.#log.info('gateway.status', {
-        ...{ state: this.#state, homes: homes.map(({ ip }) => ip).join(','), ...this.counts },
+        ...{
+          state: this.#state,
+          homes: homes.map(({ ip }) => ip).join(','),
+          ...this.#reception.counts,
+        },
         ...{ members: this.#roster.list().length, version: this.#view.table?.version },
         knee: this.#targets
           .list()
@@ -505,6 +411,3 @@
     throw error;
   }
 }
-
-/** A request whose caller and route name no time is held this long at most. */
-const LONGEST_HOLD = 60_000;
--- /dev/null
+++ b/src/gateway/reception.ts
@@ -0,0 +1,181 @@
+/** Takes a caller's request from its head to the hands of {@link Forwarding}, or answers it at once. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Clock, Log, Random, TextMetrics } from '../kernel/index.js';
+import { DecayingMean } from '../balance/index.js';
+import { HEADERS } from '../platform/index.js';
+import { type Route, type RouteTable, SplitDealer } from '../routing/index.js';
+import { type Told, writeTold } from './answers.js';
+import { CallerAims } from './caller-aims.js';
+import { Forwarding, type ForwardingCounts, type RoutedRequest } from './forwarding.js';
+import {
+  type BodyResult,
+  buildPassedHeaders,
+  buildTargetHeaders,
+  checkRequest,
+  readBody,
+} from './intake.js';
+import type { TargetSet } from './target-set.js';
+
+/** What the reception is made from. */
+export interface ReceptionOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly targets: TargetSet;
+  readonly metrics: TextMetrics;
+  /** The configuration in force; undefined while this daemon may not serve by any. */
+  readonly readTable: () => RouteTable | undefined;
+}
+
+/** How long a route's usual time follows its answers. */
+const USUAL_TIME_HALF_LIFE = 3000;
+
+/** When a caller may come back to a daemon that knows no configuration yet. */
+const STARTING_RETRY = 300;
+
+/** When a caller that was told to go elsewhere may do so. */
+const STOPPING_RETRY = 20;
+
+/** A request whose caller and route name no time is held this long at most. */
+const LONGEST_HOLD = 60_000;
+
+/** A request that found its route and service. */
+interface Admitted {
+  readonly kind: 'admitted';
+  readonly table: RouteTable;
+  readonly route: Route;
+  readonly service: string;
+}
+
+/** A request that is answered without looking for a target. */
+interface TurnedAway {
+  readonly kind: 'turned-away';
+  readonly told: Told;
+  /** Whether its connection may carry another one. */
+  readonly keepsConnection: boolean;
+}
+
+type WholeBody = Extract<BodyResult, { readonly kind: 'whole' | 'stream' }>;
+
+function turnAway(told: Told, keepsConnection: boolean): TurnedAway {
+  return { kind: 'turned-away', told, keepsConnection };
+}
+
+function readHeader(request: IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name.toLowerCase()];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+/** Returns the length that a request states; undefined when it comes in chunks. */
+function readLength(request: IncomingMessage): number | undefined {
+  const text = readHeader(request, 'content-length');
+  return text === undefined ? undefined : Number(text);
+}
+
+/** The reception of one daemon. */
+export class Reception {
+  /** Counters over all requests. */
+  readonly counts: ForwardingCounts = {
+    ...{ answered: 0, failed: 0, notRun: 0, unknown: 0, gone: 0, retries: 0, hedges: 0 },
+  };
+
+  readonly #dealer: SplitDealer;
+
+  readonly #aims = new CallerAims();
+
+  readonly #usualTimes = new Map<string, DecayingMean>();
+
+  #isClosed = false;
+
+  constructor(private readonly options: ReceptionOptions) {
+    this.#dealer = new SplitDealer(() => options.random.next());
+  }
+
+  /** From now on requests are told to go elsewhere, because this daemon stops. */
+  close(): void {
+    this.#isClosed = true;
+  }
+
+  /** Serves one request to its end. */
+  async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const arrivedAt = this.options.clock.now();
+    const id = readHeader(request, HEADERS.requestId) ?? '';
+    const admission = this.#admit(request);
+    if (admission.kind === 'turned-away') {
+      this.#answer(request, response, admission);
+      return;
+    }
+    const body = await readBody(request, admission.table.limits);
+    if (body.kind === 'gone') return;
+    if (body.kind === 'refused') {
+      this.#answer(request, response, turnAway(body.told, false));
+      return;
+    }
+    const routed = this.#route(request, body, { ...admission, id, arrivedAt });
+    const { clock, log, metrics } = this.options;
+    const usualTime = this.#findUsualTime(admission.route.name);
+    const context = { clock, log, metrics, counts: this.counts, usualTime };
+    await new Forwarding(context, routed, response).run();
+  }
+
+  /** Finds the route and the service of a request, by its head alone. */
+  #admit(request: IncomingMessage): Admitted | TurnedAway {
+    const table = this.options.readTable();
+    if (table === undefined) {
+      const told = { kind: 'not-run', reason: 'starting', retryAfter: STARTING_RETRY } as const;
+      return turnAway(told, true);
+    }
+    if (this.#isClosed) {
+      const told = { kind: 'not-run', reason: 'stopping', retryAfter: STOPPING_RETRY } as const;
+      return turnAway(told, false);
+    }
+    const refusal = checkRequest(request, table.limits);
+    if (refusal !== undefined) return turnAway(refusal, false);
+    const [path = '/'] = (request.url ?? '/').split('?', 1);
+    const [host = ''] = (request.headers.host ?? '').split(':', 1);
+    const route = table.findRoute(host, path);
+    if (route === undefined) return turnAway({ kind: 'no-route' }, true);
+    const service = this.#dealer.pick(route);
+    if (service === undefined) {
+      const told = { kind: 'not-run', reason: 'no-target', retryAfter: STARTING_RETRY } as const;
+      return turnAway(told, true);
+    }
+    return { kind: 'admitted', table, route, service };
+  }
+
+  #answer(request: IncomingMessage, response: ServerResponse, away: TurnedAway): void {
+    const id = readHeader(request, HEADERS.requestId) ?? '';
+    const { told, keepsConnection } = away;
+    if (!keepsConnection) response.shouldKeepAlive = false;
+    this.options.log.info('request.refused', { id, told: told.kind, path: request.url });
+    writeTold(response, id, told);
+  }
+
+  #route(
+    request: IncomingMessage,
+    body: WholeBody,
+    admitted: Admitted & { readonly id: string; readonly arrivedAt: number },
+  ): RoutedRequest {
+    const { id, route, arrivedAt } = admitted;
+    const asked = Number(readHeader(request, HEADERS.timeLeft));
+    const allowed = Math.min(asked > 0 ? asked : LONGEST_HOLD, route.timeout, LONGEST_HOLD);
+    const passed = buildPassedHeaders(request);
+    const length = body.kind === 'whole' ? body.data?.length : readLength(request);
+    return {
+      ...{ id, route, arrivedAt, service: this.options.targets.find(admitted.service) },
+      aimAt: arrivedAt + this.#aims.read(route, asked),
+      deadline: arrivedAt + allowed,
+      ...{ method: request.method ?? 'GET', path: request.url ?? '/' },
+      body: body.kind === 'whole' ? body.data : request,
+      buildHeaders: (target, timeLeft) => buildTargetHeaders(passed, target, { timeLeft, length }),
+    };
+  }
+
+  #findUsualTime(route: string): DecayingMean {
+    const known = this.#usualTimes.get(route);
+    if (known !== undefined) return known;
+    const usual = new DecayingMean(USUAL_TIME_HALF_LIFE);
+    this.#usualTimes.set(route, usual);
+    return usual;
+  }
+}
--- a/test/gateway-settings.test.ts
+++ b/test/gateway-settings.test.ts
@@ -46,7 +46,12 @@
     expect(settings.gateway.seeds).to.deep.equal([]);
   });
   for (const [what, from, to, message] of [
-    ['an address', 'callers = 10.1.0.35:8144', 'callers = here', 'gateway.ini:7: [gateway] callers'],
+    [
+      'an address',
+      'callers = 10.1.0.35:8144',
+      'callers = here',
+      'gateway.ini:7: [gateway] callers',
+    ],
     ['a number', 'grace = 6', 'grace = soon', '[promises] grace = "soon"; expected a whole number'],
     ['a misspelt key', 'grace = 6', 'grase = 6', 'unknown key "grase" in [promises]'],
     ['an unknown section', '[machine]', '[machines]', 'unknown section [machines]'],
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -333,7 +333,9 @@
       'the second daemon is among the members',
     );
     const named = [await resolveAt(first), await resolveAt(second)];
-    expect(named[0]).to.have.length(2).and.to.have.members([...named[1]]);
+    expect(named[0])
+      .to.have.length(2)
+      .and.to.have.members([...named[1]]);
   }).timeout(15_000);
 
   it('one that knows nothing says that nothing was run', async () => {
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -6,6 +6,9 @@
   type Prospect,
   WindowBudget,
   advise,
+  isQuicker,
+  isStuck,
+  judgeNeed,
   measureCost,
 } from '../src/balance/index.js';
 import { CallerAims } from '../src/gateway/caller-aims.js';
@@ -106,6 +109,46 @@
   });
 });
 
+describe('a second attempt', () => {
+  const first = { usual: 60, elapsed: 20, slowdown: 1 };
+  const time = { untilAim: 150, untilDeadline: 1000 };
+  for (const [what, changes, left, need] of [
+    ['is not needed while the first is in time', {}, {}, 'none'],
+    [
+      'is needed when the first will be late',
+      { slowdown: 2.4, elapsed: 0 },
+      { untilAim: 90 },
+      'late',
+    ],
+    ['rescues a call whose target turned slow', { slowdown: 7 }, {}, 'rescue'],
+    ['takes the last chance to be in time', { elapsed: 100 }, { untilAim: 70 }, 'last-chance'],
+    ['is no last chance after the aim', { elapsed: 200 }, { untilAim: -10 }, 'late'],
+  ] as const) {
+    it(`${what}: ${need}`, () => {
+      expect(judgeNeed({ ...first, ...changes }, { ...time, ...left })).to.equal(need);
+    });
+  }
+  it('goes only where it is expected to end sooner, and before the deadline', () => {
+    const slow = { ...first, slowdown: 7 };
+    expect(isQuicker(slow, 1, time)).to.equal(true);
+    expect(isQuicker(slow, 6, time)).to.equal(false);
+    expect(isQuicker(slow, 1, { ...time, untilDeadline: 50 })).to.equal(false);
+  });
+  // Found beside a busy bench: the moment of the last chance passed unseen, and a request stayed with
+  // a mute target until its deadline, because little work seemed left of it.
+  it('is worth it for an attempt that is long overdue, also after the aim', () => {
+    const overdue = { usual: 60, elapsed: 400, slowdown: 1 };
+    const late = { untilAim: -100, untilDeadline: 1000 };
+    expect(judgeNeed(overdue, late)).to.equal('late');
+    expect(isQuicker(overdue, 1, late)).to.equal(true);
+  });
+  it('finds an attempt stuck at four times its expected time', () => {
+    expect(isStuck({ ...first, elapsed: 230 })).to.equal(false);
+    expect(isStuck({ ...first, elapsed: 250 })).to.equal(true);
+    expect(isStuck({ ...first, elapsed: 250, slowdown: 7 })).to.equal(false);
+  });
+});
+
 describe('the knee of a service', () => {
   it('keeps to fewer calls where the last slots bring nothing, and to all where they do', () => {
     const [bent, straight] = [new KneeEstimate(), new KneeEstimate()];
