A long body in chunks passes through instead of being held whole

Cause: found in reading: only bodies that state a length were streamed past 1 MiB; one in chunks was held up to the operators' limit of 64 MB. The new tests send 2.5 MB in chunks, and 4.1 MB against a limit of 4 MB.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -6,6 +6,7 @@
  */
 import http from 'node:http';
 import type { IncomingMessage } from 'node:http';
+import type { Readable } from 'node:stream';
 import type { Clock } from '../kernel/index.js';
 import { HEADERS, MISDIRECTED, parseLoad } from '../platform/index.js';
 import { type TargetConnection, readRestLimit } from './connections.js';
@@ -18,7 +19,7 @@
   /** Path and query as the caller sent them. */
   readonly path: string;
   readonly headers: readonly string[];
-  readonly body: Buffer | IncomingMessage | undefined;
+  readonly body: Buffer | Readable | undefined;
 }
 
 /** A target's answer. The body is whole, or its first part with the stream of the rest. */
--- a/src/gateway/intake.ts
+++ b/src/gateway/intake.ts
@@ -1,5 +1,6 @@
 /** Reads a caller's request: its head against the operators' limits, its route, its body. */
 import type { IncomingMessage } from 'node:http';
+import { type Readable, Transform } from 'node:stream';
 import { checkHead, normalizeTarget } from '../proxy/door.js';
 import { listPairs } from '../proxy/headers.js';
 import { HEADERS } from '../platform/index.js';
@@ -35,7 +36,7 @@
     return reject(HEADERS_TOO_LARGE, `headers over ${limits.headerBytes} bytes`);
   }
   if (Number(request.headers['content-length'] ?? 0) > limits.bodyBytes) {
-    return reject(TOO_LARGE, `a body over ${limits.bodyBytes} bytes`);
+    return rejectBody(limits);
   }
   return undefined;
 }
@@ -44,7 +45,7 @@
 export type BodyResult =
   | { readonly kind: 'whole'; readonly data: Buffer | undefined }
   /** Too long to hold: the stream of a body that can be sent once. */
-  | { readonly kind: 'stream' }
+  | { readonly kind: 'stream'; readonly source: Readable }
   | { readonly kind: 'refused'; readonly told: Told }
   /** The caller went away. */
   | { readonly kind: 'gone' };
@@ -60,25 +61,48 @@
       data: headers['content-length'] === undefined ? undefined : Buffer.alloc(0),
     });
   }
-  if (length > HELD_BODY) return Promise.resolve({ kind: 'stream' });
+  if (length > HELD_BODY) return Promise.resolve({ kind: 'stream', source: request });
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let bytes = 0;
-    request.on('data', (chunk: Buffer) => {
+    const onData = (chunk: Buffer) => {
       bytes += chunk.length;
       if (bytes > limits.bodyBytes) {
-        const told = reject(TOO_LARGE, `a body over ${limits.bodyBytes} bytes`);
-        resolve({ kind: 'refused', told });
+        resolve({ kind: 'refused', told: rejectBody(limits) });
         return;
       }
       chunks.push(chunk);
-    });
+      if (bytes <= HELD_BODY) return;
+      // Too long to hold: what was read goes back, and the rest passes through.
+      request.pause();
+      request.removeListener('data', onData);
+      request.unshift(Buffer.concat(chunks));
+      resolve({ kind: 'stream', source: createLimiter(request, limits) });
+    };
+    request.on('data', onData);
     request.on('end', () => resolve({ kind: 'whole', data: Buffer.concat(chunks) }));
     request.on('close', () => resolve({ kind: 'gone' }));
     request.on('error', () => resolve({ kind: 'gone' }));
   });
 }
 
+function rejectBody({ bodyBytes }: RequestLimits): Told {
+  return reject(TOO_LARGE, `a body over ${bodyBytes} bytes`);
+}
+
+/** Passes a body on while it stays within the limit; a longer one ends the request. */
+function createLimiter(request: IncomingMessage, { bodyBytes }: RequestLimits): Readable {
+  let bytes = 0;
+  const limiter = new Transform({
+    transform(chunk: Buffer, _encoding, done) {
+      bytes += chunk.length;
+      if (bytes > bodyBytes) request.destroy();
+      else done(null, chunk);
+    },
+  });
+  return request.pipe(limiter);
+}
+
 /** Headers that end at this daemon, and those that it sets itself. */
 const NOT_PASSED_ON = new Set([
   ...['connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'te', 'trailer'],
--- a/src/gateway/reception.ts
+++ b/src/gateway/reception.ts
@@ -166,7 +166,7 @@
       aimAt: arrivedAt + this.#aims.read(route, asked),
       deadline: arrivedAt + allowed,
       ...{ method: request.method ?? 'GET', path: request.url ?? '/' },
-      body: body.kind === 'whole' ? body.data : request,
+      body: body.kind === 'whole' ? body.data : body.source,
       buildHeaders: (target, timeLeft) => buildTargetHeaders(passed, target, { timeLeft, length }),
     };
   }
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -64,6 +64,22 @@
       const bodies = site.targets.flatMap((target) => target.bodies);
       expect(bodies.map(({ length }) => length)).to.have.members([10, 70_000, 2_500_000]);
     });
+    it('passes a long body in chunks on unaltered, and refuses none that is within the limit', async () => {
+      const body = Buffer.alloc(2_500_000, 'é');
+      const headers = { 'transfer-encoding': 'chunked' };
+      const reply = await sendTo(ip, { path: '/up/1', method: 'POST', body, headers });
+      expect(reply.status).to.equal(200);
+      const [passed] = site.targets.flatMap((target) => target.bodies);
+      expect(passed.equals(body)).to.equal(true);
+    });
+    it('ends a body in chunks that grows over the limit', async () => {
+      const body = Buffer.alloc(4_100_000);
+      const headers = { 'transfer-encoding': 'chunked' };
+      const sending = { path: '/up/1', method: 'POST', body, headers };
+      const reply = await sendTo(ip, sending).catch(() => undefined);
+      expect(reply?.status).to.not.equal(200);
+      expect(site.targets.flatMap((target) => target.bodies)).to.have.length(0);
+    });
     for (const [what, sending, status] of [
       ['no route', { path: '/nowhere/' }, 404],
       ['a service without targets', { path: '/empty/1' }, 503],
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -150,7 +150,7 @@
       signal: sending.signal,
       headers: {
         ...{ host: HOST, 'attempt-id': id, 'request-deadline-ms': String(deadline) },
-        ...(sending.body === undefined
+        ...(sending.body === undefined || sending.headers?.['transfer-encoding'] !== undefined
           ? {}
           : { 'content-length': Buffer.byteLength(sending.body) }),
         ...sending.headers,
