A connection that was told 408 passes on no request; callers are told a spare address

Change: after such a refusal nothing of that connection is served; a connection on which nothing has come is closed without a word. Both tests fail without it. Ruled out: a target's stray refusal.

--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -21,9 +21,11 @@
 const FIRST_IDLE_TIMEOUT = 15_000;
 const CHECK_PACE = 500;
 
+const TIMEOUT = 408;
+
 const PARSER_STATUS: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: 431,
-  ERR_HTTP_REQUEST_TIMEOUT: 408,
+  ERR_HTTP_REQUEST_TIMEOUT: TIMEOUT,
 };
 
 /** How long a connection that this daemon closes is read from, for a request that crosses the close. */
@@ -42,6 +44,12 @@
 
   #closing = false;
 
+  /** Connections on which a refusal of the whole connection was written. */
+  readonly #refused = new WeakSet<Socket>();
+
+  /** Bytes that had been read from a connection when its last request ended. */
+  readonly #bytesAtRest = new WeakMap<Socket, number>();
+
   constructor(private readonly options: CallerServerOptions) {
     this.#server = http.createServer({
       maxHeaderSize: PARSER_HEADER_BYTES,
@@ -70,6 +78,13 @@
         socket.destroy();
         return;
       }
+      // Whatever else comes on this connection has been told that it will not run.
+      this.#refused.add(socket as Socket);
+      const { bytesRead } = socket as Socket;
+      if (status === TIMEOUT && bytesRead === (this.#bytesAtRest.get(socket as Socket) ?? 0)) {
+        socket.end();
+        return;
+      }
       const line = `HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? 'Error'}`;
       socket.end(`${line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     });
@@ -128,12 +143,13 @@
 
   #take(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
-    if (this.#closing && !socket.writable) {
+    if (this.#refused.has(socket) || (this.#closing && !socket.writable)) {
       socket.destroy();
       return;
     }
     this.#sockets.set(socket, (this.#sockets.get(socket) ?? 0) + 1);
     response.on('close', () => {
+      this.#bytesAtRest.set(socket, socket.bytesRead);
       const active = this.#sockets.get(socket);
       if (active !== undefined) this.#sockets.set(socket, active - 1);
     });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -44,6 +44,19 @@
 /** Callers have heard of the stop after this long. */
 const LEAVE_TIME = 2200;
 
+/**
+ * Adds the home that follows in order to the near ones: a caller whose only address is gone has
+ * nowhere to go. Each home is the spare of one other, so none gets more than its part.
+ */
+function addSpare(
+  near: readonly MemberInfo[],
+  homes: readonly MemberInfo[],
+): readonly MemberInfo[] {
+  const after = homes.indexOf(near[near.length - 1]) + 1;
+  const spare = [...homes.slice(after), ...homes].find((home) => !near.includes(home));
+  return spare === undefined ? near : [...near, spare];
+}
+
 const STOP_PACE = 20;
 
 const STATUS_PACE = 5000;
@@ -340,7 +353,7 @@
     const { port } = this.#settings.gateway.callers;
     const homes = this.#roster.listHomes();
     const near = homes.filter((home) => home.domain === question.domain);
-    const chosen = near.length > 0 ? near : homes;
+    const chosen = near.length > 0 ? addSpare(near, homes) : homes;
     if (chosen.length > 0) return chosen.map(({ ip }) => `${ip}:${port}`);
     return this.#state === 'ready' ? [formatAddress(this.#settings.gateway.callers)] : [];
   }
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import net from 'node:net';
 import { expect } from 'chai';
 import { pause } from '../src/demo/index.js';
 import { KEYS } from '../src/platform/index.js';
@@ -236,6 +237,40 @@
     });
   });
 
+  describe('a connection that was told 408', () => {
+    // Found on the users' bench: the rest of the head crossed the 408 and the request was passed on.
+    it('passes on no request any more, since 408 promises that nothing has run', async () => {
+      const socket = net.connect({ host: ip, port: callersPort });
+      let text = '';
+      socket.on('data', (chunk: Buffer) => {
+        text += chunk.toString();
+        // The head is completed the moment the refusal is seen, as if it had crossed it.
+        if (text.includes('408')) socket.write('Attempt-Id: late\r\n\r\n');
+      });
+      socket.on('error', () => undefined);
+      socket.write('GET /a/1 HTTP/1.1\r\nHost: test.example\r\n');
+      await waitUntil(() => text !== '', 'the daemon refuses the head');
+      await pause(200);
+      socket.destroy();
+      expect(text).to.match(/^HTTP\/1.1 408 /);
+      expect(countRuns()).to.equal(0);
+    }).timeout(10_000);
+    it('is closed without a word when nothing had come on it', async () => {
+      const socket = net.connect({ host: ip, port: callersPort });
+      let text = '';
+      let isClosed = false;
+      socket.on('data', (chunk: Buffer) => {
+        text += chunk.toString();
+      });
+      socket.on('end', () => {
+        isClosed = true;
+      });
+      await waitUntil(() => isClosed, 'the daemon closes the connection');
+      expect(text).to.equal('');
+      socket.destroy();
+    }).timeout(10_000);
+  });
+
   describe('targets that come and go', () => {
     it('sends nothing more to one that is draining, or gone, a second later', async () => {
       const [one, other] = site.targets;
