--- a/src/balance/expected-time.ts
+++ b/src/balance/expected-time.ts
@@ -74,7 +74,7 @@
  * @param terms.ahead calls that wait already and go first
  * @param terms.sharers daemons that share the targets, each with as many calls
  */
-export function advise<T>(
+export function choosePlace<T>(
   candidates: readonly T[],
   view: (candidate: T) => Prospect,
   { ahead, sharers, random }: AdviceTerms,
--- a/src/bin/gateway.ts
+++ b/src/bin/gateway.ts
@@ -44,7 +44,7 @@
 }
 
 /** Takes a changed file; one with mistakes is reported and changes nothing. */
-function reloadSettings(file: string, text: string, gateway: Gateway, log: Log): void {
+function refreshSettings(file: string, text: string, gateway: Gateway, log: Log): void {
   checkGatewaySettings(file, text).caseOf({
     Left: (mistakes) =>
       log.error('settings.refused', { why: mistakes.map(formatMistake).join('; ') }),
@@ -80,7 +80,7 @@
     const changed = readText(file);
     if (changed === undefined || changed === text) return;
     text = changed;
-    reloadSettings(file, text, gateway, log);
+    refreshSettings(file, text, gateway, log);
   };
   process.on('SIGHUP', reload);
   // The file may change without a signal.
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -404,7 +404,7 @@
     // A second attempt takes a slot. While others wait for one it is worth it only if it frees one
     // that would be held for long.
     if (service.queue.size > 0 && need !== 'rescue') return;
-    const advice = service.advise(this.#tried, 0);
+    const advice = service.choosePlace(this.#tried, 0);
     if (advice.kind !== 'now') return;
     const { candidate: target, prospect } = advice;
     if (!isQuicker(first, prospect.slowdown, times)) return;
--- a/src/gateway/reception.ts
+++ b/src/gateway/reception.ts
@@ -57,7 +57,7 @@
 
 type WholeBody = Extract<BodyResult, { readonly kind: 'whole' | 'stream' }>;
 
-function turnAway(told: Told, keepsConnection: boolean): TurnedAway {
+function makeTurnedAway(told: Told, keepsConnection: boolean): TurnedAway {
   return { kind: 'turned-away', told, keepsConnection };
 }
 
@@ -108,7 +108,7 @@
     const body = await readBody(request, admission.table.limits);
     if (body.kind === 'gone') return;
     if (body.kind === 'refused') {
-      this.#answer(request, response, turnAway(body.told, false));
+      this.#answer(request, response, makeTurnedAway(body.told, false));
       return;
     }
     const routed = this.#route(request, body, { ...admission, id, arrivedAt });
@@ -123,22 +123,22 @@
     const table = this.options.readTable();
     if (table === undefined) {
       const told = { kind: 'not-run', reason: 'starting', retryAfter: STARTING_RETRY } as const;
-      return turnAway(told, true);
+      return makeTurnedAway(told, true);
     }
     if (this.#isClosed) {
       const told = { kind: 'not-run', reason: 'stopping', retryAfter: STOPPING_RETRY } as const;
-      return turnAway(told, false);
+      return makeTurnedAway(told, false);
     }
     const refusal = checkRequest(request, table.limits);
-    if (refusal !== undefined) return turnAway(refusal, false);
+    if (refusal !== undefined) return makeTurnedAway(refusal, false);
     const [path = '/'] = (request.url ?? '/').split('?', 1);
     const [host = ''] = (request.headers.host ?? '').split(':', 1);
     const route = table.findRoute(host, path);
-    if (route === undefined) return turnAway({ kind: 'no-route' }, true);
+    if (route === undefined) return makeTurnedAway({ kind: 'no-route' }, true);
     const service = this.#dealer.pick(route);
     if (service === undefined) {
       const told = { kind: 'not-run', reason: 'no-target', retryAfter: STARTING_RETRY } as const;
-      return turnAway(told, true);
+      return makeTurnedAway(told, true);
     }
     return { kind: 'admitted', table, route, service };
   }
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -6,7 +6,7 @@
   KneeEstimate,
   RateMeter,
   WindowBudget,
-  advise,
+  choosePlace,
 } from '../balance/index.js';
 import type { FleetView } from '../view/index.js';
 import { SlotQueue } from './slot-queue.js';
@@ -52,7 +52,7 @@
   ) {
     this.rate = new RateMeter(options.clock.now());
     this.budget = options.createBudget();
-    this.queue = new SlotQueue(options.clock, (call, ahead) => this.advise(call.tried, ahead));
+    this.queue = new SlotQueue(options.clock, (call, ahead) => this.choosePlace(call.tried, ahead));
   }
 
   /** Counts a call that arrives. */
@@ -73,7 +73,7 @@
   }
 
   /** Advises a call that has tried some targets already. @param ahead calls that go first */
-  advise(tried: ReadonlySet<GatewayTarget>, ahead: number): Advice<GatewayTarget> {
+  choosePlace(tried: ReadonlySet<GatewayTarget>, ahead: number): Advice<GatewayTarget> {
     const { random, domain } = this.options;
     const usual = this.readUsual();
     const candidates: GatewayTarget[] = [];
@@ -82,7 +82,11 @@
     }
     const homes = this.options.countHomes();
     const terms = { usual, domain, homes, knee: this.knee };
-    return advise(candidates, (target) => target.view(terms), { ahead, sharers: homes, random });
+    return choosePlace(candidates, (target) => target.view(terms), {
+      ahead,
+      sharers: homes,
+      random,
+    });
   }
 }
 
--- a/src/peering/datagram.ts
+++ b/src/peering/datagram.ts
@@ -48,7 +48,7 @@
 /** Slowdowns travel as whole tenths, and none as 0. */
 const SLOWDOWN_STEPS = 10;
 
-function packSelf({ domain, capacity, state }: SelfWord): readonly unknown[] {
+function encodeSelf({ domain, capacity, state }: SelfWord): readonly unknown[] {
   return [domain, capacity, STATES.indexOf(state)];
 }
 
@@ -56,12 +56,12 @@
 export function encodeDatagram(datagram: Datagram): Uint8Array {
   switch (datagram.kind) {
     case 'ask':
-      return encode([ASK, ...packSelf(datagram.self)]);
+      return encode([ASK, ...encodeSelf(datagram.self)]);
     case 'tell': {
       const { position, proofAge, targetsRevision, members } = datagram.knowledge;
       const age = Number.isFinite(proofAge) ? Math.max(0, Math.round(proofAge)) : null;
       return encode([
-        ...[TELL, ...packSelf(datagram.self), position.targets, position.configuration],
+        ...[TELL, ...encodeSelf(datagram.self), position.targets, position.configuration],
         ...[age, targetsRevision, members],
       ]);
     }
@@ -81,7 +81,7 @@
   return values.every((value) => typeof value === 'number');
 }
 
-function unpackSelf([domain, capacity, state]: readonly unknown[]): SelfWord | undefined {
+function decodeSelf([domain, capacity, state]: readonly unknown[]): SelfWord | undefined {
   const known = STATES[Number(state)];
   if (typeof domain !== 'string' || typeof capacity !== 'number' || known === undefined) {
     return undefined;
@@ -92,8 +92,8 @@
 const SELF_LENGTH = 3;
 const SHARE_LENGTH = 4;
 
-function unpackTell(fields: readonly unknown[]): Datagram | undefined {
-  const self = unpackSelf(fields);
+function decodeTell(fields: readonly unknown[]): Datagram | undefined {
+  const self = decodeSelf(fields);
   const [targets, configuration, age, targetsRevision, members] = fields.slice(SELF_LENGTH);
   const numbers = [targets, configuration, targetsRevision, members];
   if (self === undefined || !isNumbers(numbers)) return undefined;
@@ -107,7 +107,7 @@
   };
 }
 
-function unpackLoad(fields: readonly unknown[]): Datagram | undefined {
+function decodeLoad(fields: readonly unknown[]): Datagram | undefined {
   if (fields.length % SHARE_LENGTH !== 0 || !isNumbers(fields)) return undefined;
   const shares: LoadShare[] = [];
   for (let at = 0; at < fields.length; at += SHARE_LENGTH) {
@@ -130,13 +130,13 @@
   const [kind, ...fields] = value as readonly unknown[];
   switch (kind) {
     case ASK: {
-      const self = unpackSelf(fields);
+      const self = decodeSelf(fields);
       return self === undefined ? undefined : { kind: 'ask', self };
     }
     case TELL:
-      return unpackTell(fields);
+      return decodeTell(fields);
     case LOAD:
-      return unpackLoad(fields);
+      return decodeLoad(fields);
     default:
       return undefined;
   }
--- a/test/gateway-settings.test.ts
+++ b/test/gateway-settings.test.ts
@@ -25,14 +25,14 @@
   'bounds.probes_per_s': '60',
 };
 
-function fillTemplate(fields: Readonly<Record<string, string>>): string {
+function writeSettings(fields: Readonly<Record<string, string>>): string {
   const template = readFileSync('deploy/gateway.ini', 'utf8');
   return template.replace(/\{\{([\w.]+)\}\}/g, (_gap, name: string) => fields[name] ?? '');
 }
 
 describe('the settings of a gateway', () => {
   it("are what the platform's template makes of its fields", () => {
-    const settings = checkGatewaySettings('gateway.ini', fillTemplate(FIELDS)).unsafeCoerce();
+    const settings = checkGatewaySettings('gateway.ini', writeSettings(FIELDS)).unsafeCoerce();
     expect(settings.gateway.callers).to.deep.equal({ host: '10.1.0.35', port: 8144 });
     expect(settings.gateway.peer_ports).to.deep.equal([7660, 7675]);
     expect(settings.gateway.seeds).to.have.length(2);
@@ -41,7 +41,7 @@
     expect(settings.tuning.probe_interval).to.equal(100);
   });
   it('may lack seeds', () => {
-    const text = fillTemplate({ ...FIELDS, seeds: '' });
+    const text = writeSettings({ ...FIELDS, seeds: '' });
     const settings = checkGatewaySettings('gateway.ini', text).unsafeCoerce();
     expect(settings.gateway.seeds).to.deep.equal([]);
   });
@@ -57,7 +57,7 @@
     ['an unknown section', '[machine]', '[machines]', 'unknown section [machines]'],
   ] as const) {
     it(`says where ${what} is wrong, and what was expected`, () => {
-      const text = fillTemplate(FIELDS).replace(from, to);
+      const text = writeSettings(FIELDS).replace(from, to);
       const mistakes = checkGatewaySettings('gateway.ini', text).swap().unsafeCoerce();
       expect(mistakes.map(formatMistake).join('\n')).to.include(message);
     });
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -4,7 +4,7 @@
 import { pause } from '../src/demo/index.js';
 import { KEYS } from '../src/platform/index.js';
 import { waitUntil } from './helpers/fleet.js';
-import { Site, askReady, callersPort, resolveAt, sendTo } from './helpers/gateways.js';
+import { Site, askReady, callersPort, askAddresses, sendTo } from './helpers/gateways.js';
 import { type Behaviour, type SiteTarget, writeTarget } from './helpers/site.js';
 
 const RULES = [
@@ -16,7 +16,7 @@
 ] as const;
 
 /** Makes only the first request that comes to any of the targets go wrong. */
-function spoilFirst(targets: readonly SiteTarget[], behaviour: Behaviour): void {
+function breakFirst(targets: readonly SiteTarget[], behaviour: Behaviour): void {
   let isSpoilt = false;
   for (const target of targets) {
     target.behaviour = (request, response) => {
@@ -146,9 +146,9 @@
     ];
     for (const [what, behaviour, safeStatus, onceStatus] of cases) {
       it(`${what}: ${safeStatus} if it may be repeated, else ${onceStatus}`, async () => {
-        spoilFirst(site.targets, behaviour);
+        breakFirst(site.targets, behaviour);
         expect(await sendTo(ip)).to.include({ status: safeStatus, whole: true });
-        spoilFirst(site.targets, behaviour);
+        breakFirst(site.targets, behaviour);
         const before = countRuns();
         const reply = await sendTo(ip, { path: '/once/1', method: 'POST', body: 'pay' });
         expect(reply).to.include({ status: onceStatus, whole: true });
@@ -311,7 +311,7 @@
       const [{ gateway }] = site.gateways;
       const stopped = gateway.stop();
       expect(await askReady(ip)).to.equal(503);
-      expect(await resolveAt(ip)).to.deep.equal([]);
+      expect(await askAddresses(ip)).to.deep.equal([]);
       const late = await sendTo(ip, { agent });
       expect(late).to.include({ status: 200, whole: true });
       expect(late.headers.connection).to.equal('close');
@@ -334,7 +334,7 @@
     const second = await site.addGateway([first], 'homes = 2\nhome_capacity = 0.5');
     const third = await site.addGateway([first], 'homes = 2\nhome_capacity = 0.5');
     await pause(1500);
-    const [homes, ...others] = await Promise.all([first, second, third].map(resolveAt));
+    const [homes, ...others] = await Promise.all([first, second, third].map(askAddresses));
     expect(homes).to.have.length(2);
     for (const other of others) expect(other).to.have.members([...homes]);
     const leaving = site.gateways.find(({ ip }) => homes.includes(`${ip}:${callersPort}`));
@@ -342,7 +342,7 @@
     await pause(400);
     const staying = site.gateways.filter(({ ip }) => ip !== leaving?.ip);
     for (const { ip } of staying) {
-      const named = await resolveAt(ip);
+      const named = await askAddresses(ip);
       expect(named).to.have.length(2).and.not.include(`${leaving?.ip}:${callersPort}`);
     }
     await stopped;
@@ -352,7 +352,7 @@
     const first = await site.addGateway([], 'homes = 1\nhome_capacity = 0.5');
     const second = await site.addGateway([first], 'homes = 1\nhome_capacity = 0.5');
     await pause(1500);
-    const homes = await resolveAt(second);
+    const homes = await askAddresses(second);
     const follower = homes.includes(`${first}:${callersPort}`) ? second : first;
     site.configure([...RULES, { prefix: '/new/' }]);
     await pause(900);
@@ -383,7 +383,7 @@
       () => (site.store.get(KEYS.members) ?? '').includes(second),
       'the second daemon is among the members',
     );
-    const named = [await resolveAt(first), await resolveAt(second)];
+    const named = [await askAddresses(first), await askAddresses(second)];
     expect(named[0])
       .to.have.length(2)
       .and.to.have.members([...named[1]]);
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -117,7 +117,7 @@
   }
 }
 
-function request(options: http.RequestOptions, body?: string | Buffer): Promise<CallerReply> {
+function sendRequest(options: http.RequestOptions, body?: string | Buffer): Promise<CallerReply> {
   const startedAt = performance.now();
   return new Promise((resolve, reject) => {
     const sent = http.request(options);
@@ -144,7 +144,7 @@
 export function sendTo(ip: string, sending: CallerSending = {}): Promise<CallerReply> {
   nextId += 1;
   const { path = '/a/1', method = 'GET', id = `try-${nextId}`, deadline = 4000 } = sending;
-  return request(
+  return sendRequest(
     {
       ...{ host: ip, port: PORTS.callers, path, method, agent: sending.agent ?? false },
       signal: sending.signal,
@@ -161,15 +161,16 @@
 }
 
 /** Asks a daemon which addresses to use. */
-export async function resolveAt(ip: string): Promise<readonly string[]> {
+export async function askAddresses(ip: string): Promise<readonly string[]> {
   const path = `/resolve?name=${HOST}&region=r1&zone=d1`;
-  const reply = await request({ host: ip, port: PORTS.directory, path, agent: false });
+  const reply = await sendRequest({ host: ip, port: PORTS.directory, path, agent: false });
   return reply.status === 200 ? (JSON.parse(reply.text) as { addresses: string[] }).addresses : [];
 }
 
 /** Asks whether a daemon is ready. */
 export async function askReady(ip: string): Promise<number> {
-  return (await request({ host: ip, port: PORTS.readiness, path: '/ready', agent: false })).status;
+  return (await sendRequest({ host: ip, port: PORTS.readiness, path: '/ready', agent: false }))
+    .status;
 }
 
 export const callersPort = PORTS.callers;
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -5,7 +5,7 @@
   LoadBelief,
   type Prospect,
   WindowBudget,
-  advise,
+  choosePlace,
   isQuicker,
   isStuck,
   judgeNeed,
@@ -74,7 +74,7 @@
   const random = createSeededRandom(3);
   const terms = { ahead: 0, sharers: 1, random };
   const find = (prospects: readonly Prospect[], ahead = 0) =>
-    advise(prospects, (prospect) => prospect, { ...terms, ahead });
+    choosePlace(prospects, (prospect) => prospect, { ...terms, ahead });
 
   it('names the quick and idle one', () => {
     const quick = { ...IDLE, calls: 1 };
@@ -250,7 +250,7 @@
     order.push(answer.kind === 'target' ? name : `${name} ${answer.kind}`);
     return answer;
   }
-  async function free(): Promise<void> {
+  async function releaseSlot(): Promise<void> {
     target.belief.finish();
     await clock.advance(20);
   }
@@ -262,9 +262,9 @@
     await clock.advance(20);
     expect(order).to.deep.equal(['a']);
     expect(queue.size).to.equal(2);
-    await free();
+    await releaseSlot();
     expect(order).to.deep.equal(['a', 'b']);
-    await free();
+    await releaseSlot();
     await Promise.all(asked);
     expect(target.belief.inFlight).to.equal(1);
   });
@@ -277,7 +277,7 @@
       ask('sooner', { aimAt: 500 }),
       ask('urgent', { priority: 0, aimAt: 950 }),
     ];
-    for (let count = 0; count < 4; count += 1) await free();
+    for (let count = 0; count < 4; count += 1) await releaseSlot();
     await Promise.all(asked);
     expect(order).to.deep.equal(['first', 'urgent', 'sooner', 'later', 'late']);
   });
