--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -116,7 +116,7 @@
     const random = kernel.find(randomService);
     const log = kernel.find(logService);
     const store = kernel.find(kvStoreService);
-    const { gateway, machine, tuning } = settings;
+    const { gateway, machine, promises, tuning } = settings;
     this.#clock = clock;
     this.#log = log;
     const capacity = machine.cpu_share * machine.core_speed;
@@ -185,7 +185,9 @@
       send: (ip, shares) => this.#link.sendShares(ip, shares),
     });
     this.#prober = new Prober({
-      ...{ targets: this.#targets, clock, interval: tuning.probe_interval },
+      ...{ targets: this.#targets, clock },
+      // While calls wait, probes come twice as often; that has to fit the agreed number as well.
+      interval: Math.max(tuning.probe_interval, (2 * 1000) / promises.probes_per_second),
       ...{ self: gateway.ip, listHomes },
       readTable: () => this.#view.table,
     });
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -53,7 +53,10 @@
   retry_ratio: describeNumber('Repeats allowed for each request, over all daemons', [0, 100]),
   retry_window: describeInteger('Seconds over which repeats are counted', COUNT),
   retry_slack: describeNumber('Repeats allowed besides, over all daemons', COUNT),
-  probes_per_second: describeNumber('Most probes a second and target, over all daemons', COUNT),
+  probes_per_second: describeNumber(
+    'Most probes a second and target, over all daemons',
+    [0.1, 1_000_000],
+  ),
 } satisfies Fields;
 
 const tuningFields = {
