A daemon that stands in for the readers reads the configuration as well

With both readers cut or turned away, a daemon that stood in read the targets first, which proved its own view and so ended its duty before the configuration's loop looked; a home that heard of that proof told it back. Ruled out: a home silent or killed (then the follower becomes a reader itself; that test passes without the change). Change: only what others read themselves, told as an age of its own, ends the duty. The new test (a home cut off from the store only) fails without either half of it.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,7 +10,7 @@
 } from '../kernel/index.js';
 import { WindowBudget } from '../balance/index.js';
 import { type Knowledge, FeedClient, type MemberInfo, type MemberState } from '../peering/index.js';
-import { MemberRegistry, PeerLink, Roster, serveFeed } from '../peering/index.js';
+import { MemberRegistry, PeerLink, ReaderDuty, Roster, serveFeed } from '../peering/index.js';
 import { type ResolveQuestion, kvStoreService } from '../platform/index.js';
 import type { RouteTable } from '../routing/index.js';
 import { FleetView, StoreReader } from '../view/index.js';
@@ -25,8 +25,8 @@
 /** Readers of the store: two, so that one may die without anybody noticing late. */
 const READERS = 2;
 
-/** When nobody has shown for this long that the view is the newest, a daemon reads for itself. */
-const STALE_AFTER = 1500;
+/** A view that was the newest this shortly ago is proven. */
+const PROVEN_FOR = 1500;
 
 /** A daemon that starts waits this long for a proof before it serves what it knows unproven. */
 const START_WAIT = 2500;
@@ -77,6 +77,8 @@
 
   readonly #reader: StoreReader;
 
+  readonly #duty: ReaderDuty;
+
   readonly #roster: Roster;
 
   readonly #link: PeerLink;
@@ -147,9 +149,10 @@
       },
       onFault: (what) => log.error('configuration.unreadable', { what }),
     });
+    this.#duty = new ReaderDuty(clock, () => this.#isAppointedReader());
     this.#reader = new StoreReader({
       ...{ store, view: this.#view, clock, random, log },
-      isReader: () => this.#isReader(),
+      isReader: () => this.#duty.isReader(),
     });
     const [port = 0] = gateway.peer_ports;
     this.#link = new PeerLink({
@@ -281,7 +284,7 @@
     const clock = this.#clock;
     const startedAt = clock.now();
     for (;;) {
-      const isProven = clock.now() - this.#view.provenAt < STALE_AFTER;
+      const isProven = clock.now() - this.#view.provenAt < PROVEN_FOR;
       const isLate = clock.now() - startedAt > START_WAIT;
       if (this.#view.table !== undefined && (isProven || isLate)) break;
       await clock.sleep(START_PACE);
@@ -300,18 +303,20 @@
     return this.#roster.listHomes().some((home) => home.ip === ip);
   }
 
-  /** The first homes read the store; everybody does whom no news has reached for long. */
-  #isReader(): boolean {
+  /** The first homes read the store for all. */
+  #isAppointedReader(): boolean {
     const { ip } = this.#settings.gateway;
-    const readers = this.#roster.listHomes().slice(0, READERS);
-    if (readers.some((reader) => reader.ip === ip)) return true;
-    return this.#clock.now() - this.#view.provenAt > STALE_AFTER;
+    return this.#roster
+      .listHomes()
+      .slice(0, READERS)
+      .some((reader) => reader.ip === ip);
   }
 
   #readKnowledge(): Knowledge {
     return {
       position: this.#view.position,
       proofAge: this.#clock.now() - this.#view.provenAt,
+      readAge: this.#clock.now() - this.#reader.readAt,
       targetsRevision: this.#view.targetsRevision,
       members: this.#roster.readFingerprint(),
     };
@@ -320,6 +325,7 @@
   /** Takes what another daemon knows, and fetches it when it is more. */
   async #hear(from: MemberInfo, knowledge: Knowledge): Promise<void> {
     const provenAt = this.#clock.now() - knowledge.proofAge;
+    const readAt = this.#clock.now() - knowledge.readAge;
     const { position } = this.#view;
     const isBehind =
       knowledge.position.targets > position.targets ||
@@ -330,6 +336,7 @@
     }
     if (this.#view.table === undefined) return;
     this.#view.prove(provenAt, knowledge.targetsRevision);
+    this.#duty.noteTold(readAt);
   }
 
   #adopt(table: RouteTable): void {
--- a/src/peering/datagram.ts
+++ b/src/peering/datagram.ts
@@ -16,6 +16,8 @@
   readonly position: ViewPosition;
   /** How long ago that was shown to be the newest, in milliseconds; Infinity when never. */
   readonly proofAge: number;
+  /** How long ago it read that from the store itself, in milliseconds; Infinity when never. */
+  readonly readAge: number;
   /** Up to which revision it knows all changes of targets. */
   readonly targetsRevision: number;
   /** Differs when two daemons know other members. */
@@ -48,6 +50,15 @@
 /** Slowdowns travel as whole tenths, and none as 0. */
 const SLOWDOWN_STEPS = 10;
 
+/** Ages travel as whole milliseconds, and none as nil. */
+function encodeAge(age: number): number | null {
+  return Number.isFinite(age) ? Math.max(0, Math.round(age)) : null;
+}
+
+function isAge(value: unknown): value is number | null {
+  return value === null || typeof value === 'number';
+}
+
 function encodeSelf({ domain, capacity, state }: SelfWord): readonly unknown[] {
   return [domain, capacity, STATES.indexOf(state)];
 }
@@ -58,11 +69,10 @@
     case 'ask':
       return encode([ASK, ...encodeSelf(datagram.self)]);
     case 'tell': {
-      const { position, proofAge, targetsRevision, members } = datagram.knowledge;
-      const age = Number.isFinite(proofAge) ? Math.max(0, Math.round(proofAge)) : null;
+      const { position, proofAge, readAge, targetsRevision, members } = datagram.knowledge;
       return encode([
         ...[TELL, ...encodeSelf(datagram.self), position.targets, position.configuration],
-        ...[age, targetsRevision, members],
+        ...[encodeAge(proofAge), encodeAge(readAge), targetsRevision, members],
       ]);
     }
     case 'load':
@@ -94,15 +104,17 @@
 
 function decodeTell(fields: readonly unknown[]): Datagram | undefined {
   const self = decodeSelf(fields);
-  const [targets, configuration, age, targetsRevision, members] = fields.slice(SELF_LENGTH);
+  const [targets, configuration, proofAge, readAge, ...rest] = fields.slice(SELF_LENGTH);
+  const [targetsRevision, members] = rest;
   const numbers = [targets, configuration, targetsRevision, members];
   if (self === undefined || !isNumbers(numbers)) return undefined;
-  if (age !== null && typeof age !== 'number') return undefined;
+  if (!isAge(proofAge) || !isAge(readAge)) return undefined;
   return {
     ...{ kind: 'tell', self },
     knowledge: {
       position: { targets: numbers[0], configuration: numbers[1] },
-      ...{ proofAge: age ?? Infinity, targetsRevision: numbers[2], members: numbers[3] },
+      ...{ proofAge: proofAge ?? Infinity, readAge: readAge ?? Infinity },
+      ...{ targetsRevision: numbers[2], members: numbers[3] },
     },
   };
 }
--- a/src/peering/index.ts
+++ b/src/peering/index.ts
@@ -4,3 +4,4 @@
 export * from './feed.js';
 export * from './datagram.js';
 export * from './member-registry.js';
+export * from './reader-duty.js';
--- a/src/peering/peer-link.ts
+++ b/src/peering/peer-link.ts
@@ -143,7 +143,11 @@
     // The answer may have been on its way since the question was sent.
     const travelled = clock.now() - (this.#askedAt.get(ip) ?? clock.now());
     const { knowledge } = datagram;
-    onKnowledge(info, { ...knowledge, proofAge: knowledge.proofAge + travelled });
+    onKnowledge(info, {
+      ...knowledge,
+      proofAge: knowledge.proofAge + travelled,
+      readAge: knowledge.readAge + travelled,
+    });
   }
 }
 
--- a/src/view/store-reader.ts
+++ b/src/view/store-reader.ts
@@ -72,6 +72,8 @@
   /** The revision after which the targets' changes are asked for; undefined when all are to be read. */
   #targetsAfter: number | undefined;
 
+  #readAt = -Infinity;
+
   #configurationAfter: number | undefined;
 
   #failingSince: number | undefined;
@@ -82,6 +84,16 @@
 
   constructor(private readonly options: StoreReaderOptions) {}
 
+  /** The last moment at which this daemon itself saw that the store held nothing newer. */
+  get readAt(): number {
+    return this.#readAt;
+  }
+
+  #prove(at: number): void {
+    this.#readAt = Math.max(this.#readAt, at);
+    this.options.view.prove(at, this.#targetsAfter ?? 0);
+  }
+
   /** Reads once, cheaply and perhaps seconds late, so that a starting daemon knows something. */
   async readStale(): Promise<void> {
     const [configuration] = await Promise.all([
@@ -143,10 +155,7 @@
         }
         this.#targetsAfter = Math.max(after, answer.storeRevision);
         // Without news the answer was made at the end of the wait; with news at an unknown moment.
-        view.prove(
-          answer.events.length === 0 ? startedAt + TARGETS_WAIT : startedAt,
-          this.#targetsAfter,
-        );
+        this.#prove(answer.events.length === 0 ? startedAt + TARGETS_WAIT : startedAt);
         return true;
       case 'history-gone':
         this.options.log.warn('store.history-gone', { after });
@@ -187,7 +196,7 @@
       if (seen.has(record.incarnation) || revision > firstRevision) continue;
       this.#takeRemoval(KEYS.targets + record.incarnation, firstRevision);
     }
-    view.prove(startedAt, firstRevision);
+    this.#prove(startedAt);
     return true;
   }
 
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -364,6 +364,25 @@
     expect((await sendTo(follower, { path: '/newer/1' })).status).to.equal(200);
   }).timeout(15_000);
 
+  // Found on the users' bench (konyvhaz-gw trouble-3 --seed 569042514566): a daemon that stood in read
+  // the targets, which made its view look fresh, and so it never came to read the configuration.
+  it('one that stands in reads the configuration as well, for as long as it stands in', async () => {
+    const first = await site.addGateway([], 'homes = 1\nhome_capacity = 0.1');
+    const second = await site.addGateway([first], 'homes = 1\nhome_capacity = 0.1');
+    await pause(1500);
+    const homes = await askAddresses(second);
+    const [follower, home] = homes.includes(`${first}:${callersPort}`)
+      ? [second, first]
+      : [first, second];
+    site.cutStore(home);
+    await pause(2000);
+    for (const prefix of ['/b/', '/c/', '/d/', '/e/']) {
+      site.configure([...RULES, { prefix }]);
+      await pause(500);
+      expect((await sendTo(follower, { path: `${prefix}1` })).status).to.equal(200);
+    }
+  }).timeout(15_000);
+
   it('one that starts in an outage of the store learns everything from the others', async () => {
     const first = await site.addGateway();
     site.store.fault = { kind: 'busy' };
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -1,6 +1,7 @@
 /** Gateway daemons in this process, on loopback addresses of their own, with stand-ins around them. */
 import http from 'node:http';
 import {
+  type Address,
   Kernel,
   type Log,
   type LogFields,
@@ -11,7 +12,7 @@
   randomService,
 } from '../../src/kernel/index.js';
 import { Gateway, checkGatewaySettings } from '../../src/gateway/index.js';
-import { KEYS, createKvStore, kvStoreService } from '../../src/platform/index.js';
+import { KEYS, type KvStore, createKvStore, kvStoreService } from '../../src/platform/index.js';
 import { KvStandin } from '../../src/standin/index.js';
 import { HOST, type RuleDraft, SiteTarget, writeConfiguration, writeTarget } from './site.js';
 
@@ -52,6 +53,8 @@
   readonly events: { readonly ip: string; readonly event: string; readonly fields: LogFields }[] =
     [];
 
+  readonly #cut = new Set<string>();
+
   #version = 0;
 
   #storeAddress = { host: '', port: 0 };
@@ -74,6 +77,25 @@
     return target;
   }
 
+  /** Cuts a gateway off from the store; calls that wait there bring nothing either. */
+  cutStore(ip: string): void {
+    this.#cut.add(ip);
+  }
+
+  #createStore(ip: string, address: Address, timeout: number): KvStore {
+    const store = createKvStore(address, timeout);
+    const cut = { kind: 'unknown', reason: 'cut' } as const;
+    const pass = async <T>(call: Promise<T>) => ((await call, this.#cut.has(ip)) ? cut : call);
+    return {
+      readItem: (key, stale) => pass(store.readItem(key, stale)),
+      readItems: (prefix, after, stale) => pass(store.readItems(prefix, after, stale)),
+      watch: (prefix, after, wait) => pass(store.watch(prefix, after, wait)),
+      write: (write) => pass(store.write(write)),
+      counts: () => store.counts(),
+      close: () => store.close(),
+    };
+  }
+
   /** Creates a gateway; it is started by the caller. */
   createGateway(seeds: readonly string[] = [], tuning = ''): { ip: string; gateway: Gateway } {
     nextHost += 1;
@@ -97,7 +119,10 @@
       .provide(clockService, createSystemClock())
       .provide(randomService, createSystemRandom())
       .provide(logService, log)
-      .provide(kvStoreService, createKvStore(settings.platform.address, settings.platform.timeout));
+      .provide(
+        kvStoreService,
+        this.#createStore(ip, settings.platform.address, settings.platform.timeout),
+      );
     const made = { ip, gateway: new Gateway(kernel, settings) };
     this.gateways.push(made);
     return made;
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -321,7 +321,7 @@
       ...{ kind: 'tell', self },
       knowledge: {
         position: { targets: 70_000, configuration: 12 },
-        ...{ proofAge: 250, targetsRevision: 80_000, members: 123_456 },
+        ...{ proofAge: 250, readAge: 270, targetsRevision: 80_000, members: 123_456 },
       },
     },
     {
@@ -340,7 +340,10 @@
   it('an age that nobody knows stays unknown', () => {
     const [, tell] = samples;
     if (tell.kind !== 'tell') throw new Error('expected tell');
-    const unknown = { ...tell, knowledge: { ...tell.knowledge, proofAge: Infinity } };
+    const unknown = {
+      ...tell,
+      knowledge: { ...tell.knowledge, proofAge: Infinity, readAge: Infinity },
+    };
     expect(decodeDatagram(encodeDatagram(unknown))).to.deep.equal(unknown);
   });
   it('anything else is dropped', () => {
--- a/test/view.test.ts
+++ b/test/view.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import { ManualClock, createSeededRandom, createSilentLog } from '../src/kernel/index.js';
 import { KEYS, type KvStore, type StoreEvent, type WatchAnswer } from '../src/platform/index.js';
+import { ReaderDuty } from '../src/peering/index.js';
 import { FleetView, StoreReader } from '../src/view/index.js';
 import { HOST, writeConfiguration, writeTarget } from './helpers/site.js';
 
@@ -162,6 +163,25 @@
   });
 });
 
+describe('the duty to read', () => {
+  it('falls to appointed homes, and to a daemon to which nobody tells anything', async () => {
+    const clock = new ManualClock();
+    let isAppointed = false;
+    const duty = new ReaderDuty(clock, () => isAppointed);
+    expect(duty.isReader()).to.equal(true);
+    duty.noteTold(clock.now());
+    expect(duty.isReader()).to.equal(false);
+    await clock.advance(1600);
+    expect(duty.isReader()).to.equal(true);
+    duty.noteTold(clock.now() - 1550);
+    expect(duty.isReader()).to.equal(true);
+    duty.noteTold(clock.now() - 300);
+    expect(duty.isReader()).to.equal(false);
+    isAppointed = true;
+    expect(duty.isReader()).to.equal(true);
+  });
+});
+
 describe('reading the store', () => {
   let clock: ManualClock;
   let store: ScriptedStore;
