--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -1,6 +1,6 @@
 /** Asks targets how loaded they are, while calls for them come to this daemon. */
 import http from 'node:http';
-import { recallPair as hashPair } from '../balance/home.js';
+import { recallPair } from '../balance/home.js';
 import type { Clock } from '../kernel/index.js';
 import { HEADERS, parseLoad } from '../platform/index.js';
 import type { RouteTable } from '../routing/index.js';
@@ -47,7 +47,7 @@
   let best: string | undefined;
   let bestRank = -1;
   for (const home of homes) {
-    const rank = hashPair(home, String(target.hash));
+    const rank = recallPair(home, String(target.hash));
     if (rank <= bestRank) continue;
     best = home;
     bestRank = rank;
--- a/src/peering/roster.ts
+++ b/src/peering/roster.ts
@@ -6,7 +6,7 @@
  * some precision of counts and nothing else, because every daemon can serve every request.
  */
 import type { Clock } from '../kernel/index.js';
-import { hashPair, spreadDomains } from '../balance/home.js';
+import { recallPair, spreadDomains } from '../balance/home.js';
 
 /** What a daemon says of itself; unchanged during its life. */
 export interface MemberInfo {
@@ -73,7 +73,7 @@
   /** A number that differs when two rosters do. */
   readFingerprint(): number {
     let sum = 0;
-    for (const ip of this.#members.keys()) sum += hashPair('member', ip) % FINGERPRINTS;
+    for (const ip of this.#members.keys()) sum += recallPair('member', ip) % FINGERPRINTS;
     return sum;
   }
 
@@ -161,7 +161,7 @@
     if (this.#ranked !== undefined) return this.#ranked;
     const measure = (info: MemberInfo) => Math.floor(info.capacity / CAPACITY_STEP);
     const ordered = this.list()
-      .map((info) => ({ ...info, id: info.ip, name: info.ip, rank: hashPair('home', info.ip) }))
+      .map((info) => ({ ...info, id: info.ip, name: info.ip, rank: recallPair('home', info.ip) }))
       .sort((a, b) => measure(b) - measure(a) || b.rank - a.rank);
     this.#ranked = spreadDomains(ordered).map(({ ip, domain, capacity }) => ({
       ...{ ip, domain, capacity },
