--- a/src/bin/entry.ts
+++ b/src/bin/entry.ts
@@ -21,9 +21,12 @@
 import { STRATEGIES, type Strategy } from '../balance/index.js';
 import { Entry } from '../entry/index.js';
 import { type PeerKeyFiles, createGrpcTransport, peerTransportService } from '../peer/index.js';
-import { createHttpPlatform, platformService } from '../platform/index.js';
+import { createKvPlatform, createKvStore, platformService } from '../platform/index.js';
 import { type EntrySettings, checkEntrySettings, formatMistake } from '../settings/index.js';
 
+/** Calls to the store at once, and one connection for each watch that waits. */
+const STORE_SOCKETS = 20;
+
 const EXIT_USAGE = 2;
 const EXIT_SETTINGS = 3;
 const EXIT_BROKEN = 70;
@@ -74,7 +77,7 @@
         ? createSilentMetrics()
         : createStatsdMetrics(statsd, { entry: entry.name }),
     )
-    .provide(platformService, createHttpPlatform({ address, timeout, network }))
+    .provide(platformService, createKvPlatform(createKvStore(address, timeout, STORE_SOCKETS)))
     .provide(
       peerTransportService,
       createGrpcTransport(security.peer_secret, findPeerKeys(settings)),
--- a/src/kernel/http-exchange.ts
+++ b/src/kernel/http-exchange.ts
@@ -11,6 +11,8 @@
   readonly body?: string;
   /** Longest wait for the whole answer, in milliseconds. */
   readonly timeout: number;
+  /** Gives the exchange up when it aborts. */
+  readonly signal?: AbortSignal;
 }
 
 /** A whole answer; `body` is undefined when it was empty. */
@@ -38,11 +40,11 @@
 
 /** Makes the exchange. A connection whose answer did not come carries nothing further. */
 export function exchangeHttp(question: HttpQuestion): Promise<HttpReply | HttpFailure> {
-  const { agent, address, method, path, body, timeout } = question;
+  const { agent, address, method, path, body, timeout, signal } = question;
   return new Promise((resolve) => {
     let sent = false;
     const request = http.request({
-      ...{ agent, host: address.host, port: address.port, method, path },
+      ...{ agent, host: address.host, port: address.port, method, path, signal },
       headers:
         body === undefined
           ? {}
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,6 +1,6 @@
-/** The platform's key-value service and VM list: interface, HTTP adapter, call budget. */
+/** The platform's key-value service and VM list: interface, client of the store, call budget. */
 export * from './platform.js';
-export * from './http.js';
+export * from './kv-platform.js';
 export * from './metered.js';
 export * from './connector.js';
 export * from './wire.js';
--- /dev/null
+++ b/src/platform/kv-platform.ts
@@ -0,0 +1,120 @@
+/** The product's platform on the store: the same client, seen through the product's own interface. */
+import type { DoneUnknown, KvStore, NotDone, StoredItem, WriteAnswer } from './kv-store.js';
+import type {
+  LeaseResult,
+  Platform,
+  Stored,
+  Unavailable,
+  Vm,
+  VmsResult,
+  WriteResult,
+} from './platform.js';
+import { KEYS } from './wire.js';
+
+/** How long a watch waits while nothing changes, in milliseconds; the store takes up to 30,000. */
+const WATCH_WAIT = 20_000;
+
+function makeStored({ key, text, revision }: StoredItem): Stored {
+  return { key, value: text, version: revision };
+}
+
+function describeUnavailable({ reason }: NotDone | DoneUnknown): Unavailable {
+  return { kind: 'unavailable', reason };
+}
+
+function explainWrite(answer: WriteAnswer): WriteResult {
+  switch (answer.kind) {
+    case 'done':
+      return { kind: 'written', version: answer.revision };
+    case 'condition-failed':
+      return { kind: 'conflict', current: answer.current && makeStored(answer.current) };
+    case 'not-done':
+      return { kind: 'refused', reason: answer.reason };
+    case 'unknown':
+      return { kind: 'unknown', reason: answer.reason };
+    default:
+      return answer satisfies never;
+  }
+}
+
+function explainLease(answer: Awaited<ReturnType<KvStore['grantLease']>>): LeaseResult {
+  switch (answer.kind) {
+    case 'held':
+    case 'lapsed':
+      return answer;
+    case 'not-done':
+    case 'unknown':
+      return describeUnavailable(answer);
+    default:
+      return answer satisfies never;
+  }
+}
+
+/** Reads all pages under a prefix; `revision` is the store's before the first of them. */
+async function readAll(store: KvStore, prefix: string) {
+  const items: StoredItem[] = [];
+  let revision: number | undefined;
+  for (let after = ''; ;) {
+    const page = await store.readItems(prefix, after, false);
+    if (page.kind !== 'items') return describeUnavailable(page);
+    items.push(...page.items);
+    revision ??= page.storeRevision;
+    const last = page.items.at(-1);
+    if (!page.hasMore || last === undefined) return { kind: 'all', items, revision } as const;
+    after = last.key;
+  }
+}
+
+function parseVm(item: StoredItem): readonly Vm[] {
+  try {
+    return [JSON.parse(item.text) as Vm];
+  } catch {
+    // Whoever wrote it did not write a VM; the others still count.
+    return [];
+  }
+}
+
+/** Creates the product's platform on a store. */
+export function createKvPlatform(store: KvStore): Platform & { close(): void } {
+  return {
+    async read(key) {
+      const answer = await store.readItem(key, false);
+      if (answer.kind === 'absent') return answer;
+      if (answer.kind !== 'item') return describeUnavailable(answer);
+      return { kind: 'found', item: makeStored(answer.item) };
+    },
+    async range(prefix) {
+      const all = await readAll(store, prefix);
+      if (all.kind !== 'all') return all;
+      return { kind: 'items', items: all.items.map(makeStored), version: all.revision };
+    },
+    async swap({ key, value, expect, lease }) {
+      return explainWrite(await store.write({ key, text: value, expected: expect, lease }));
+    },
+    async remove({ key, expect }) {
+      return explainWrite(await store.remove({ key, expected: expect }));
+    },
+    grantLease: async (ttl) => explainLease(await store.grantLease(ttl)),
+    renewLease: async (lease) => explainLease(await store.renewLease(lease)),
+    async watch(prefix, after, signal) {
+      const answer = await store.watch(prefix, after, WATCH_WAIT, signal);
+      switch (answer.kind) {
+        case 'events':
+          if (answer.events.length === 0) return { kind: 'quiet' };
+          return { kind: 'changed', version: answer.storeRevision };
+        case 'history-gone':
+          return { kind: 'gap' };
+        case 'not-done':
+        case 'unknown':
+          return describeUnavailable(answer);
+        default:
+          return answer satisfies never;
+      }
+    },
+    async vms(): Promise<VmsResult> {
+      const all = await readAll(store, KEYS.vms);
+      return all.kind === 'all' ? { kind: 'vms', vms: all.items.flatMap(parseVm) } : all;
+    },
+    close: () => store.close(),
+  };
+}
--- a/src/platform/kv-store.ts
+++ b/src/platform/kv-store.ts
@@ -63,7 +63,8 @@
 /** What a conditional write gives. */
 export type WriteAnswer =
   | { readonly kind: 'done'; readonly revision: number }
-  | { readonly kind: 'condition-failed' }
+  /** `current` is what stands there instead; undefined when nothing does. */
+  | { readonly kind: 'condition-failed'; readonly current: StoredItem | undefined }
   | NotDone
   | DoneUnknown;
 
@@ -72,10 +73,25 @@
   readonly key: string;
   readonly text: string;
   readonly expected: number;
+  /** The key goes when this lease ends. */
+  readonly lease?: string;
 }
 
-/** The store, as the product uses it. */
-export interface KvStore {
+/** A removal of one key that takes effect only while the key is at `expected`. */
+export interface ConditionalRemoval {
+  readonly key: string;
+  readonly expected: number;
+}
+
+/** What asking for a lease, or renewing one, gives; `ttl` is in milliseconds. */
+export type LeaseAnswer =
+  | { readonly kind: 'held'; readonly lease: string; readonly ttl: number }
+  | { readonly kind: 'lapsed' }
+  | NotDone
+  | DoneUnknown;
+
+/** The part of the store that tells what it holds. */
+export interface KvReader {
   /** Reads one key; a `stale` read is cheap and may be seconds old. */
   readItem(key: string, stale: boolean): Promise<ItemAnswer>;
   /** Reads one page of keys with a prefix; pages together are no snapshot. */
@@ -84,9 +100,17 @@
     after: string,
     stale: boolean,
   ): Promise<ItemPage | NotDone | DoneUnknown>;
-  /** Waits up to `wait` milliseconds for changes after a revision. */
-  watch(prefix: string, after: number, wait: number): Promise<WatchAnswer>;
+  /** Waits up to `wait` milliseconds for changes after a revision, or until the signal aborts. */
+  watch(prefix: string, after: number, wait: number, signal?: AbortSignal): Promise<WatchAnswer>;
+}
+
+/** The store, as the product uses it. Each method is one call; none retries. */
+export interface KvStore extends KvReader {
   write(write: ConditionalWrite): Promise<WriteAnswer>;
+  remove(removal: ConditionalRemoval): Promise<WriteAnswer>;
+  /** Asks for a lease that ends `ttl` milliseconds after the call has arrived. */
+  grantLease(ttl: number): Promise<LeaseAnswer>;
+  renewLease(lease: string): Promise<LeaseAnswer>;
   /** Calls made since the start, by kind. */
   counts(): Readonly<Record<string, number>>;
   close(): void;
@@ -100,8 +124,8 @@
 const HISTORY_GONE = 410;
 const CONDITION_FAILED = 412;
 
-/** Statuses by which the store says that it did nothing. */
-const REFUSALS = new Set([400, 403, 413, 429, 503]);
+/** Statuses by which the store says that it did nothing; 404 of a write names a lease that is over. */
+const REFUSALS = new Set([400, 403, 404, 413, 429, 503]);
 
 interface WireItem {
   readonly key_file: string;
@@ -130,16 +154,49 @@
   return { kind: REFUSALS.has(reply.status) ? 'not-done' : 'unknown', reason };
 }
 
-/** Creates the client. @param timeout longest wait for an answer in milliseconds, a watch's wait apart */
-export function createKvStore(address: Address, timeout: number): KvStore {
-  const agent = new http.Agent({ keepAlive: true, maxSockets: MAX_SOCKETS, scheduling: 'lifo' });
+function explainWrite(key: string, reply: HttpReply | HttpFailure): WriteAnswer {
+  if (reply.kind === 'reply' && reply.status === CONDITION_FAILED) {
+    const { items } = reply.body as { readonly items: readonly WireItem[] };
+    const current = items.find((item) => item.key_file === key);
+    return { kind: 'condition-failed', current: current && decodeItem(current) };
+  }
+  if (reply.kind !== 'reply' || reply.status !== OK) return explainFailure(reply);
+  return { kind: 'done', revision: (reply.body as { readonly revision: number }).revision };
+}
+
+function explainLease(reply: HttpReply | HttpFailure): LeaseAnswer {
+  if (reply.kind === 'reply' && reply.status === ABSENT) return { kind: 'lapsed' };
+  if (reply.kind !== 'reply' || reply.status !== OK) return explainFailure(reply);
+  const { lease, ttl_ms: ttl } = reply.body as { readonly lease: number; readonly ttl_ms: number };
+  return { kind: 'held', lease: String(lease), ttl };
+}
+
+interface CallOptions {
+  readonly wait?: number;
+  readonly body?: string;
+  readonly method?: 'GET' | 'POST';
+  readonly signal?: AbortSignal;
+}
+
+/**
+ * Creates the client.
+ *
+ * @param timeout longest wait for an answer in milliseconds, a watch's wait apart
+ * @param maxSockets connections at most; each watch that waits takes one
+ */
+export function createKvStore(
+  address: Address,
+  timeout: number,
+  maxSockets = FEW_SOCKETS,
+): KvStore {
+  const agent = new http.Agent({ keepAlive: true, maxSockets, scheduling: 'lifo' });
   const made: Record<string, number> = {};
 
-  function call(kind: string, path: string, options: { wait?: number; body?: string } = {}) {
+  function call(kind: string, path: string, options: CallOptions = {}) {
     made[kind] = (made[kind] ?? 0) + 1;
-    const { wait = 0, body } = options;
-    const method = body === undefined ? 'GET' : 'POST';
-    return exchangeHttp({ agent, address, method, path, body, timeout: timeout + wait });
+    const { wait = 0, body, signal } = options;
+    const method = options.method ?? (body === undefined ? 'GET' : 'POST');
+    return exchangeHttp({ agent, address, method, path, body, signal, timeout: timeout + wait });
   }
 
   return {
@@ -169,11 +226,11 @@
         hasMore: body.truncated,
       };
     },
-    async watch(prefix, after, wait) {
+    async watch(prefix, after, wait, signal) {
       const query = new URLSearchParams({ path_prefix: prefix });
       query.set('after', String(after));
       query.set('wait_ms', String(Math.round(wait)));
-      const reply = await call('watch', `/kv-watch?${query}`, { wait });
+      const reply = await call('watch', `/kv-watch?${query}`, { wait, signal });
       if (reply.kind === 'reply' && reply.status === HISTORY_GONE) return { kind: 'history-gone' };
       if (reply.kind !== 'reply' || reply.status !== OK) return explainFailure(reply);
       const body = reply.body as {
@@ -186,24 +243,34 @@
         storeRevision: body.store_revision,
       };
     },
-    async write({ key, text, expected }) {
+    async write({ key, text, expected, lease = '0' }) {
       const value = Buffer.from(text, 'utf8').toString('base64');
       const body = JSON.stringify({
         expected_revision: [{ key_file: key, revision: expected }],
-        set_keys: [{ key_file: key, value, lease: 0 }],
+        set_keys: [{ key_file: key, value, lease: Number(lease) }],
         remove: [],
       });
-      const reply = await call('write', '/kv-txn', { body });
-      if (reply.kind === 'reply' && reply.status === CONDITION_FAILED) {
-        return { kind: 'condition-failed' };
-      }
-      if (reply.kind !== 'reply' || reply.status !== OK) return explainFailure(reply);
-      return { kind: 'done', revision: (reply.body as { readonly revision: number }).revision };
+      return explainWrite(key, await call('write', '/kv-txn', { body }));
+    },
+    async remove({ key, expected }) {
+      const body = JSON.stringify({
+        expected_revision: [{ key_file: key, revision: expected }],
+        ...{ set_keys: [], remove: [key] },
+      });
+      return explainWrite(key, await call('remove', '/kv-txn', { body }));
+    },
+    async grantLease(ttl) {
+      const body = JSON.stringify({ ttl_ms: Math.round(ttl) });
+      return explainLease(await call('lease', '/kv-lease', { body }));
+    },
+    async renewLease(lease) {
+      const path = `/kv-keep/${encodeURIComponent(lease)}`;
+      return explainLease(await call('renewal', path, { method: 'POST' }));
     },
     counts: () => ({ ...made }),
     close: () => agent.destroy(),
   };
 }
 
-/** Connections to the store: one for each prefix that is watched, and one to spare. */
-const MAX_SOCKETS = 4;
+/** What a gateway needs: one connection for each prefix that is watched, and some to spare. */
+const FEW_SOCKETS = 4;
--- a/src/platform/metered.ts
+++ b/src/platform/metered.ts
@@ -31,13 +31,13 @@
     this.#at = clock.now();
   }
 
-  /** Takes one token if there is one. */
-  take(): boolean {
+  /** Takes one token, or another number of them, if that many are there. */
+  take(price = 1): boolean {
     const now = this.clock.now();
     this.#tokens = Math.min(this.burst, this.#tokens + ((now - this.#at) / 1000) * this.rate);
     this.#at = now;
-    if (this.#tokens < 1) return false;
-    this.#tokens -= 1;
+    if (this.#tokens < price) return false;
+    this.#tokens -= price;
     return true;
   }
 }
--- a/src/standin/kv-server.ts
+++ b/src/standin/kv-server.ts
@@ -1,35 +1,9 @@
-/** A stand-in for the users' store, speaking its protocol, with the faults that its page tells of. */
+/** The HTTP front of the store's stand-in: the users' protocol, with the faults that its page tells of. */
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
-import type { Address } from '../kernel/index.js';
-
-/** How the store misbehaves. */
-export type KvFault =
-  | { readonly kind: 'none' }
-  /** No call is answered. */
-  | { readonly kind: 'silent' }
-  /** 503: nothing was done. */
-  | { readonly kind: 'busy' }
-  /** 429: more calls than agreed. */
-  | { readonly kind: 'many' }
-  | { readonly kind: 'reset' }
-  | { readonly kind: 'slow'; readonly delay: number }
-  /** Writes are done, after a while, and never answered. */
-  | { readonly kind: 'lost'; readonly after: number };
-
-interface Item {
-  readonly key_file: string;
-  readonly value: string;
-  readonly revision: number;
-  readonly create_revision: number;
-  readonly lease: number;
-}
-
-interface Removal {
-  readonly key_file: string;
-  readonly revision: number;
-  readonly removed: true;
-}
+import { type Address, type Clock, createSystemClock } from '../kernel/index.js';
+import type { Vm, WriteResult } from '../platform/index.js';
+import { FAULT_KINDS, type Fault, Store, type StoreChange, type StoreItem } from './store.js';
 
 interface Txn {
   readonly expected_revision: readonly { readonly key_file: string; readonly revision: number }[];
@@ -41,28 +15,44 @@
   readonly remove: readonly string[];
 }
 
-interface Waiting {
-  readonly prefix: string;
-  readonly after: number;
-  readonly answer: () => void;
-}
+/** What is answered: a status and a body, or that the connection is reset, or nothing ever. */
+type Answer = readonly [status: number, body: object] | 'reset' | 'nothing';
 
 /** Items in a page; the users' store gives some hundreds. */
 const PAGE = 50;
 
-/** The stand-in. */
-export class KvStandin {
-  readonly #items = new Map<string, Item>();
+const LONGEST_WATCH = 30_000;
+const LEAST_TTL = 1000;
+
+/** Keys that only the operators and the targets write. */
+const FOREIGN = ['op/', 'servers/'];
 
-  #history: readonly (Item | Removal)[] = [];
+const BUSY: Answer = [503, {}];
+const MANY: Answer = [429, {}];
+const UNKNOWN: Answer = [404, {}];
 
-  #historyFloor = 0;
+function encodeItem(item: StoreItem): object {
+  return {
+    ...{ key_file: item.key, value: Buffer.from(item.value).toString('base64') },
+    ...{ revision: item.version, create_revision: item.createdAt, lease: Number(item.lease) },
+  };
+}
 
-  #revision = 1;
+function encodeChange({ key, version, item }: StoreChange): object {
+  if (item !== undefined) return encodeItem(item);
+  return { key_file: key, revision: version, removed: true };
+}
 
-  #leases = 0;
+async function readBody(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString('utf8');
+}
 
-  readonly #waiting = new Set<Waiting>();
+/** The stand-in. */
+export class KvStandin {
+  /** What it holds, and what goes wrong with every call. */
+  readonly store: Store;
 
   readonly #sockets = new Set<Socket>();
 
@@ -70,22 +60,25 @@
     this.#take(request, response).catch(() => response.destroy());
   });
 
-  /** What goes wrong with every call from now on. */
-  fault: KvFault = { kind: 'none' };
-
   /** Calls received, by path. */
   readonly calls: Record<string, number> = {};
 
-  /** Starts on a free port of the loopback interface. */
-  start(): Promise<Address> {
+  constructor(private readonly clock: Clock = createSystemClock()) {
+    this.store = new Store(clock);
+  }
+
+  /** Starts on a free port of the loopback interface, or on the one that is given. */
+  start(address: Address = { host: '127.0.0.1', port: 0 }): Promise<Address> {
+    this.#server.keepAliveTimeout = 60_000;
     this.#server.on('connection', (socket) => {
       this.#sockets.add(socket);
       socket.on('close', () => this.#sockets.delete(socket));
     });
-    return new Promise((resolve) => {
-      this.#server.listen(0, '127.0.0.1', () => {
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(address.port, address.host, () => {
         const { port } = this.#server.address() as AddressInfo;
-        resolve({ host: '127.0.0.1', port });
+        resolve({ host: address.host, port });
       });
     });
   }
@@ -98,164 +91,190 @@
 
   /** Closes every connection, watches that wait included. */
   cutConnections(): void {
-    this.#waiting.clear();
     for (const socket of this.#sockets) socket.destroy();
   }
 
-  /** Writes an item as the operator or a target would. */
+  /** What goes wrong with every call. */
+  get fault(): Fault {
+    return this.store.fault;
+  }
+
+  set fault(fault: Fault) {
+    this.store.setFault(fault);
+  }
+
+  /** Writes an item as the operators or a target would. */
   put(key: string, text: string): number {
-    this.#revision += 1;
-    const revision = this.#revision;
-    const before = this.#items.get(key);
-    const item: Item = {
-      ...{ key_file: key, value: Buffer.from(text).toString('base64'), revision, lease: 0 },
-      create_revision: before?.create_revision ?? revision,
-    };
-    this.#items.set(key, item);
-    this.#record(item);
-    return revision;
+    return this.store.put(key, text);
   }
 
   /** Removes an item, as a target that ends or a lease that lapses does. */
   remove(key: string): void {
-    if (!this.#items.delete(key)) return;
-    this.#revision += 1;
-    this.#record({ key_file: key, revision: this.#revision, removed: true });
+    this.store.drop(key);
   }
 
   /** Reads an item's text. */
   get(key: string): string | undefined {
-    const value = this.#items.get(key)?.value;
-    return value === undefined ? undefined : Buffer.from(value, 'base64').toString('utf8');
+    const result = this.store.read(key);
+    return result.kind === 'found' ? result.item.value : undefined;
   }
 
   /** Drops the history, so that older watches must read anew. */
   compact(): void {
-    this.#history = [];
-    this.#historyFloor = this.#revision;
-  }
-
-  #record(change: Item | Removal): void {
-    this.#history = [...this.#history, change];
-    for (const waiting of [...this.#waiting]) {
-      if (change.key_file.startsWith(waiting.prefix)) waiting.answer();
-    }
+    this.store.compact();
   }
 
   async #take(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://store');
     this.calls[url.pathname] = (this.calls[url.pathname] ?? 0) + 1;
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) chunks.push(chunk as Buffer);
-    const body = Buffer.concat(chunks).toString('utf8');
+    const closed = new AbortController();
+    response.on('close', () => closed.abort());
+    const body = await readBody(request);
+    const answer = url.pathname.startsWith('/control/')
+      ? this.#control(request.method ?? 'GET', url, body)
+      : await this.#answer(request.method ?? 'GET', url, { body, signal: closed.signal });
+    if (answer === 'nothing' || response.destroyed) return;
+    if (answer === 'reset') {
+      request.socket.destroy();
+      return;
+    }
+    response.writeHead(answer[0], { 'content-type': 'application/json' });
+    response.end(JSON.stringify(answer[1]));
+  }
+
+  /** For demos and tests, which may run in another process. */
+  #control(method: string, url: URL, body: string): Answer {
+    if (url.pathname === '/control/counts') return [200, this.store.counts];
+    if (url.pathname === '/control/fault') {
+      const fault = JSON.parse(body) as Fault;
+      if (!FAULT_KINDS.includes(fault.kind)) return [400, { expected: FAULT_KINDS }];
+      this.store.setFault(fault);
+    } else if (method === 'PUT') this.store.putVm(JSON.parse(body) as Vm);
+    else this.store.removeVm(url.searchParams.get('address') ?? '');
+    return [200, {}];
+  }
+
+  async #answer(
+    method: string,
+    url: URL,
+    call: { readonly body: string; readonly signal: AbortSignal },
+  ): Promise<Answer> {
     const { fault } = this;
     switch (fault.kind) {
+      case 'down':
+        return 'reset';
       case 'silent':
-        return;
+        return 'nothing';
       case 'busy':
-        this.#answer(response, 503, {});
-        return;
+        return BUSY;
       case 'many':
-        this.#answer(response, 429, {});
-        return;
-      case 'reset':
-        request.socket.destroy();
-        return;
+        return MANY;
       case 'slow':
-        setTimeout(() => this.#serve(url, body, response), fault.delay);
-        return;
-      case 'lost':
-        if (request.method === 'GET') this.#serve(url, body, response);
-        else setTimeout(() => this.#commit(JSON.parse(body) as Txn), fault.after);
-        return;
+        await this.clock.sleep(fault.delay);
+        return this.#serve(method, url, call);
+      case 'lose-write-replies':
+        if (method === 'GET') return this.#serve(method, url, call);
+        this.clock.schedule(fault.after ?? 0, () => {
+          this.#write(method, url, call.body);
+        });
+        return 'nothing';
       case 'none':
-        this.#serve(url, body, response);
-        return;
+      case 'skip-watches':
+      case 'close-watches':
+      case 'stale':
+        return this.#serve(method, url, call);
       default:
-        fault satisfies never;
+        return fault satisfies never;
     }
   }
 
-  #serve(url: URL, body: string, response: ServerResponse): void {
+  #serve(
+    method: string,
+    url: URL,
+    call: { readonly body: string; readonly signal: AbortSignal },
+  ): Answer | Promise<Answer> {
+    if (method !== 'GET') return this.#write(method, url, call.body);
     const query = url.searchParams;
+    const isStale = query.get('allow_stale') === '1';
+    if (!isStale && !this.store.admit('read')) return MANY;
     switch (url.pathname) {
       case '/kv-key': {
-        const item = this.#items.get(query.get('key_file') ?? '');
-        if (item === undefined) this.#answer(response, 404, {});
-        else this.#answer(response, 200, { ...item, store_revision: this.#revision });
-        return;
+        const result = this.store.read(query.get('key_file') ?? '', isStale);
+        if (result.kind !== 'found') return UNKNOWN;
+        const item = encodeItem(result.item as StoreItem);
+        return [200, { ...item, store_revision: this.store.version }];
       }
       case '/kv-range':
-        this.#serveRange(query, response);
-        return;
+        return this.#serveRange(query, isStale);
       case '/kv-watch':
-        this.#serveWatch(query, response);
-        return;
-      case '/kv-txn': {
-        const [status, answer] = this.#commit(JSON.parse(body) as Txn);
-        this.#answer(response, status, answer);
-        return;
-      }
-      case '/kv-lease':
-        this.#leases += 1;
-        this.#answer(response, 200, { lease: this.#leases, ttl_ms: 3000 });
-        return;
+        return this.#serveWatch(query, call.signal);
       default:
-        this.#answer(response, 404, {});
+        return UNKNOWN;
     }
   }
 
-  #serveRange(query: URLSearchParams, response: ServerResponse): void {
-    const prefix = query.get('path_prefix') ?? '';
+  #serveRange(query: URLSearchParams, isStale: boolean): Answer {
     const after = query.get('after') ?? '';
-    const found = [...this.#items.values()]
-      .filter(({ key_file: key }) => key.startsWith(prefix) && key > after)
-      .sort((a, b) => (a.key_file < b.key_file ? -1 : 1));
-    const items = found.slice(0, PAGE);
-    this.#answer(response, 200, {
-      ...{ items, truncated: found.length > PAGE, store_revision: this.#revision },
-    });
+    const { items, version } = this.store.range(query.get('path_prefix') ?? '', isStale);
+    const found = items.filter(({ key }) => key > after);
+    const page = found.slice(0, PAGE).map(encodeItem);
+    return [200, { items: page, truncated: found.length > PAGE, store_revision: version }];
   }
 
-  #serveWatch(query: URLSearchParams, response: ServerResponse): void {
+  async #serveWatch(query: URLSearchParams, signal: AbortSignal): Promise<Answer> {
     const prefix = query.get('path_prefix') ?? '';
     const after = Number(query.get('after') ?? 0);
-    if (after < this.#historyFloor) {
-      this.#answer(response, 410, {});
-      return;
+    const wait = Math.min(LONGEST_WATCH, Number(query.get('wait_ms') ?? 0));
+    const result = await this.store.watch(prefix, after, { wait, signal });
+    const changes = result.kind === 'changed' ? this.store.listChanges(prefix, after) : [];
+    if (result.kind === 'gap' || changes === undefined) return [410, {}];
+    if (result.kind === 'unavailable') return 'reset';
+    return [200, { events: changes.map(encodeChange), store_revision: this.store.version }];
+  }
+
+  #write(method: string, url: URL, body: string): Answer {
+    const [, call, id = ''] = url.pathname.split('/');
+    const isRenewal = call === 'kv-keep';
+    if (!this.store.admit(isRenewal ? 'renewal' : 'write')) return MANY;
+    if (call === 'kv-txn') return this.#commit(JSON.parse(body) as Txn);
+    if (call === 'kv-lease-end' && method === 'DELETE') {
+      this.store.lapseLease(id);
+      return [200, {}];
     }
-    const listEvents = () =>
-      this.#history.filter(
-        (change) => change.revision > after && change.key_file.startsWith(prefix),
-      );
-    const answer = () => {
-      this.#waiting.delete(waiting);
-      clearTimeout(timer);
-      this.#answer(response, 200, { events: listEvents(), store_revision: this.#revision });
-    };
-    const waiting: Waiting = { prefix, after, answer };
-    const timer = setTimeout(answer, Number(query.get('wait_ms') ?? 0));
-    if (listEvents().length > 0) answer();
-    else this.#waiting.add(waiting);
+    if (call !== 'kv-lease' && !isRenewal) return UNKNOWN;
+    const lease = isRenewal
+      ? this.store.renewLease(id)
+      : this.store.grantLease(Math.max(LEAST_TTL, (JSON.parse(body) as { ttl_ms: number }).ttl_ms));
+    if (lease.kind !== 'held') return UNKNOWN;
+    return [200, { lease: Number(lease.lease), ttl_ms: lease.ttl }];
   }
 
-  #commit(txn: Txn): readonly [number, object] {
-    for (const { key_file: key, revision } of txn.expected_revision) {
-      if ((this.#items.get(key)?.revision ?? 0) !== revision) {
-        const items = txn.expected_revision.flatMap((row) => this.#items.get(row.key_file) ?? []);
-        return [412, { items }];
-      }
+  /** Does all or nothing: conditions are checked before anything is written. */
+  #commit(txn: Txn): Answer {
+    const keys = [...txn.set_keys.map(({ key_file: key }) => key), ...txn.remove];
+    if (keys.some((key) => FOREIGN.some((prefix) => key.startsWith(prefix)))) return [403, {}];
+    const find = (key: string) => this.store.read(key);
+    const isMet = txn.expected_revision.every(({ key_file: key, revision }) => {
+      const result = find(key);
+      return (result.kind === 'found' ? result.item.version : 0) === revision;
+    });
+    if (!isMet) {
+      const found = txn.expected_revision.map(({ key_file: key }) => find(key));
+      const items = found.flatMap((result) => (result.kind === 'found' ? [result.item] : []));
+      return [412, { items: items.map((item) => encodeItem(item as StoreItem)) }];
     }
-    for (const { key_file: key, value } of txn.set_keys) {
-      this.put(key, Buffer.from(value, 'base64').toString('utf8'));
+    for (const { key_file: key, value, lease } of txn.set_keys) {
+      const result = this.#set(key, value, lease);
+      if (result.kind !== 'written') return [result.kind === 'refused' ? 404 : 412, { items: [] }];
     }
-    for (const key of txn.remove) this.remove(key);
-    return [200, { revision: this.#revision }];
+    for (const key of txn.remove) this.store.drop(key);
+    return [200, { revision: this.store.version }];
   }
 
-  #answer(response: ServerResponse, status: number, body: object): void {
-    if (response.destroyed || response.writableEnded) return;
-    response.writeHead(status, { 'content-type': 'application/json' });
-    response.end(JSON.stringify(body));
+  #set(key: string, value: string, lease: number): WriteResult {
+    const known = this.store.read(key);
+    const expect = known.kind === 'found' ? known.item.version : 0;
+    const text = Buffer.from(value, 'base64').toString('utf8');
+    return this.store.swap({ key, value: text, expect, lease: lease === 0 ? '' : String(lease) });
   }
 }
--- a/src/standin/store.ts
+++ b/src/standin/store.ts
@@ -1,10 +1,11 @@
 /**
- * The state of the platform stand-in: versions, leases, watches, the VM list and its faults.
+ * The state of the stand-in for the platform's store: revisions, leases, history, and its faults.
  *
  * It stands for an outside service in demos and tests; no part of the product depends on it.
  */
 import { type Clock, type Timer, formatAddress } from '../kernel/index.js';
 import {
+  KEYS,
   type LeaseResult,
   MAX_VALUE_BYTES,
   type Platform,
@@ -18,20 +19,30 @@
   type WriteResult,
 } from '../platform/index.js';
 
-/** A fault of the platform. Each stays until it is replaced by `none`. */
+/** A fault of the store. Each stays until it is replaced by `none`. */
 export type Fault =
   | { readonly kind: 'none' }
+  /** Every connection is reset. */
   | { readonly kind: 'down' }
+  /** No call is answered. */
+  | { readonly kind: 'silent' }
+  /** Every call is refused: nothing was done. */
+  | { readonly kind: 'busy' }
+  /** Every call is refused as one too many. */
+  | { readonly kind: 'many' }
   | { readonly kind: 'slow'; readonly delay: number }
-  | { readonly kind: 'lose-write-replies' }
+  /** Writes are done, `after` milliseconds later if that is told, and never answered. */
+  | { readonly kind: 'lose-write-replies'; readonly after?: number }
+  /** Watches hear nothing. */
   | { readonly kind: 'skip-watches' }
   | { readonly kind: 'close-watches' }
-  | { readonly kind: 'stale-vms' };
+  /** Reads that may be stale, and the list of VMs, are as they were when the fault began. */
+  | { readonly kind: 'stale' };
 
 /** The kinds of {@link Fault}, for checking input. */
 export const FAULT_KINDS: readonly Fault['kind'][] = [
-  ...(['none', 'down', 'slow', 'lose-write-replies'] as const),
-  ...(['skip-watches', 'close-watches', 'stale-vms'] as const),
+  ...(['none', 'down', 'silent', 'busy', 'many', 'slow', 'lose-write-replies'] as const),
+  ...(['skip-watches', 'close-watches', 'stale'] as const),
 ];
 
 /** The rates of the real service, per second, for all callers together. */
@@ -40,7 +51,27 @@
   readonly reads: number;
 }
 
-const DEFAULT_RATES: StoreRates = { writes: 300, reads: 2000 };
+const DEFAULT_RATES: StoreRates = { writes: 400, reads: 2000 };
+
+/** What a renewal of a lease takes of the rate of reads. */
+const RENEWAL_PRICE = 0.1;
+
+/** Changes that are remembered for watches, at least. */
+const HISTORY = 5000;
+
+/** An item with what the store keeps besides. */
+export interface StoreItem extends Stored {
+  readonly createdAt: number;
+  /** Empty when there is none. */
+  readonly lease: string;
+}
+
+/** A change that a watch tells of; `item` is undefined for a removal. */
+export interface StoreChange {
+  readonly key: string;
+  readonly version: number;
+  readonly item: StoreItem | undefined;
+}
 
 interface Waiter {
   readonly prefix: string;
@@ -54,17 +85,18 @@
 
 /** The stand-in's store. */
 export class Store {
-  readonly #items = new Map<string, Stored & { readonly lease: string | undefined }>();
+  readonly #items = new Map<string, StoreItem>();
 
-  readonly #changed = new Map<string, number>();
+  #staleItems: ReadonlyMap<string, StoreItem> = new Map();
 
-  readonly #leases = new Map<string, Lease>();
+  #history: StoreChange[] = [];
 
-  #waiters: readonly Waiter[] = [];
+  /** Changes up to this version are forgotten. */
+  #historyFloor = 0;
 
-  #vms = new Map<string, Vm>();
+  readonly #leases = new Map<string, Lease>();
 
-  #staleVms: readonly Vm[] = [];
+  #waiters: readonly Waiter[] = [];
 
   #version = 0;
 
@@ -88,9 +120,14 @@
     this.#reads = new TokenBucket(rates.reads, rates.reads, clock);
   }
 
+  /** The version of the last change. */
+  get version(): number {
+    return this.#version;
+  }
+
   /** Sets the fault in force and ends what it ends. */
   setFault(fault: Fault): void {
-    this.#staleVms = [...this.#vms.values()];
+    this.#staleItems = new Map(this.#items);
     this.fault = fault;
     if (fault.kind === 'close-watches' || fault.kind === 'down') {
       this.#settleWaiters(() => true, { kind: 'unavailable', reason: 'closed' });
@@ -98,53 +135,71 @@
   }
 
   /** Takes one token of the rate for reads or writes; false when the rate is exceeded. */
-  admit(kind: 'read' | 'write'): boolean {
-    const bucket = kind === 'read' ? this.#reads : this.#writes;
-    if (!bucket.take()) {
+  admit(kind: 'read' | 'write' | 'renewal'): boolean {
+    const bucket = kind === 'write' ? this.#writes : this.#reads;
+    if (!bucket.take(kind === 'renewal' ? RENEWAL_PRICE : 1)) {
       this.counts.refused += 1;
       return false;
     }
-    this.counts[kind === 'read' ? 'reads' : 'writes'] += 1;
+    this.counts[kind === 'write' ? 'writes' : 'reads'] += 1;
     return true;
   }
 
-  read(key: string): ReadResult {
-    const item = this.#items.get(key);
+  read(key: string, isStale = false): ReadResult {
+    const item = this.#see(isStale).get(key);
     return item === undefined ? { kind: 'absent' } : { kind: 'found', item };
   }
 
-  range(prefix: string): { readonly items: readonly Stored[]; readonly version: number } {
-    const items = [...this.#items.values()]
+  /** Reads all items under a prefix, in the order of their keys. */
+  range(
+    prefix: string,
+    isStale = false,
+  ): { readonly items: readonly StoreItem[]; readonly version: number } {
+    const items = [...this.#see(isStale || prefix === KEYS.vms).values()]
       .filter((item) => item.key.startsWith(prefix))
       .sort((a, b) => (a.key < b.key ? -1 : 1));
     return { items, version: this.#version };
   }
 
-  swap({ key, value, expect, lease }: Swap): WriteResult {
+  swap({ key, value, expect, lease = '' }: Swap): WriteResult {
     if (Buffer.byteLength(value) > MAX_VALUE_BYTES) return { kind: 'refused', reason: 'too large' };
-    if (lease !== undefined && !this.#leases.has(lease)) {
+    if (lease !== '' && !this.#leases.has(lease)) {
       return { kind: 'refused', reason: 'no such lease' };
     }
     const current = this.#items.get(key);
     if ((current?.version ?? 0) !== expect) return { kind: 'conflict', current };
-    this.#version += 1;
-    this.#items.set(key, { key, value, version: this.#version, lease });
-    this.#announce(key);
+    this.put(key, value, lease);
     return { kind: 'written', version: this.#version };
   }
 
   remove({ key, expect }: Removal): WriteResult {
     const current = this.#items.get(key);
     if ((current?.version ?? 0) !== expect) return { kind: 'conflict', current };
-    this.#version += 1;
-    this.#items.delete(key);
-    this.#announce(key);
+    this.drop(key);
     return { kind: 'written', version: this.#version };
   }
 
+  /** Writes an item whatever stands there, as its owner would. */
+  put(key: string, value: string, lease = ''): number {
+    this.#version += 1;
+    const version = this.#version;
+    const createdAt = this.#items.get(key)?.createdAt ?? version;
+    const item = { key, value, version, createdAt, lease };
+    this.#items.set(key, item);
+    this.#record({ key, version, item });
+    return version;
+  }
+
+  /** Removes an item whatever it holds, as its owner would. */
+  drop(key: string): void {
+    this.#version += 1;
+    if (!this.#items.delete(key)) return;
+    this.#record({ key, version: this.#version, item: undefined });
+  }
+
   grantLease(ttl: number): LeaseResult {
     this.#leaseCount += 1;
-    const lease = `lease-${this.#leaseCount}`;
+    const lease = String(this.#leaseCount);
     this.#keepLease(lease, ttl);
     return { kind: 'held', lease, ttl };
   }
@@ -162,21 +217,38 @@
     this.#leases.get(lease)?.timer.cancel();
     this.#leases.delete(lease);
     for (const item of [...this.#items.values()]) {
-      if (item.lease === lease) this.remove({ key: item.key, expect: item.version });
+      if (item.lease === lease) this.drop(item.key);
     }
   }
 
+  /** Ends every lease, as a store that was away for long does. */
+  lapseAll(): void {
+    for (const lease of [...this.#leases.keys()]) this.lapseLease(lease);
+  }
+
+  /** Forgets the history, so that older watches must read anew. */
+  compact(): void {
+    this.#history = [];
+    this.#historyFloor = this.#version;
+  }
+
+  /** Lists the changes of a prefix after a version; undefined when that history is gone. */
+  listChanges(prefix: string, after: number): readonly StoreChange[] | undefined {
+    if (after < this.#historyFloor) return undefined;
+    return this.#history.filter(({ key, version }) => version > after && key.startsWith(prefix));
+  }
+
   /** Waits for a change of `prefix` after `after`; `wait` bounds it in milliseconds. */
   watch(
     prefix: string,
     after: number,
     { wait, signal }: { readonly wait: number; readonly signal: AbortSignal },
   ): Promise<WatchResult> {
-    const skipping = this.fault.kind === 'skip-watches';
-    const changed = [...this.#changed].some(
-      ([key, version]) => key.startsWith(prefix) && version > after,
-    );
-    if (changed && !skipping) return Promise.resolve({ kind: 'changed', version: this.#version });
+    const changes = this.listChanges(prefix, after);
+    if (changes === undefined) return Promise.resolve({ kind: 'gap' });
+    if (changes.length > 0 && this.fault.kind !== 'skip-watches') {
+      return Promise.resolve({ kind: 'changed', version: this.#version });
+    }
     return new Promise((resolve) => {
       const timer = this.clock.schedule(wait, () => waiter.resolve({ kind: 'quiet' }));
       const waiter: Waiter = {
@@ -196,16 +268,20 @@
 
   /** Adds a VM or replaces the one at its address. */
   putVm(vm: Vm): void {
-    this.#vms.set(formatAddress(vm.address), vm);
+    this.put(KEYS.vms + formatAddress(vm.address), JSON.stringify(vm));
   }
 
   /** Removes the VM at an address `a.b.c.d:port`. */
   removeVm(address: string): void {
-    this.#vms.delete(address);
+    this.drop(KEYS.vms + address);
   }
 
   listVms(): readonly Vm[] {
-    return this.fault.kind === 'stale-vms' ? this.#staleVms : [...this.#vms.values()];
+    return this.range(KEYS.vms).items.map(({ value }) => JSON.parse(value) as Vm);
+  }
+
+  #see(isStale: boolean): ReadonlyMap<string, StoreItem> {
+    return isStale && this.fault.kind === 'stale' ? this.#staleItems : this.#items;
   }
 
   #keepLease(lease: string, ttl: number): void {
@@ -213,26 +289,35 @@
     this.#leases.set(lease, { ttl, timer });
   }
 
-  #announce(key: string): void {
-    this.#changed.set(key, this.#version);
+  #record(change: StoreChange): void {
+    this.#history.push(change);
+    if (this.#history.length > 2 * HISTORY) this.#forgetOldest();
     if (this.fault.kind === 'skip-watches') return;
-    this.#settleWaiters((waiter) => key.startsWith(waiter.prefix), {
+    this.#settleWaiters((waiter) => change.key.startsWith(waiter.prefix), {
       kind: 'changed',
       version: this.#version,
     });
   }
 
+  #forgetOldest(): void {
+    const forgotten = this.#history.splice(0, HISTORY);
+    this.#historyFloor = forgotten.at(-1)?.version ?? this.#historyFloor;
+  }
+
   #settleWaiters(matches: (waiter: Waiter) => boolean, result: WatchResult): void {
     for (const waiter of this.#waiters.filter(matches)) waiter.resolve(result);
   }
 }
 
+/** The faults in which no call is served. */
+const CLOSED: ReadonlySet<Fault['kind']> = new Set(['down', 'silent', 'busy', 'many']);
+
 /** Creates a platform that calls a store in this process, with the store's faults. */
 export function createStorePlatform(store: Store, clock: Clock, watchWait = 20_000): Platform {
   const down = { kind: 'unavailable', reason: 'down' } as const;
   const prepare = async (kind: 'read' | 'write'): Promise<boolean> => {
     if (store.fault.kind === 'slow') await clock.sleep(store.fault.delay);
-    return store.fault.kind !== 'down' && store.admit(kind);
+    return !CLOSED.has(store.fault.kind) && store.admit(kind);
   };
   const write = async (apply: () => WriteResult): Promise<WriteResult> => {
     if (!(await prepare('write'))) return { kind: 'refused', reason: 'down' };
--- a/src/tool/soak.ts
+++ b/src/tool/soak.ts
@@ -60,7 +60,7 @@
   { kind: 'lose-write-replies' },
   { kind: 'skip-watches' },
   { kind: 'close-watches' },
-  { kind: 'stale-vms' },
+  { kind: 'stale' },
 ];
 
 const FAULT_GAP = 150;
--- a/src/view/store-reader.ts
+++ b/src/view/store-reader.ts
@@ -6,12 +6,12 @@
  * the store still hears this daemon.
  */
 import type { Clock, Log, Random } from '../kernel/index.js';
-import { KEYS, type KvStore, type StoredItem, decodeTarget } from '../platform/index.js';
+import { KEYS, type KvReader, type StoredItem, decodeTarget } from '../platform/index.js';
 import type { FleetView } from './fleet-view.js';
 
 /** What a reader is made from. */
 export interface StoreReaderOptions {
-  readonly store: KvStore;
+  readonly store: KvReader;
   readonly view: FleetView;
   readonly clock: Clock;
   readonly random: Random;
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -91,6 +91,9 @@
       readItems: (prefix, after, stale) => pass(store.readItems(prefix, after, stale)),
       watch: (prefix, after, wait) => pass(store.watch(prefix, after, wait)),
       write: (write) => pass(store.write(write)),
+      remove: (removal) => pass(store.remove(removal)),
+      grantLease: (ttl) => pass(store.grantLease(ttl)),
+      renewLease: (lease) => pass(store.renewLease(lease)),
       counts: () => store.counts(),
       close: () => store.close(),
     };
--- a/test/kv-store.test.ts
+++ b/test/kv-store.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { type KvStore, createKvStore } from '../src/platform/index.js';
-import { KvStandin, type KvFault } from '../src/standin/index.js';
+import { type Fault, KvStandin } from '../src/standin/index.js';
 
 const TIMEOUT = 150;
 
@@ -20,17 +20,17 @@
     it('reads, pages, and watches what was written', async () => {
       for (let index = 0; index < 120; index += 1) standin.put(`p/${1000 + index}`, `v${index}`);
       const first = await store.readItems('p/', '', false);
-      expect(first).to.include({ kind: 'items', hasMore: true, storeRevision: 121 });
+      expect(first).to.include({ kind: 'items', hasMore: true, storeRevision: 120 });
       const item = await store.readItem('p/1003', false);
       expect(item).to.have.nested.property('item.text', 'v3');
-      const watch = store.watch('p/', 121, 1000);
+      const watch = store.watch('p/', 120, 1000);
       standin.put('p/1003', 'ő');
       standin.remove('p/1004');
       expect(await watch).to.have.nested.property('events[0].item.text', 'ő');
-      const rest = await store.watch('p/', 122, 1000);
+      const rest = await store.watch('p/', 121, 1000);
       expect(rest).to.deep.include({
-        events: [{ kind: 'removed', key: 'p/1004', revision: 123 }],
-        storeRevision: 123,
+        events: [{ kind: 'removed', key: 'p/1004', revision: 122 }],
+        storeRevision: 122,
       });
     });
     it('says that a key is absent, a condition failed, or history is gone', async () => {
@@ -40,21 +40,22 @@
         'done',
       );
       const again = await store.write({ key: 'x', text: '2', expected: 0 });
-      expect(again).to.deep.equal({ kind: 'condition-failed' });
+      expect(again).to.have.property('kind', 'condition-failed');
+      expect(again).to.have.nested.property('current.text', '1');
       standin.compact();
-      expect(await store.watch('x', 1, 100)).to.deep.equal({ kind: 'history-gone' });
+      expect(await store.watch('x', 0, 100)).to.deep.equal({ kind: 'history-gone' });
     });
   });
 
   describe('faults', () => {
-    const cases: readonly (readonly [KvFault, string, string])[] = [
+    const cases: readonly (readonly [Fault, string, string])[] = [
       [{ kind: 'silent' }, 'unknown', 'unknown'],
       [{ kind: 'busy' }, 'not-done', 'not-done'],
       [{ kind: 'many' }, 'not-done', 'not-done'],
-      [{ kind: 'reset' }, 'unknown', 'unknown'],
+      [{ kind: 'down' }, 'unknown', 'unknown'],
       [{ kind: 'slow', delay: 400 }, 'unknown', 'unknown'],
       [{ kind: 'slow', delay: 50 }, 'item', 'done'],
-      [{ kind: 'lost', after: 10 }, 'item', 'unknown'],
+      [{ kind: 'lose-write-replies', after: 10 }, 'item', 'unknown'],
     ];
     for (const [fault, read, write] of cases) {
       it(`${JSON.stringify(fault)}: a read is ${read}, a write ${write}`, async () => {
@@ -67,9 +68,46 @@
         expect(await store.readItem('k', false)).to.have.property('kind', 'item');
       });
     }
+    it('a write that was not answered may be done seconds later, if its condition still holds', async () => {
+      standin.fault = { kind: 'lose-write-replies', after: 300 };
+      const late = store.write({ key: 'a', text: 'late', expected: 0 });
+      const overtaken = store.write({ key: 'b', text: 'late', expected: 0 });
+      expect(await late).to.have.property('kind', 'unknown');
+      expect(await overtaken).to.have.property('kind', 'unknown');
+      standin.fault = { kind: 'none' };
+      expect(await store.readItem('a', false)).to.have.property('kind', 'absent');
+      await store.write({ key: 'b', text: 'other', expected: 0 });
+      await new Promise((resolve) => {
+        setTimeout(resolve, 300);
+      });
+      expect(await store.readItem('a', false)).to.have.nested.property('item.text', 'late');
+      expect(await store.readItem('b', false)).to.have.nested.property('item.text', 'other');
+    });
+    it('a read that may be stale is, while a linearizable one is not', async () => {
+      standin.put('k', 'old');
+      standin.fault = { kind: 'stale' };
+      standin.put('k', 'new');
+      expect(await store.readItem('k', true)).to.have.nested.property('item.text', 'old');
+      expect(await store.readItem('k', false)).to.have.nested.property('item.text', 'new');
+    });
+    it('keys of the operators and the targets are not ours to write', async () => {
+      for (const key of ['op/config', 'servers/i-1']) {
+        const written = await store.write({ key, text: 'x', expected: 0 });
+        expect(written).to.include({ kind: 'not-done', reason: 'status 403' });
+      }
+    });
+    it('a lease that is over cannot carry a key', async () => {
+      const granted = await store.grantLease(1000);
+      const lease = granted.kind === 'held' ? granted.lease : '';
+      expect(await store.renewLease(lease)).to.include({ kind: 'held', lease });
+      standin.store.lapseLease(lease);
+      expect(await store.renewLease(lease)).to.have.property('kind', 'lapsed');
+      const written = await store.write({ key: 'k', text: 'x', expected: 0, lease });
+      expect(written).to.have.property('kind', 'not-done');
+    });
     it('a cut watch is unknown, and the next call works', async () => {
       standin.put('k', 'v');
-      const watch = store.watch('k', 2, 1000);
+      const watch = store.watch('k', 1, 1000);
       setTimeout(() => standin.cutConnections(), 30);
       expect(await watch).to.have.property('kind', 'unknown');
       expect(await store.readItem('k', false)).to.have.property('kind', 'item');
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,13 +1,13 @@
 /** The contract that every adapter of the platform must pass, with its faults in a table. */
 import { expect } from 'chai';
-import { createSystemClock, createTcpNetwork } from '../src/kernel/index.js';
-import { type Platform, createHttpPlatform, createMeteredPlatform } from '../src/platform/index.js';
+import { createSystemClock } from '../src/kernel/index.js';
 import {
-  type Fault,
-  Store,
-  createStorePlatform,
-  startPlatformServer,
-} from '../src/standin/index.js';
+  type Platform,
+  createKvPlatform,
+  createKvStore,
+  createMeteredPlatform,
+} from '../src/platform/index.js';
+import { type Fault, KvStandin, Store, createStorePlatform } from '../src/standin/index.js';
 
 interface Fixture {
   readonly platform: Platform;
@@ -19,14 +19,13 @@
 const TIMEOUT = 150;
 
 async function openHttp(): Promise<Fixture> {
-  const server = await startPlatformServer({ host: '127.0.0.1', port: 0 }, clock);
-  const network = createTcpNetwork();
-  const platform = createHttpPlatform({ address: server.address, timeout: TIMEOUT, network });
+  const standin = new KvStandin(clock);
+  const platform = createKvPlatform(createKvStore(await standin.start(), TIMEOUT, 16));
   const close = () => {
     platform.close();
-    server.close();
+    standin.stop();
   };
-  return { platform, store: server.store, close };
+  return { platform, store: standin.store, close };
 }
 
 async function openStore(): Promise<Fixture> {
@@ -50,6 +49,9 @@
 const FAULTS: readonly FaultRow[] = [
   { fault: { kind: 'none' }, read: 'found', write: ['written'], applied: true },
   { fault: { kind: 'down' }, read: 'unavailable', write: ['unknown', 'refused'], applied: false },
+  { fault: { kind: 'silent' }, read: 'unavailable', write: ['unknown', 'refused'], applied: false },
+  { fault: { kind: 'busy' }, read: 'unavailable', write: ['refused'], applied: false },
+  { fault: { kind: 'many' }, read: 'unavailable', write: ['refused'], applied: false },
   { fault: { kind: 'slow', delay: 20 }, read: 'found', write: ['written'], applied: true },
   { fault: { kind: 'lose-write-replies' }, read: 'found', write: ['unknown'], applied: true },
 ];
@@ -120,6 +122,17 @@
       });
     });
 
+    it('leases that lapsed in an outage took their items along', async () => {
+      const lease = await fixture.platform.grantLease(5000);
+      const id = lease.kind === 'held' ? lease.lease : '';
+      await put('held', 'x', 0, id);
+      fixture.store.setFault({ kind: 'down' });
+      fixture.store.lapseAll();
+      fixture.store.setFault({ kind: 'none' });
+      expect((await fixture.platform.read('held')).kind).to.equal('absent');
+      expect((await fixture.platform.renewLease(id)).kind).to.equal('lapsed');
+    });
+
     describe('watches', () => {
       it('report a change that came before, and one that comes while waiting', async () => {
         const { signal } = new AbortController();
@@ -131,6 +144,14 @@
         expect((await waiting).kind).to.equal('changed');
       });
 
+      it('say that history is gone, so that the range is read anew', async () => {
+        await put('w/a', '1');
+        await put('w/b', '2');
+        fixture.store.compact();
+        const { signal } = new AbortController();
+        expect((await fixture.platform.watch('w/', 1, signal)).kind).to.equal('gap');
+      });
+
       it('are ended by their signal', async () => {
         const abort = new AbortController();
         setTimeout(() => abort.abort(), 20);
@@ -146,6 +167,12 @@
     });
 
     describe('ranges and VMs', () => {
+      it('are whole when they take several pages', async () => {
+        for (let index = 100; index < 230; index += 1) fixture.store.put(`p/${index}`, 'x');
+        const range = await fixture.platform.range('p/');
+        expect(range.kind === 'items' && range.items).to.have.length(130);
+      });
+
       it('list items by prefix, and VMs', async () => {
         await put('r/a', '1');
         await put('r/b', '2');
@@ -157,7 +184,7 @@
         ]);
         const address = { host: '127.0.0.1', port: 9 };
         fixture.store.putVm({ address, role: 'ledger', domain: 'hu/a', state: 'live' });
-        fixture.store.setFault({ kind: 'stale-vms' });
+        fixture.store.setFault({ kind: 'stale' });
         fixture.store.putVm({ address, role: 'ledger', domain: 'hu/a', state: 'leaving' });
         const vms = await fixture.platform.vms();
         expect(vms.kind === 'vms' && vms.vms[0]?.state).to.equal('live');
--- a/test/view.test.ts
+++ b/test/view.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { ManualClock, createSeededRandom, createSilentLog } from '../src/kernel/index.js';
-import { KEYS, type KvStore, type StoreEvent, type WatchAnswer } from '../src/platform/index.js';
+import { KEYS, type KvReader, type StoreEvent, type WatchAnswer } from '../src/platform/index.js';
 import { ReaderDuty } from '../src/peering/index.js';
 import { FleetView, StoreReader } from '../src/view/index.js';
 import { HOST, writeConfiguration, writeTarget } from './helpers/site.js';
@@ -16,7 +16,7 @@
 }
 
 /** A store in memory whose answers are set by the test, call by call. */
-class ScriptedStore implements KvStore {
+class ScriptedStore implements KvReader {
   targets: Record<string, { readonly text: string; readonly revision: number }> = {};
 
   configuration = { text: writeConfiguration(1, [{ prefix: '/a/' }]), revision: 2 };
@@ -60,14 +60,6 @@
     return { kind: 'events', events, storeRevision: this.revision };
   }
 
-  async write() {
-    return { kind: 'done' as const, revision: this.revision };
-  }
-
-  counts = () => ({});
-
-  close = () => undefined;
-
   /** Writes or removes a target's entry, for range and watch alike. */
   change(id: string, text: string | undefined): void {
     this.revision += 1;
