The agreed number of probes holds for the whole fleet; daemons that are no homes hear from homes

Cause: a daemon that is no home and gets calls all the same (old answers, homes killed) probed every target ten to twenty times a second by itself; ten daemons did. Ruled out: homes probing each other's targets (their sum was 20 a second). Change: each daemon carries an equal part of the agreed number; homes probe with the parts of those that ask them, others keep a small one. What they no longer probe they hear: they tell the homes of their calls and are told the homes' in turn, every 100 ms, while calls come. Tests: the sum over any split of any fleet stays below the number; six daemons on loopback that all serve (failed before); counts between a home and a guest (failed before).

--- a/src/balance/index.ts
+++ b/src/balance/index.ts
@@ -11,4 +11,5 @@
 export * from './load-belief.js';
 export * from './expected-time.js';
 export * from './knee.js';
+export * from './probe-share.js';
 export * from './second-attempt.js';
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -34,6 +34,9 @@
 const START_PACE = 25;
 const TRIM_PACE = 500;
 
+/** Daemons ask homes four times a second; after this long all that are there have asked. */
+const SETTLE_TIME = 1500;
+
 /** How long callers are told to keep an answer, in milliseconds; some keep it three times as long. */
 const ANSWER_TTL = 5000;
 
@@ -107,6 +110,8 @@
 
   #isRefreshing = false;
 
+  #startedAt = -Infinity;
+
   #lookups = 0;
 
   constructor(
@@ -185,6 +190,7 @@
     const listHomes = () => this.#roster.listHomes().map(({ ip }) => ip);
     this.#sharing = new LoadSharing({
       ...{ clock, targets: this.#targets, self: gateway.ip, listHomes },
+      isServing: () => this.#targets.isServing(clock.now()),
       send: (ip, shares) => this.#link.sendShares(ip, shares),
     });
     this.#prober = new Prober({
@@ -193,6 +199,8 @@
       interval: Math.max(tuning.probe_interval, (2 * 1000) / promises.probes_per_second),
       ...{ self: gateway.ip, listHomes },
       readTable: () => this.#view.table,
+      readLimit: () => this.#settings.promises.probes_per_second,
+      countDaemons: () => this.#countDaemons(),
     });
   }
 
@@ -211,6 +219,7 @@
     const { gateway } = this.#settings;
     const [port = 0] = gateway.peer_ports;
     const { signal } = this.#running;
+    this.#startedAt = this.#clock.now();
     this.#log.info('gateway.starting', { callers: formatAddress(gateway.callers) });
     this.#servers.push(
       await serveReadiness(gateway.readiness, () => this.#state === 'ready'),
@@ -303,6 +312,13 @@
     return this.#roster.listHomes().some((home) => home.ip === ip);
   }
 
+  /** Everybody is taken for present until all have had the time to ask. */
+  #countDaemons(): { readonly members: number; readonly present: number } {
+    const members = this.#roster.list().length;
+    const isNew = this.#clock.now() - this.#startedAt < SETTLE_TIME;
+    return { members, present: isNew ? members : this.#link.countAskers() + 1 };
+  }
+
   /** The first homes read the store for all. */
   #isAppointedReader(): boolean {
     const { ip } = this.#settings.gateway;
--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -1,6 +1,9 @@
 /**
  * The homes tell each other what each alone knows of the targets: its calls there, and how slow it
  * heard them to be. So counts are nearly exact at every home, and one home's probe serves all.
+ *
+ * Calls come to other daemons as well, from callers that hold an old answer or after many daemons have
+ * started anew. Such a daemon tells the homes of its calls, and hears from them for as long as it does.
  */
 import type { Clock } from '../kernel/index.js';
 import type { LoadShare } from '../peering/index.js';
@@ -14,15 +17,23 @@
   readonly self: string;
   /** The IP numbers of the homes, this daemon's included when it is one. */
   readonly listHomes: () => readonly string[];
+  /** Whether calls come to this daemon. */
+  readonly isServing: () => boolean;
   readonly send: (ip: string, shares: readonly LoadShare[]) => void;
 }
 
 /** Time between two datagrams: short against a call, long against what a datagram costs. */
 const PACE = 20;
 
-/** How often a daemon that is no home looks whether it has become one. */
+/** Time between two datagrams to or from a daemon that is no home; there may be many of them. */
+const GUEST_PACE = 100;
+
+/** How often a daemon that has nobody to tell looks whether that has changed. */
 const IDLE_PACE = 250;
 
+/** A daemon that has told nothing for this long serves no calls any more. */
+const GUEST_LIFE = 1200;
+
 /** What has not changed is told again after this long, since datagrams get lost. */
 const REPEAT = 500;
 
@@ -42,33 +53,80 @@
 export class LoadSharing {
   readonly #told = new Map<GatewayTarget, ToldShare>();
 
+  /** When each daemon last told something. */
+  readonly #heardAt = new Map<string, number>();
+
+  /** News for the daemons that are no homes, which hear less often. */
+  #forGuests = new Map<number, LoadShare>();
+
+  #guestsToldAt = -Infinity;
+
   constructor(private readonly options: LoadSharingOptions) {}
 
   /** Tells until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, listHomes, self } = this.options;
+    const { clock } = this.options;
     while (!signal.aborted) {
-      const homes = listHomes();
-      const hasOthers = homes.includes(self) && homes.length > 1;
-      await clock.sleep(hasOthers ? PACE : IDLE_PACE, signal);
-      if (!hasOthers) continue;
-      this.#tell(homes.filter((ip) => ip !== self));
+      await clock.sleep(this.#readPace(), signal);
+      this.#tell();
     }
   }
 
   /** Takes what another home told. */
-  hear(home: string, shares: readonly LoadShare[]): void {
-    const { targets } = this.options;
-    for (const share of shares) targets.findByHash(share.target)?.noteShare(home, share);
+  hear(from: string, shares: readonly LoadShare[]): void {
+    const { targets, clock } = this.options;
+    this.#heardAt.set(from, clock.now());
+    for (const share of shares) targets.findByHash(share.target)?.noteShare(from, share);
     for (const service of targets.list()) service.queue.pump();
   }
 
-  #tell(others: readonly string[]): void {
-    const shares = this.#listNews();
-    if (shares.length === 0) return;
+  #isHome(): boolean {
+    return this.options.listHomes().includes(this.options.self);
+  }
+
+  #readPace(): number {
+    const { listHomes, isServing } = this.options;
+    if (!this.#isHome()) return isServing() ? GUEST_PACE : IDLE_PACE;
+    if (listHomes().length > 1) return PACE;
+    return this.#listGuests().length > 0 ? GUEST_PACE : IDLE_PACE;
+  }
+
+  /** The daemons that are no homes and have told of calls of late. */
+  #listGuests(): readonly string[] {
+    const now = this.options.clock.now();
+    const homes = new Set(this.options.listHomes());
+    for (const [ip, at] of this.#heardAt) {
+      if (now - at >= GUEST_LIFE) this.#heardAt.delete(ip);
+    }
+    return [...this.#heardAt.keys()].filter((ip) => !homes.has(ip));
+  }
+
+  #tell(): void {
+    const { listHomes, self, isServing } = this.options;
+    const isHome = this.#isHome();
+    if (!isHome && !isServing()) return;
+    const homes = listHomes().filter((ip) => ip !== self);
+    const guests = isHome ? this.#listGuests() : [];
+    if (homes.length + guests.length === 0) return;
+    const news = this.#listNews();
+    this.#sendTo(homes, news);
+    if (guests.length > 0) this.#tellGuests(guests, news);
+  }
+
+  /** Of a target that changed more than once since the last time, only the last word is told. */
+  #tellGuests(guests: readonly string[], news: readonly LoadShare[]): void {
+    const now = this.options.clock.now();
+    for (const share of news) this.#forGuests.set(share.target, share);
+    if (now - this.#guestsToldAt < GUEST_PACE) return;
+    this.#guestsToldAt = now;
+    this.#sendTo(guests, [...this.#forGuests.values()]);
+    this.#forGuests.clear();
+  }
+
+  #sendTo(ips: readonly string[], shares: readonly LoadShare[]): void {
     for (let at = 0; at < shares.length; at += MOST_SHARES) {
       const part = shares.slice(at, at + MOST_SHARES);
-      for (const ip of others) this.options.send(ip, part);
+      for (const ip of ips) this.options.send(ip, part);
     }
   }
 
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -1,6 +1,7 @@
 /** Asks targets how loaded they are, while calls for them come to this daemon. */
 import http from 'node:http';
 import { recallPair } from '../balance/home.js';
+import { computeProbeInterval } from '../balance/index.js';
 import type { Clock } from '../kernel/index.js';
 import { HEADERS, parseLoad } from '../platform/index.js';
 import type { RouteTable } from '../routing/index.js';
@@ -17,6 +18,10 @@
   readonly self: string;
   /** The IP numbers of the homes. */
   readonly listHomes: () => readonly string[];
+  /** Probes that the whole fleet may send to each target a second. */
+  readonly readLimit: () => number;
+  /** How many daemons are known, and how many of them look to this one. */
+  readonly countDaemons: () => { readonly members: number; readonly present: number };
 }
 
 /** A service with fewer calls a second here is not worth measuring from here. */
@@ -110,12 +115,18 @@
     return service.rate.read(now) >= LEAST_RATE;
   }
 
-  /** Homes divide the targets among themselves; what a home has not heard of in time it asks itself. */
+  /**
+   * Homes divide the targets among themselves; what a home has not heard of in time it asks itself.
+   * Others hear from the homes, and ask only what their small part of the agreed number allows.
+   */
   #isDue(service: TargetService, target: GatewayTarget, homes: readonly string[]): boolean {
-    const { clock, self } = this.options;
+    const { clock, self, countDaemons, readLimit } = this.options;
+    const isHome = homes.includes(self);
+    const least = computeProbeInterval({ limit: readLimit(), ...countDaemons(), isHome });
+    if (clock.now() - target.probedAt < least) return false;
     const interval = this.options.interval * (this.#isHurried(service) ? 0.5 : 1);
     const age = clock.now() - target.belief.slowdownAt;
-    const isMine = !homes.includes(self) || findProber(target, homes) === self;
+    const isMine = isHome && findProber(target, homes) === self;
     return age >= (isMine ? interval / 2 : interval * STAND_IN_FACTOR);
   }
 
@@ -123,6 +134,7 @@
     const { clock } = this.options;
     const startedAt = clock.now();
     this.#probing.add(target);
+    target.probedAt = startedAt;
     try {
       const taken = await target.connections.take(Infinity);
       if (taken.kind === 'not-connected') {
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -29,6 +29,9 @@
 /** A share of 0.25 to 0.35 of the targets works seven times as long, as the users measured. */
 const FIRST_USUAL = 2.5;
 
+/** A daemon to which no call has come for this long serves none. */
+const SERVING_TIME = 1000;
+
 /** One service as this daemon uses it. */
 export class TargetService {
   readonly targets = new Map<string, GatewayTarget>();
@@ -144,6 +147,11 @@
     }
   }
 
+  /** Whether calls come to this daemon, be it a few a second. */
+  isServing(now: number): boolean {
+    return this.list().some((service) => now - service.lastCallAt < SERVING_TIME);
+  }
+
   /** Finds a target by the number that stands for it between daemons. */
   findByHash(hash: number): GatewayTarget | undefined {
     return this.#byHash.get(hash);
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -53,6 +53,9 @@
 
   #misdirected = false;
 
+  /** When this daemon last sent a probe there. */
+  probedAt = -Infinity;
+
   /** Called when the target has turned slow, so that calls there can look for another one. */
   readonly onSlow = new Set<() => void>();
 
--- a/src/peering/peer-link.ts
+++ b/src/peering/peer-link.ts
@@ -86,6 +86,16 @@
     this.#seeds = new Set([...this.#seeds, ...others]);
   }
 
+  /** Counts the daemons that asked this one of late: those for which it is a home, or is about to be. */
+  countAskers(): number {
+    const now = this.options.clock.now();
+    let askers = 0;
+    for (const at of this.#askers.values()) {
+      if (now - at < ASKING) askers += 1;
+    }
+    return askers;
+  }
+
   /** Tells everybody who asked of late how things are now, without being asked. */
   tellAll(): void {
     const now = this.options.clock.now();
@@ -153,3 +163,6 @@
 
 /** Who has not asked for this long does not wait for news. */
 const ASKER_LIFE = 3000;
+
+/** Who looks to this daemon has asked it within this time: some questions, as datagrams get lost. */
+const ASKING = 1200;
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -55,6 +55,9 @@
 
   readonly #cut = new Set<string>();
 
+  /** What daemons that are created from now on are told of the agreed number of probes. */
+  probesPerSecond = 60;
+
   #version = 0;
 
   #storeAddress = { host: '', port: 0 };
@@ -112,7 +115,7 @@
       ...['[machine]', 'cpu_share = 0.5', '[platform]'],
       `address = ${this.#storeAddress.host}:${this.#storeAddress.port}`,
       ...['[promises]', 'grace = 6', 'answer_ttl = 5', 'retry_ratio = 0.2', 'retry_window = 10'],
-      ...['retry_slack = 64', 'probes_per_second = 60', '[tuning]', tuning],
+      ...['retry_slack = 64', `probes_per_second = ${this.probesPerSecond}`, '[tuning]', tuning],
     ].join('\n');
     const settings = checkGatewaySettings('test.ini', text).unsafeCoerce();
     const write = (event: string, fields: LogFields = {}) =>
--- a/test/helpers/site.ts
+++ b/test/helpers/site.ts
@@ -77,6 +77,9 @@
 
   connections = 0;
 
+  /** Health checks that it answered. */
+  probes = 0;
+
   slowdown = 100;
 
   behaviour: Behaviour | undefined;
@@ -120,6 +123,7 @@
 
   async #take(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (request.url === '/health') {
+      this.probes += 1;
       response.writeHead(200, {
         ...{ 'Instance-Id': this.incarnation, 'Server-Load': `0,0,4,${this.slowdown}` },
       });
--- /dev/null
+++ b/test/measuring.test.ts
@@ -0,0 +1,140 @@
+/** What measuring costs: one agreed number for the whole fleet, whoever takes itself for a home. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { WindowBudget, computeProbeInterval } from '../src/balance/index.js';
+import { LoadSharing } from '../src/gateway/load-sharing.js';
+import { TargetSet } from '../src/gateway/target-set.js';
+import { ManualClock, createSeededRandom } from '../src/kernel/index.js';
+import type { LoadShare } from '../src/peering/index.js';
+import type { TargetRecord } from '../src/platform/index.js';
+import { FleetView } from '../src/view/index.js';
+import { Site, sendTo } from './helpers/gateways.js';
+
+const HOMES = 3;
+
+describe('the agreed number of probes', () => {
+  it('holds however the fleet is split, though every daemon serves', () => {
+    const anyGroups = fc.array(fc.integer({ min: 1, max: 40 }), { minLength: 1, maxLength: 30 });
+    fc.assert(
+      fc.property(anyGroups, fc.integer({ min: 1, max: 500 }), (groups, limit) => {
+        const members = groups.reduce((sum, size) => sum + size, 0);
+        let sent = 0;
+        for (const present of groups) {
+          const guests = Math.max(0, present - HOMES);
+          const terms = { limit, members, present };
+          sent += 1000 / computeProbeInterval({ ...terms, isHome: true });
+          sent += (guests * 1000) / computeProbeInterval({ ...terms, isHome: false });
+        }
+        expect(sent).to.be.at.most(limit);
+      }),
+    );
+  });
+  it('leaves most of it to the homes of a whole fleet', () => {
+    const terms = { limit: 60, members: 17, present: 17, isHome: true };
+    expect(computeProbeInterval(terms)).to.be.below(25);
+  });
+  it('is kept by daemons that are no homes and serve all the same', async () => {
+    const site = await new Site().start([{ prefix: '/a/' }]);
+    site.probesPerSecond = 10;
+    const target = await site.addTarget();
+    const first = site.createGateway();
+    await first.gateway.start();
+    const ips = [first.ip];
+    for (let count = 0; count < 5; count += 1) ips.push(await site.addGateway([first.ip]));
+    const wait = (time: number) =>
+      new Promise((resolve) => {
+        setTimeout(resolve, time);
+      });
+    let isOver = false;
+    // Calls so rare that their answers do not make probes needless.
+    const callers = ips.map(async (ip) => {
+      while (!isOver) {
+        await sendTo(ip);
+        await wait(400);
+      }
+    });
+    // Everybody has found everybody by then.
+    await wait(2000);
+    const before = target.probes;
+    await wait(3000);
+    const sent = target.probes - before;
+    isOver = true;
+    await Promise.all(callers);
+    site.stop();
+    expect(sent).to.be.within(3, 30);
+  });
+});
+
+describe('daemons that are no homes and serve', () => {
+  const HOUR = 3_600_000;
+  let clock: ManualClock;
+  let heard: {
+    readonly from: string;
+    readonly to: string;
+    readonly shares: readonly LoadShare[];
+  }[];
+  let ends: AbortController;
+
+  /** Makes the sharing of one daemon; what it sends reaches the others at once. */
+  function createDaemon(self: string, daemons: Map<string, LoadSharing>, isServing: () => boolean) {
+    const view = new FleetView({
+      onTable: () => undefined,
+      onTarget: () => undefined,
+      onFault: () => undefined,
+    });
+    const record: TargetRecord = {
+      ...{ incarnation: 'i-1', service: 'alpha', address: { host: '127.0.0.1', port: 1 } },
+      ...{ domain: 'd1', slots: 3, state: 'ready', coldLeft: 0 },
+    };
+    view.putTarget(record, 1, 0);
+    const targets = new TargetSet({
+      ...{ clock, random: createSeededRandom(1), domain: 'd1', countHomes: () => 1 },
+      createBudget: () => new WindowBudget(clock, () => ({ ratio: 0.2, window: 10_000, slack: 5 })),
+    });
+    targets.update(view);
+    const sharing = new LoadSharing({
+      ...{ clock, targets, self, isServing, listHomes: () => ['home'] },
+      send: (to, shares) => {
+        heard.push({ from: self, to, shares });
+        daemons.get(to)?.hear(self, shares);
+      },
+    });
+    daemons.set(self, sharing);
+    sharing.run(ends.signal).catch(() => undefined);
+    const target = targets.find('alpha').targets.get('i-1');
+    if (target === undefined) throw new Error('the target is not there');
+    return target.belief;
+  }
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    heard = [];
+    ends = new AbortController();
+  });
+  afterEach(() => ends.abort());
+
+  it('tell the home of their calls, and hear of its', async () => {
+    const daemons = new Map<string, LoadSharing>();
+    const atHome = createDaemon('home', daemons, () => true);
+    const atGuest = createDaemon('guest', daemons, () => true);
+    atHome.start(0);
+    atGuest.start(0);
+    atGuest.start(0);
+    await clock.advance(1000);
+    expect(atHome.countCalls(1000, 1)).to.equal(3);
+    expect(atGuest.countCalls(1000, 1)).to.equal(3);
+  });
+  it('are forgotten once they serve no more', async () => {
+    const daemons = new Map<string, LoadSharing>();
+    createDaemon('home', daemons, () => true);
+    let isServing = true;
+    createDaemon('guest', daemons, () => isServing);
+    await clock.advance(1000);
+    expect(heard.some(({ to }) => to === 'guest')).to.equal(true);
+    isServing = false;
+    await clock.advance(2000);
+    heard = [];
+    await clock.advance(HOUR / 1000);
+    expect(heard).to.deep.equal([]);
+  });
+});
