--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -34,6 +34,22 @@
 const START_PACE = 25;
 const TRIM_PACE = 500;
 
+/**
+ * A daemon that starts waits this long for others to tell it what they know before it reads the store:
+ * some ways there and back. When the whole system starts nobody calls yet, and one reading serves all.
+ */
+const PATIENCE = 60;
+const FIRST_PATIENCE = 1500;
+
+/** A daemon that has run this long is no newcomer; callers hold an answer a quarter of this at most. */
+const SENIORITY = 60_000;
+
+function findPatience({ first_start: first, seeds, ip }: GatewaySettings['gateway']): number {
+  if (first !== 'true') return PATIENCE;
+  // Somebody has to read for the others; they ask seeds every second.
+  return seeds[0]?.host === ip ? 0 : FIRST_PATIENCE;
+}
+
 /** Daemons ask homes four times a second; after this long all that are there have asked. */
 const SETTLE_TIME = 1500;
 
@@ -127,10 +143,13 @@
     this.#clock = clock;
     this.#log = log;
     const capacity = machine.cpu_share * machine.core_speed;
-    const self: MemberInfo = { ip: gateway.ip, domain: gateway.domain, capacity };
+    const readSelf = (): MemberInfo => ({
+      ...{ ip: gateway.ip, domain: gateway.domain, capacity },
+      isSenior: this.#isSenior(),
+    });
     const selfState = () => this.#state;
     this.#roster = new Roster({
-      ...{ clock, self, selfState },
+      ...{ clock, self: readSelf(), selfState },
       ...{ homes: tuning.homes, capacity: tuning.home_capacity },
     });
     this.#targets = new TargetSet({
@@ -154,14 +173,15 @@
       },
       onFault: (what) => log.error('configuration.unreadable', { what }),
     });
-    this.#duty = new ReaderDuty(clock, () => this.#isAppointedReader());
+    this.#duty = new ReaderDuty(clock, () => this.#isAppointedReader(), findPatience(gateway));
     this.#reader = new StoreReader({
       ...{ store, view: this.#view, clock, random, log },
       isReader: () => this.#duty.isReader(),
     });
     const [port = 0] = gateway.peer_ports;
     this.#link = new PeerLink({
-      ...{ address: { host: gateway.ip, port }, self, selfState, roster: this.#roster, clock, log },
+      ...{ address: { host: gateway.ip, port }, readSelf, selfState, roster: this.#roster },
+      ...{ clock, log },
       readKnowledge: () => this.#readKnowledge(),
       onKnowledge: (from, knowledge) => {
         this.#hear(from, knowledge).catch(() => undefined);
@@ -312,6 +332,11 @@
     return this.#roster.listHomes().some((home) => home.ip === ip);
   }
 
+  #isSenior(): boolean {
+    const age = this.#clock.now() - this.#startedAt;
+    return this.#settings.gateway.first_start === 'true' || age > SENIORITY;
+  }
+
   /** Everybody is taken for present until all have had the time to ask. */
   #countDaemons(): { readonly members: number; readonly present: number } {
     const members = this.#roster.list().length;
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -17,6 +17,7 @@
 } from '../settings/schema.js';
 
 const PORT: readonly [number, number] = [1, 65_535];
+const YES_OR_NO = ['true', 'false'] as const;
 const COUNT: readonly [number, number] = [0, 1_000_000];
 
 const gatewayFields = {
@@ -32,6 +33,11 @@
     describeInteger('First and last port for daemons among themselves', PORT),
   ),
   seeds: describeList(describeAddress('Addresses of some other daemons; ports do not matter'), []),
+  first_start: describeChoice(
+    'Whether the whole system starts for the first time',
+    YES_OR_NO,
+    'false',
+  ),
 } satisfies Fields;
 
 const machineFields = {
--- a/src/peering/datagram.ts
+++ b/src/peering/datagram.ts
@@ -7,6 +7,7 @@
 export interface SelfWord {
   readonly domain: string;
   readonly capacity: number;
+  readonly isSenior: boolean;
   readonly state: MemberState;
 }
 
@@ -59,8 +60,8 @@
   return value === null || typeof value === 'number';
 }
 
-function encodeSelf({ domain, capacity, state }: SelfWord): readonly unknown[] {
-  return [domain, capacity, STATES.indexOf(state)];
+function encodeSelf({ domain, capacity, isSenior, state }: SelfWord): readonly unknown[] {
+  return [domain, capacity, STATES.indexOf(state), isSenior];
 }
 
 /** Packs a datagram. */
@@ -91,15 +92,16 @@
   return values.every((value) => typeof value === 'number');
 }
 
-function decodeSelf([domain, capacity, state]: readonly unknown[]): SelfWord | undefined {
+function decodeSelf(fields: readonly unknown[]): SelfWord | undefined {
+  const [domain, capacity, state, isSenior] = fields;
   const known = STATES[Number(state)];
   if (typeof domain !== 'string' || typeof capacity !== 'number' || known === undefined) {
     return undefined;
   }
-  return { domain, capacity, state: known };
+  return { domain, capacity, isSenior: isSenior === true, state: known };
 }
 
-const SELF_LENGTH = 3;
+const SELF_LENGTH = 4;
 const SHARE_LENGTH = 4;
 
 function decodeTell(fields: readonly unknown[]): Datagram | undefined {
--- a/src/peering/peer-link.ts
+++ b/src/peering/peer-link.ts
@@ -18,7 +18,7 @@
 /** What the link is made from. */
 export interface PeerLinkOptions {
   readonly address: Address;
-  readonly self: MemberInfo;
+  readonly readSelf: () => MemberInfo;
   readonly selfState: () => MemberState;
   readonly roster: Roster;
   readonly clock: Clock;
@@ -65,6 +65,7 @@
     let forgetAt = clock.now() + FORGET_PACE;
     while (!signal.aborted) {
       const now = clock.now();
+      roster.note(this.options.readSelf());
       const asked = new Set(roster.listToAsk().map(({ ip }) => ip));
       if (now - seedsAt >= SEED_PACE) {
         seedsAt = now;
@@ -82,7 +83,8 @@
 
   /** Names daemons to ask until they answer. */
   addSeeds(ips: readonly string[]): void {
-    const others = ips.filter((ip) => ip !== this.options.self.ip);
+    const own = this.options.readSelf().ip;
+    const others = ips.filter((ip) => ip !== own);
     this.#seeds = new Set([...this.#seeds, ...others]);
   }
 
@@ -110,12 +112,12 @@
   }
 
   #describeSelf(): SelfWord {
-    const { self, selfState } = this.options;
-    return { domain: self.domain, capacity: self.capacity, state: selfState() };
+    const { domain, capacity, isSenior } = this.options.readSelf();
+    return { domain, capacity, isSenior, state: this.options.selfState() };
   }
 
   #ask(ip: string): void {
-    if (ip === this.options.self.ip) return;
+    if (ip === this.options.readSelf().ip) return;
     this.#askedAt.set(ip, this.options.clock.now());
     this.#send(ip, { kind: 'ask', self: this.#describeSelf() });
   }
@@ -140,8 +142,8 @@
       onShares(ip, datagram.shares);
       return;
     }
-    const { domain, capacity, state } = datagram.self;
-    const info = { ip, domain, capacity };
+    const { domain, capacity, isSenior, state } = datagram.self;
+    const info = { ip, domain, capacity, isSenior };
     if (datagram.kind === 'ask') {
       roster.note(info);
       this.#askers.set(ip, clock.now());
--- a/src/peering/reader-duty.ts
+++ b/src/peering/reader-duty.ts
@@ -12,13 +12,17 @@
 
 /** The duty of one daemon. */
 export class ReaderDuty {
-  #toldAt = -Infinity;
+  #toldAt: number;
 
+  /** @param patience how long a daemon that starts waits to be told, in milliseconds */
   constructor(
     private readonly clock: Clock,
     /** Whether this daemon is one of the homes that read for all. */
     private readonly isAppointed: () => boolean,
-  ) {}
+    patience = 0,
+  ) {
+    this.#toldAt = clock.now() - STALE_AFTER + patience;
+  }
 
   /** Notes that another daemon had read the store itself at a moment, and told what it knows. */
   noteTold(readAt: number): void {
@@ -27,6 +31,6 @@
 
   /** Whether this daemon reads now. */
   isReader(): boolean {
-    return this.isAppointed() || this.clock.now() - this.#toldAt > STALE_AFTER;
+    return this.isAppointed() || this.clock.now() - this.#toldAt >= STALE_AFTER;
   }
 }
--- a/src/peering/roster.ts
+++ b/src/peering/roster.ts
@@ -8,13 +8,18 @@
 import type { Clock } from '../kernel/index.js';
 import { recallPair, spreadDomains } from '../balance/home.js';
 
-/** What a daemon says of itself; unchanged during its life. */
+/** What a daemon says of itself. */
 export interface MemberInfo {
   /** IP number; ports are alike on all VMs. */
   readonly ip: string;
   readonly domain: string;
   /** Cores, as a number that may be below 1. */
   readonly capacity: number;
+  /**
+   * Whether it runs since long, or since the very first start. One that was started anew leaves its
+   * homes' duty where that has gone: callers hold their answers, and a second move helps nobody.
+   */
+  readonly isSenior: boolean;
 }
 
 /** Whether a daemon serves callers. */
@@ -55,6 +60,10 @@
 /** Capacities within one step of each other are alike, so that small differences move no home. */
 const CAPACITY_STEP = 0.5;
 
+function matchInfos(a: MemberInfo, b: MemberInfo): boolean {
+  return a.domain === b.domain && a.capacity === b.capacity && a.isSenior === b.isSenior;
+}
+
 /** The daemons known. */
 export class Roster {
   readonly #members = new Map<string, Member>();
@@ -90,8 +99,7 @@
       });
       return;
     }
-    if (known.info.domain === info.domain && known.info.capacity === info.capacity) return;
-    if (info.domain === '') return;
+    if (info.domain === '' || matchInfos(known.info, info)) return;
     this.#ranked = undefined;
     known.info = info;
   }
@@ -156,15 +164,18 @@
     return this.options.clock.now() - member.heardAt <= SILENCE;
   }
 
-  /** The order in which daemons become homes: strong ones first, then by hash, domains in turn. */
+  /** The order in which daemons become homes: strong ones first, then senior ones, then by hash; domains in turn. */
   #rank(): readonly MemberInfo[] {
     if (this.#ranked !== undefined) return this.#ranked;
     const measure = (info: MemberInfo) => Math.floor(info.capacity / CAPACITY_STEP);
     const ordered = this.list()
       .map((info) => ({ ...info, id: info.ip, name: info.ip, rank: recallPair('home', info.ip) }))
-      .sort((a, b) => measure(b) - measure(a) || b.rank - a.rank);
-    this.#ranked = spreadDomains(ordered).map(({ ip, domain, capacity }) => ({
-      ...{ ip, domain, capacity },
+      .sort(
+        (a, b) =>
+          measure(b) - measure(a) || Number(b.isSenior) - Number(a.isSenior) || b.rank - a.rank,
+      );
+    this.#ranked = spreadDomains(ordered).map(({ ip, domain, capacity, isSenior }) => ({
+      ...{ ip, domain, capacity, isSenior },
     }));
     return this.#ranked;
   }
--- a/src/view/store-reader.ts
+++ b/src/view/store-reader.ts
@@ -29,6 +29,9 @@
 /** How often a daemon that does not read looks whether it has to. */
 const IDLE_PACE = 200;
 
+/** The same for one that nobody has told anything yet, and which is not ready before. */
+const START_PACE = 20;
+
 /** Least time between two answers of the configuration's watch, for configurations in quick succession. */
 const CONFIGURATION_PACE = 150;
 
@@ -89,6 +92,10 @@
     return this.#readAt;
   }
 
+  #readIdlePace(): number {
+    return this.options.view.provenAt === -Infinity ? START_PACE : IDLE_PACE;
+  }
+
   #prove(at: number): void {
     this.#readAt = Math.max(this.#readAt, at);
     this.options.view.prove(at, this.#targetsAfter ?? 0);
@@ -114,7 +121,7 @@
     while (!signal.aborted) {
       this.#settlePending();
       if (!isReader()) {
-        await clock.sleep(IDLE_PACE, signal);
+        await clock.sleep(this.#readIdlePace(), signal);
         continue;
       }
       const startedAt = clock.now();
@@ -263,7 +270,7 @@
     const backoff = new Backoff(random);
     while (!signal.aborted) {
       if (!isReader()) {
-        await clock.sleep(IDLE_PACE, signal);
+        await clock.sleep(this.#readIdlePace(), signal);
         continue;
       }
       const read = await this.#readConfiguration();
--- a/test/gateway-settings.test.ts
+++ b/test/gateway-settings.test.ts
@@ -27,7 +27,12 @@
 
 function writeSettings(fields: Readonly<Record<string, string>>): string {
   const template = readFileSync('deploy/gateway.ini', 'utf8');
-  return template.replace(/\{\{([\w.]+)\}\}/g, (_gap, name: string) => fields[name] ?? '');
+  const chosen = template.replace(
+    /\{\{([#^])(\w+)\}\}(.*?)\{\{\/\2\}\}/g,
+    (_part, mark: string, name: string, text: string) =>
+      (fields[name] === 'true') === (mark === '#') ? text : '',
+  );
+  return chosen.replace(/\{\{([\w.]+)\}\}/g, (_gap, name: string) => fields[name] ?? '');
 }
 
 describe('the settings of a gateway', () => {
@@ -36,10 +41,16 @@
     expect(settings.gateway.callers).to.deep.equal({ host: '10.1.0.35', port: 8144 });
     expect(settings.gateway.peer_ports).to.deep.equal([7660, 7675]);
     expect(settings.gateway.seeds).to.have.length(2);
+    expect(settings.gateway.first_start).to.equal('false');
     expect(settings.promises).to.include({ grace: 6, answer_ttl: 5, retry_slack: 64 });
     expect(settings.machine.cpu_share).to.equal(0.54);
     expect(settings.tuning.probe_interval).to.equal(100);
   });
+  it('tell when the whole system starts for the first time', () => {
+    const text = writeSettings({ ...FIELDS, bootstrap: 'true' });
+    const settings = checkGatewaySettings('gateway.ini', text).unsafeCoerce();
+    expect(settings.gateway.first_start).to.equal('true');
+  });
   it('may lack seeds', () => {
     const text = writeSettings({ ...FIELDS, seeds: '' });
     const settings = checkGatewaySettings('gateway.ini', text).unsafeCoerce();
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -326,7 +326,7 @@
 });
 
 describe('datagrams between daemons', () => {
-  const self = { domain: 'hu/bud1', capacity: 0.54, state: 'ready' as const };
+  const self = { domain: 'hu/bud1', capacity: 0.54, isSenior: true, state: 'ready' as const };
   const samples: readonly Datagram[] = [
     { kind: 'ask', self },
     {
--- a/test/view.test.ts
+++ b/test/view.test.ts
@@ -172,6 +172,13 @@
     isAppointed = true;
     expect(duty.isReader()).to.equal(true);
   });
+  it('is left to others for a moment by a daemon that starts', async () => {
+    const clock = new ManualClock();
+    const duty = new ReaderDuty(clock, () => false, 60);
+    expect(duty.isReader()).to.equal(false);
+    await clock.advance(60);
+    expect(duty.isReader()).to.equal(true);
+  });
 });
 
 describe('reading the store', () => {
