--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -354,6 +354,7 @@
       this.request.service.knee.note(time / usualTime.read(time), shares, now);
     }
     usualTime.add(time, now);
+    this.request.service.noteTime(time);
   }
 
   /** Sends the request once more, after an attempt that brought nothing. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -188,7 +188,7 @@
       },
       onShares: (from, shares) => this.#sharing.hear(from, shares),
     });
-    this.#feed = new FeedClient(port, ({ delta, members }) => {
+    this.#feed = new FeedClient(clock, port, ({ delta, members }) => {
       this.#view.applyDelta(delta, clock.now());
       for (const member of members) this.#roster.note(member);
     });
@@ -240,12 +240,15 @@
     const [port = 0] = gateway.peer_ports;
     const { signal } = this.#running;
     this.#startedAt = this.#clock.now();
-    this.#log.info('gateway.starting', { callers: formatAddress(gateway.callers) });
+    this.#log.info('gateway.starting', {
+      ...{ callers: formatAddress(gateway.callers), first_start: gateway.first_start },
+      seeds: gateway.seeds.map(({ host }) => host).join(','),
+    });
     this.#servers.push(
       await serveReadiness(gateway.readiness, () => this.#state === 'ready'),
-      await serveFeed({ host: gateway.ip, port }, (after) => ({
-        delta: this.#view.diffSince(after, this.#clock.now()),
-        members: this.#roster.list(),
+      await serveFeed({ host: gateway.ip, port }, ({ position, members }) => ({
+        delta: this.#view.diffSince(position, this.#clock.now()),
+        members: members === this.#roster.readFingerprint() ? [] : this.#roster.list(),
       })),
       await serveDirectory(
         gateway.directory,
@@ -368,12 +371,13 @@
     const provenAt = this.#clock.now() - knowledge.proofAge;
     const readAt = this.#clock.now() - knowledge.readAge;
     const { position } = this.#view;
+    const members = this.#roster.readFingerprint();
     const isBehind =
       knowledge.position.targets > position.targets ||
       knowledge.position.configuration > position.configuration;
-    if (isBehind || knowledge.members !== this.#roster.readFingerprint()) {
-      const fetched = await this.#feed.fetch(from.ip, position);
-      if (isBehind && !fetched) return;
+    if (isBehind && !(await this.#feed.fetchNews(from.ip, { position, members }))) return;
+    if (!isBehind && knowledge.members !== members) {
+      await this.#feed.fetchMembers(from.ip, { position, members });
     }
     if (this.#view.table === undefined) return;
     this.#view.prove(provenAt, knowledge.targetsRevision);
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -24,8 +24,14 @@
   readonly countDaemons: () => { readonly members: number; readonly present: number };
 }
 
-/** A service with fewer calls a second here is not worth measuring from here. */
-const LEAST_RATE = 1;
+/** A service with fewer calls a second here is not worth measuring from here, but by the homes. */
+const LEAST_RATE = 3;
+
+/** A report is asked for again after this part of a call's time. */
+const REPORT_AGE = 0.75;
+
+/** No target is probed more often than this, whatever is agreed, in milliseconds. */
+const LEAST_INTERVAL = 40;
 
 /** How often a daemon without calls looks whether some have come. */
 const IDLE_PACE = 100;
@@ -74,20 +80,25 @@
     const { clock, interval, targets } = this.options;
     for (let turn = 0; !signal.aborted; turn += 1) {
       this.#probeBatch(turn % BATCHES);
-      const isHurried = targets.list().some((service) => this.#isHurried(service));
-      const pace = isHurried ? interval / 2 : interval;
-      await clock.sleep(this.#isIdle() ? IDLE_PACE : pace / BATCHES, signal);
+      const homes = this.options.listHomes();
+      const inUse = targets.list().filter((service) => this.#isInUse(service, homes));
+      const pace = Math.min(interval, ...inUse.map((service) => this.#readInterval(service)));
+      await clock.sleep(inUse.length === 0 ? IDLE_PACE : pace / BATCHES, signal);
     }
   }
 
-  /** Where calls have had to wait of late, knowing sooner which target is quick saves slots. */
-  #isHurried(service: TargetService): boolean {
-    return this.options.clock.now() - service.queue.waitedAt < HURRY_TIME;
+  /**
+   * Where calls are short a report is soon of no use: it should be younger than a call takes. Where
+   * calls have had to wait of late, knowing sooner which target is quick saves slots.
+   */
+  #readInterval(service: TargetService): number {
+    const { interval } = this.options;
+    const wanted = Math.min(interval, service.readTime(interval) * REPORT_AGE);
+    return Math.max(LEAST_INTERVAL, this.#isHurried(service) ? wanted / 2 : wanted);
   }
 
-  #isIdle(): boolean {
-    const homes = this.options.listHomes();
-    return !this.options.targets.list().some((service) => this.#isInUse(service, homes));
+  #isHurried(service: TargetService): boolean {
+    return this.options.clock.now() - service.queue.waitedAt < HURRY_TIME;
   }
 
   #probeBatch(batch: number): void {
@@ -124,7 +135,7 @@
     const isHome = homes.includes(self);
     const least = computeProbeInterval({ limit: readLimit(), ...countDaemons(), isHome });
     if (clock.now() - target.probedAt < least) return false;
-    const interval = this.options.interval * (this.#isHurried(service) ? 0.5 : 1);
+    const interval = Math.max(least, this.#readInterval(service));
     const age = clock.now() - target.belief.slowdownAt;
     const isMine = isHome && findProber(target, homes) === self;
     return age >= (isMine ? interval / 2 : interval * STAND_IN_FACTOR);
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -26,6 +26,9 @@
 /** Mean slowdown of all targets follows the reports within some redraws. */
 const USUAL_HALF_LIFE = 2000;
 
+/** Calls of a service change little; this follows some hundreds of them. */
+const TIME_HALF_LIFE = 3000;
+
 /** A share of 0.25 to 0.35 of the targets works seven times as long, as the users measured. */
 const FIRST_USUAL = 2.5;
 
@@ -56,6 +59,8 @@
 
   readonly #usual = new DecayingMean(USUAL_HALF_LIFE);
 
+  readonly #time = new DecayingMean(TIME_HALF_LIFE);
+
   constructor(
     readonly name: string,
     private readonly options: TargetSetOptions,
@@ -82,6 +87,16 @@
     this.#usual.add(slowdown, this.options.clock.now());
   }
 
+  /** How long calls take at a usual, idle target, in milliseconds; `fallback` before the first one. */
+  readTime(fallback: number): number {
+    return this.#time.read(fallback);
+  }
+
+  /** Learns from one call how long calls take at a usual target. */
+  noteTime(time: number): void {
+    this.#time.add(time, this.options.clock.now());
+  }
+
   /** Advises a call that has tried some targets already. @param ahead calls that go first */
   choosePlace({ tried, bodyBytes }: PlaceWish, ahead: number): Advice<GatewayTarget> {
     const { random, domain } = this.options;
--- a/src/peering/feed.ts
+++ b/src/peering/feed.ts
@@ -1,34 +1,52 @@
 /** What changed, from one daemon to another over HTTP: positions say from where on. */
 import http from 'node:http';
-import { type Address, exchangeHttp } from '../kernel/index.js';
+import { type Address, type Clock, exchangeHttp } from '../kernel/index.js';
 import type { ViewDelta, ViewPosition } from '../view/index.js';
 import type { MemberInfo } from './roster.js';
 
+/** What a daemon knows that asks another one what there is besides. */
+export interface FeedQuestion {
+  readonly position: ViewPosition;
+  /** The fingerprint of the members that it knows. */
+  readonly members: number;
+}
+
 /** The answer of a feed. */
 export interface FeedAnswer {
   readonly delta: ViewDelta;
+  /** The members; none are named when the other knows the same ones. */
   readonly members: readonly MemberInfo[];
 }
 
 /** Longest wait for a feed; another daemon, or the store, is asked after it. */
 const TIMEOUT = 600;
 
+/** While one daemon's answer is this young, nobody else is asked for the same. */
+const PATIENCE = 150;
+
+/** Many daemons that start at once change the members all the time; once a second is enough. */
+const MEMBERS_PACE = 1000;
+
 const PATH = '/feed';
 
 /** Starts to answer the feeds of others. */
 export function serveFeed(
   address: Address,
-  answer: (after: ViewPosition) => FeedAnswer,
+  answer: (question: FeedQuestion) => FeedAnswer,
 ): Promise<http.Server> {
   const server = http.createServer({ keepAliveTimeout: 30_000 }, (request, response) => {
     const url = new URL(request.url ?? '/', 'http://feed');
     const read = (name: string) => Number(url.searchParams.get(name) ?? 0);
-    const after = { targets: read('targets'), configuration: read('configuration') };
-    if (url.pathname !== PATH || Number.isNaN(after.targets + after.configuration)) {
+    const position = { targets: read('targets'), configuration: read('configuration') };
+    const members = read('members');
+    if (
+      url.pathname !== PATH ||
+      Number.isNaN(position.targets + position.configuration + members)
+    ) {
       response.writeHead(404).end();
       return;
     }
-    const body = JSON.stringify(answer(after));
+    const body = JSON.stringify(answer({ position, members }));
     response.writeHead(200, { 'content-length': Buffer.byteLength(body) });
     response.end(body);
   });
@@ -44,19 +62,41 @@
 
   readonly #fetching = new Set<string>();
 
+  #startedAt = -Infinity;
+
+  #membersAt = -Infinity;
+
   constructor(
+    private readonly clock: Clock,
     private readonly port: number,
     private readonly take: (answer: FeedAnswer) => void,
   ) {}
 
+  /** Fetches the members that another daemon knows, unless that was done of late. */
+  async fetchMembers(ip: string, question: FeedQuestion): Promise<void> {
+    const now = this.clock.now();
+    if (now - this.#membersAt < MEMBERS_PACE) return;
+    this.#membersAt = now;
+    await this.#fetch(ip, question);
+  }
+
   /** Fetches what changed after a position, unless that is under way already. */
-  async fetch(ip: string, after: ViewPosition): Promise<boolean> {
+  async fetchNews(ip: string, question: FeedQuestion): Promise<boolean> {
+    const now = this.clock.now();
+    const isAsked = this.#fetching.size > 0 && now - this.#startedAt < PATIENCE;
+    if (isAsked || this.#fetching.has(ip)) return false;
+    this.#startedAt = now;
+    return this.#fetch(ip, question);
+  }
+
+  async #fetch(ip: string, { position, members }: FeedQuestion): Promise<boolean> {
     if (this.#fetching.has(ip)) return false;
     this.#fetching.add(ip);
+    const { targets, configuration } = position;
     try {
       const reply = await exchangeHttp({
         ...{ agent: this.#agent, address: { host: ip, port: this.port }, method: 'GET' },
-        path: `${PATH}?targets=${after.targets}&configuration=${after.configuration}`,
+        path: `${PATH}?targets=${targets}&configuration=${configuration}&members=${members}`,
         timeout: TIMEOUT,
       });
       if (reply.kind !== 'reply' || reply.status !== 200) return false;
--- a/src/view/store-reader.ts
+++ b/src/view/store-reader.ts
@@ -23,6 +23,8 @@
 /** How long one watch of the targets waits: news come at once, and its end shows that there were none. */
 const TARGETS_WAIT = 900;
 
+const NO_WAIT = 1;
+
 /** Least time between two answers of the targets' watch, for many changes in quick succession. */
 const TARGETS_PACE = 200;
 
@@ -142,7 +144,9 @@
     const after = Math.max(this.#targetsAfter ?? 0, view.targetsRevision);
     if (after === 0) return this.#readAllTargets(false);
     const startedAt = clock.now();
-    const answer = await store.watch(KEYS.targets, after, TARGETS_WAIT);
+    // Before the first proof nothing is served, so that watch only asks what came after a stale reading.
+    const wait = this.#readAt === -Infinity ? NO_WAIT : TARGETS_WAIT;
+    const answer = await store.watch(KEYS.targets, after, wait);
     switch (answer.kind) {
       case 'events':
         this.options.log.debug('store.watched', {
@@ -162,7 +166,7 @@
         }
         this.#targetsAfter = Math.max(after, answer.storeRevision);
         // Without news the answer was made at the end of the wait; with news at an unknown moment.
-        this.#prove(answer.events.length === 0 ? startedAt + TARGETS_WAIT : startedAt);
+        this.#prove(answer.events.length === 0 ? startedAt + wait : startedAt);
         return true;
       case 'history-gone':
         this.options.log.warn('store.history-gone', { after });
--- a/test/view.test.ts
+++ b/test/view.test.ts
@@ -31,6 +31,9 @@
 
   calls = 0;
 
+  /** How long each watch was to wait. */
+  readonly waits: number[] = [];
+
   async readItem() {
     this.calls += 1;
     if (this.isDown) return { kind: 'unknown' as const, reason: 'down' };
@@ -47,8 +50,9 @@
     return { kind: 'items' as const, items, storeRevision: this.revision, hasMore: false };
   }
 
-  async watch(prefix: string, after: number): Promise<WatchAnswer> {
+  async watch(prefix: string, after: number, wait: number): Promise<WatchAnswer> {
     this.calls += 1;
+    this.waits.push(wait);
     if (this.isDown) return { kind: 'unknown', reason: 'down' };
     if (!this.hasHistory) return { kind: 'history-gone' };
     const revisionOf = (event: StoreEvent) =>
@@ -188,12 +192,13 @@
   let isReader = true;
   let running: AbortController;
 
-  function startReader(): void {
+  function startReader(): StoreReader {
     const reader = new StoreReader({
       ...{ store, view, clock, random: createSeededRandom(1), log: createSilentLog() },
       isReader: () => isReader,
     });
     reader.run(running.signal).catch(() => undefined);
+    return reader;
   }
 
   beforeEach(() => {
@@ -221,6 +226,16 @@
       view.listTargets().find(({ record }) => record.incarnation === 'i2')?.record.state,
     ).to.equal('draining');
   });
+  // Found on the users' bench: after a stale reading the first proof came with the end of a long watch.
+  it('proves a stale reading by a watch that does not wait', async () => {
+    isReader = false;
+    const reader = startReader();
+    await reader.readStale();
+    isReader = true;
+    await clock.advance(40);
+    expect(store.waits[0]).to.be.below(20);
+    expect(view.provenAt).to.be.at.least(0);
+  });
   it('makes no call while another daemon reads', async () => {
     isReader = false;
     startReader();
