--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -17,6 +17,8 @@
   readonly self: string;
   /** The IP numbers of the homes, this daemon's included when it is one. */
   readonly listHomes: () => readonly string[];
+  /** Daemons known, this one included. */
+  readonly countMembers: () => number;
   /** Whether calls come to this daemon. */
   readonly isServing: () => boolean;
   readonly send: (ip: string, shares: readonly LoadShare[]) => void;
@@ -25,8 +27,12 @@
 /** Time between two datagrams: short against a call, long against what a datagram costs. */
 const PACE = 20;
 
-/** Time between two datagrams to or from a daemon that is no home; there may be many of them. */
-const GUEST_PACE = 100;
+/**
+ * Time between two datagrams to or from a daemon that is no home: a millisecond for each daemon, as
+ * all of them may serve at once, within these bounds.
+ */
+const GUEST_PACE_PER_DAEMON = 1;
+const SLOWEST_GUEST_PACE = 100;
 
 /** How often a daemon that has nobody to tell looks whether that has changed. */
 const IDLE_PACE = 250;
@@ -86,9 +92,14 @@
 
   #readPace(): number {
     const { listHomes, isServing } = this.options;
-    if (!this.#isHome()) return isServing() ? GUEST_PACE : IDLE_PACE;
+    if (!this.#isHome()) return isServing() ? this.#readGuestPace() : IDLE_PACE;
     if (listHomes().length > 1) return PACE;
-    return this.#listGuests().length > 0 ? GUEST_PACE : IDLE_PACE;
+    return this.#listGuests().length > 0 ? this.#readGuestPace() : IDLE_PACE;
+  }
+
+  #readGuestPace(): number {
+    const pace = this.options.countMembers() * GUEST_PACE_PER_DAEMON;
+    return Math.min(SLOWEST_GUEST_PACE, Math.max(PACE, pace));
   }
 
   /** The daemons that are no homes and have told of calls of late. */
@@ -117,7 +128,7 @@
   #tellGuests(guests: readonly string[], news: readonly LoadShare[]): void {
     const now = this.options.clock.now();
     for (const share of news) this.#forGuests.set(share.target, share);
-    if (now - this.#guestsToldAt < GUEST_PACE) return;
+    if (now - this.#guestsToldAt < this.#readGuestPace()) return;
     this.#guestsToldAt = now;
     this.#sendTo(guests, [...this.#forGuests.values()]);
     this.#forGuests.clear();
--- a/src/peering/feed.ts
+++ b/src/peering/feed.ts
@@ -24,8 +24,12 @@
 /** While one daemon's answer is this young, nobody else is asked for the same. */
 const PATIENCE = 150;
 
-/** Many daemons that start at once change the members all the time; once a second is enough. */
-const MEMBERS_PACE = 1000;
+/**
+ * Many daemons that start at once change the members all the time. One that starts asks soon again,
+ * and each time later, as what it still misses becomes less.
+ */
+const FIRST_MEMBERS_PACE = 50;
+const LAST_MEMBERS_PACE = 2000;
 
 const PATH = '/feed';
 
@@ -66,6 +70,8 @@
 
   #membersAt = -Infinity;
 
+  #membersPace = FIRST_MEMBERS_PACE;
+
   constructor(
     private readonly clock: Clock,
     private readonly port: number,
@@ -75,8 +81,9 @@
   /** Fetches the members that another daemon knows, unless that was done of late. */
   async fetchMembers(ip: string, question: FeedQuestion): Promise<void> {
     const now = this.clock.now();
-    if (now - this.#membersAt < MEMBERS_PACE) return;
+    if (now - this.#membersAt < this.#membersPace) return;
     this.#membersAt = now;
+    this.#membersPace = Math.min(LAST_MEMBERS_PACE, this.#membersPace * 2);
     await this.#fetch(ip, question);
   }
 
--- a/test/measuring.test.ts
+++ b/test/measuring.test.ts
@@ -94,6 +94,7 @@
     targets.update(view);
     const sharing = new LoadSharing({
       ...{ clock, targets, self, isServing, listHomes: () => ['home'] },
+      countMembers: () => 2,
       send: (to, shares) => {
         heard.push({ from: self, to, shares });
         daemons.get(to)?.hear(self, shares);
