--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -53,6 +53,15 @@
 /** Another home's probe is this many intervals late before this one stands in. */
 const STAND_IN_FACTOR = 3;
 
+/** How the targets of one service are probed in one turn; times in milliseconds. */
+interface ProbePlan {
+  readonly homes: readonly string[];
+  readonly isHome: boolean;
+  /** Least time between two probes of one target from here. */
+  readonly least: number;
+  readonly interval: number;
+}
+
 /** Returns the home that probes a target: the one of the highest hash. */
 function findProber(target: GatewayTarget, homes: readonly string[]): string | undefined {
   let best: string | undefined;
@@ -109,16 +118,24 @@
     for (const service of targets.list()) {
       const path = table.findService(service.name)?.healthPath ?? '';
       if (path === '' || !this.#isInUse(service, homes)) continue;
+      const plan = this.#planProbes(service, homes);
       let index = 0;
       for (const target of service.targets.values()) {
         index += 1;
         if (index % BATCHES !== batch || !target.isUsable || this.#probing.has(target)) continue;
-        if (!this.#isDue(service, target, homes)) continue;
+        if (!this.#isDue(target, plan)) continue;
         this.#probe(service, target, path).catch(() => undefined);
       }
     }
   }
 
+  #planProbes(service: TargetService, homes: readonly string[]): ProbePlan {
+    const { self, countDaemons, readLimit } = this.options;
+    const isHome = homes.includes(self);
+    const least = computeProbeInterval({ limit: readLimit(), ...countDaemons(), isHome });
+    return { homes, isHome, least, interval: Math.max(least, this.#readInterval(service)) };
+  }
+
   /** Calls meet at homes, so one call shows that more will come; elsewhere a few are no reason. */
   #isInUse(service: TargetService, homes: readonly string[]): boolean {
     const now = this.options.clock.now();
@@ -130,15 +147,13 @@
    * Homes divide the targets among themselves; what a home has not heard of in time it asks itself.
    * Others hear from the homes, and ask only what their small part of the agreed number allows.
    */
-  #isDue(service: TargetService, target: GatewayTarget, homes: readonly string[]): boolean {
-    const { clock, self, countDaemons, readLimit } = this.options;
-    const isHome = homes.includes(self);
-    const least = computeProbeInterval({ limit: readLimit(), ...countDaemons(), isHome });
-    if (clock.now() - target.probedAt < least) return false;
-    const interval = Math.max(least, this.#readInterval(service));
-    const age = clock.now() - target.belief.slowdownAt;
-    const isMine = isHome && findProber(target, homes) === self;
-    return age >= (isMine ? interval / 2 : interval * STAND_IN_FACTOR);
+  #isDue(target: GatewayTarget, { homes, isHome, least, interval }: ProbePlan): boolean {
+    const now = this.options.clock.now();
+    if (now - target.probedAt < least) return false;
+    const age = now - target.belief.slowdownAt;
+    if (age < interval / 2) return false;
+    const isMine = isHome && findProber(target, homes) === this.options.self;
+    return isMine || age >= interval * STAND_IN_FACTOR;
   }
 
   async #probe(service: TargetService, target: GatewayTarget, path: string): Promise<void> {
