A soak with real processes: links that fail, signals, store faults, and what callers and targets saw

npm run soak starts gateway daemons as processes on loopback addresses of their own, a proxy before the store and before every target, callers that keep connections and old answers, and plays a drawn plan: store faults, delayed, reset, silent and one-way links, planned stops, kills, freezes, targets that leave, configurations, lost history. The witness knows only what was sent, answered and run.

--- a/src/bin/soak.ts
+++ b/src/bin/soak.ts
@@ -1,25 +1,28 @@
-/** `npm run soak -- --seed N --minutes M`: a long randomised run; exits 1 on a broken promise. */
+/** `npm run soak -- --seed N --runs R --seconds S`: real daemons under drawn faults; exits 1 on a break. */
 import { parseArgs } from 'node:util';
-import { runSoak } from '../tool/index.js';
+import { runSoak } from '../soak/index.js';
 
 const { values } = parseArgs({
   options: {
     seed: { type: 'string', default: '1' },
-    minutes: { type: 'string', default: '2' },
-    rate: { type: 'string', default: '150' },
-    entries: { type: 'string', default: '5' },
-    targets: { type: 'string', default: '6' },
+    runs: { type: 'string', default: '1' },
+    seconds: { type: 'string', default: '30' },
+    daemons: { type: 'string', default: '5' },
+    targets: { type: 'string', default: '8' },
+    callers: { type: 'string', default: '20' },
     verbose: { type: 'boolean' },
   },
 });
 
-const report = await runSoak({
-  seed: Number(values.seed),
-  seconds: Number(values.minutes) * 60,
-  rate: Number(values.rate),
-  entries: Number(values.entries),
-  targets: Number(values.targets),
-  onEvent: values.verbose === true ? (text) => process.stderr.write(`${text}\n`) : undefined,
-});
-process.stdout.write(`${JSON.stringify(report, null, 2)}\n`);
-process.exit(report.violations.length === 0 ? 0 : 1);
+const first = Number(values.seed);
+let breaks = 0;
+for (let seed = first; seed < first + Number(values.runs); seed += 1) {
+  const report = await runSoak({
+    ...{ seed, length: Number(values.seconds) * 1000, daemons: Number(values.daemons) },
+    ...{ targets: Number(values.targets), callers: Number(values.callers) },
+    onEvent: values.verbose === true ? (text) => process.stderr.write(`${text}\n`) : undefined,
+  });
+  breaks += report.breaks.length;
+  process.stdout.write(`${JSON.stringify(report)}\n`);
+}
+process.exit(breaks === 0 ? 0 : 1);
--- /dev/null
+++ b/src/soak/plan.ts
@@ -0,0 +1,110 @@
+/** Draws what goes wrong in a soak, and what the operators do meanwhile: one seed, one plan. */
+import type { Random } from '../kernel/index.js';
+import type { Fault } from '../standin/index.js';
+import type { LinkFault } from './link.js';
+
+/** One entry of a plan; `at` and `lasts` are milliseconds, parts are named by their number. */
+export type SoakEvent = { readonly at: number } & (
+  | { readonly kind: 'store'; readonly fault: Fault; readonly lasts: number }
+  | {
+      readonly kind: 'store-link';
+      readonly daemon: number;
+      readonly fault: LinkFault;
+      readonly lasts: number;
+    }
+  | {
+      readonly kind: 'target-link';
+      readonly target: number;
+      readonly fault: LinkFault;
+      readonly lasts: number;
+    }
+  | { readonly kind: 'stop' | 'kill'; readonly daemon: number }
+  | { readonly kind: 'freeze'; readonly daemon: number; readonly lasts: number }
+  | { readonly kind: 'configure' }
+  | { readonly kind: 'compact' }
+  | { readonly kind: 'drain'; readonly target: number }
+);
+
+/** How large the system is and how long the run takes. */
+export interface SoakSize {
+  readonly daemons: number;
+  readonly targets: number;
+  /** Milliseconds. */
+  readonly length: number;
+}
+
+/** Time between two entries of a plan, in milliseconds: they come in series and overlap. */
+const GAP = 700;
+const LONGEST = 4000;
+
+function pick<T>(items: readonly T[], random: Random): T {
+  return items[Math.floor(random.next() * items.length)];
+}
+
+function drawLinkFault(random: Random): LinkFault {
+  return pick<LinkFault>(
+    [
+      { kind: 'delay', time: 20 + 200 * random.next() },
+      { kind: 'reset' },
+      { kind: 'silent' },
+      { kind: 'one-way', lost: pick(['in', 'out'], random) },
+    ],
+    random,
+  );
+}
+
+function drawStoreFault(random: Random): Fault {
+  return pick<Fault>(
+    [
+      ...(
+        ['down', 'silent', 'busy', 'many', 'skip-watches', 'close-watches', 'stale'] as const
+      ).map((kind) => ({ kind })),
+      { kind: 'slow', delay: 50 + 400 * random.next() },
+      { kind: 'lose-write-replies', after: 2000 * random.next() },
+    ],
+    random,
+  );
+}
+
+function drawEvent(at: number, { daemons, targets }: SoakSize, random: Random): SoakEvent {
+  const lasts = 300 + random.next() * LONGEST;
+  const daemon = Math.floor(random.next() * daemons);
+  const target = Math.floor(random.next() * targets);
+  const kind = pick(
+    [
+      ...(['store', 'store-link', 'target-link', 'target-link', 'stop', 'stop'] as const),
+      ...(['kill', 'freeze', 'configure', 'configure', 'compact', 'drain', 'drain'] as const),
+    ],
+    random,
+  );
+  switch (kind) {
+    case 'store':
+      return { at, kind, fault: drawStoreFault(random), lasts };
+    case 'store-link':
+      return { at, kind, daemon, fault: drawLinkFault(random), lasts };
+    case 'target-link':
+      return { at, kind, target, fault: drawLinkFault(random), lasts };
+    case 'stop':
+    case 'kill':
+      return { at, kind, daemon };
+    case 'freeze':
+      return { at, kind, daemon, lasts };
+    case 'configure':
+    case 'compact':
+      return { at, kind };
+    case 'drain':
+      return { at, kind, target };
+    default:
+      return kind satisfies never;
+  }
+}
+
+/** Draws a plan; nothing happens in its last part, so that the system can heal. */
+export function drawPlan(random: Random, size: SoakSize): readonly SoakEvent[] {
+  const events: SoakEvent[] = [];
+  const end = size.length * 0.8;
+  for (let at = GAP; at < end; at += 2 * GAP * random.next()) {
+    events.push(drawEvent(Math.round(at), size, random));
+  }
+  return events;
+}
--- /dev/null
+++ b/src/soak/witness.ts
@@ -0,0 +1,268 @@
+/**
+ * What callers, targets and the operators saw, and which promises that breaks. It knows nothing of
+ * how the daemons work: only what was sent, answered and run, and when.
+ */
+
+/** How a caller's try ended. */
+export type TryEnd =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly body: string;
+      readonly isSigned: boolean;
+    }
+  /** The connection closed after the request was sent, without a whole answer. */
+  | { readonly kind: 'cut' }
+  | { readonly kind: 'not-connected' }
+  | { readonly kind: 'left' };
+
+interface Try {
+  readonly id: string;
+  readonly isRepeatable: boolean;
+  readonly daemon: number;
+  readonly sentAt: number;
+  end: (TryEnd & { readonly at: number }) | undefined;
+}
+
+interface Run {
+  readonly id: string;
+  readonly target: string;
+  readonly service: string;
+  readonly at: number;
+}
+
+/** A promise that was broken, and what shows it. */
+export interface Break {
+  readonly promise:
+    | 'own and whole answers'
+    | 'true refusals'
+    | 'at most once'
+    | 'leaving targets'
+    | 'planned stops'
+    | 'configuration in force'
+    | 'probes'
+    | 'repeats';
+  readonly what: string;
+}
+
+/** What was agreed with the operators. Times in milliseconds. */
+export interface Agreement {
+  readonly drainTime: number;
+  readonly applyTime: number;
+  readonly probesPerSecond: number;
+  readonly retryRatio: number;
+  readonly retryWindow: number;
+  readonly retrySlack: number;
+}
+
+/** After a fault has ended, promises with a time in them hold again after this long. */
+const CALM_AFTER = 3000;
+
+/** Timers of a busy machine fire late; promises with a time in them are given this much more. */
+const MARGIN = 500;
+
+/** A request that crosses the close of its connection within this time was not read. */
+const CROSSING = 200;
+
+/** Probes are counted over this long. */
+const PROBE_SPAN = 5000;
+
+/** Statuses that promise that a request has not run and will not. */
+const PROMISES = new Set([408, 421, 429, 503]);
+
+/** Writes the body that a target answers to a request. */
+export function composeBody(id: string): string {
+  return `${id} ${'x'.repeat(2000)} ${id}`;
+}
+
+/** Collects what was seen. */
+export class Witness {
+  readonly #tries = new Map<string, Try>();
+
+  readonly #runs: Run[] = [];
+
+  readonly #probes = new Map<string, number[]>();
+
+  readonly #drains = new Map<string, number>();
+
+  readonly #stops: { readonly daemon: number; readonly at: number }[] = [];
+
+  readonly #configured: { readonly service: string; readonly at: number }[] = [];
+
+  readonly #faults: { readonly from: number; readonly to: number }[] = [];
+
+  constructor(private readonly agreement: Agreement) {}
+
+  noteTry(made: Omit<Try, 'end'>): void {
+    this.#tries.set(made.id, { ...made, end: undefined });
+  }
+
+  noteEnd(id: string, end: TryEnd, at: number): void {
+    const made = this.#tries.get(id);
+    if (made !== undefined) made.end = { ...end, at };
+  }
+
+  noteRun(run: Run): void {
+    this.#runs.push(run);
+  }
+
+  noteProbe(target: string, at: number): void {
+    const known = this.#probes.get(target);
+    if (known === undefined) this.#probes.set(target, [at]);
+    else known.push(at);
+  }
+
+  /** The store holds from now on that a target leaves. */
+  noteDrain(target: string, at: number): void {
+    this.#drains.set(target, at);
+  }
+
+  /** A daemon was told to stop. */
+  noteStop(daemon: number, at: number): void {
+    this.#stops.push({ daemon, at });
+  }
+
+  /** The store holds from now on a configuration that sends the moving route to a service. */
+  noteConfigured(service: string, at: number): void {
+    this.#configured.push({ service, at });
+  }
+
+  /** Something was made to fail; promises with a time in them do not bind meanwhile. */
+  noteFault(from: number, to: number): void {
+    this.#faults.push({ from, to });
+  }
+
+  /** How many tries ended in which way. */
+  countEnds(): Readonly<Record<string, number>> {
+    const counts: Record<string, number> = {};
+    for (const { end } of this.#tries.values()) {
+      const name = end?.kind === 'answered' ? String(end.status) : (end?.kind ?? 'open');
+      counts[name] = (counts[name] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  /** Lists the promises that what was seen breaks. */
+  listBreaks(): readonly Break[] {
+    return [
+      ...this.#checkAnswers(),
+      ...this.#checkRuns(),
+      ...this.#checkDrains(),
+      ...this.#checkStops(),
+      ...this.#checkConfiguration(),
+      ...this.#checkProbes(),
+      ...this.#checkRepeats(),
+    ];
+  }
+
+  /** Whether nothing was wrong from some time before a span to its end. */
+  #isCalm(from: number, to: number): boolean {
+    return this.#faults.every((fault) => fault.from > to || fault.to + CALM_AFTER < from);
+  }
+
+  #checkAnswers(): readonly Break[] {
+    const breaks: Break[] = [];
+    for (const { id, end } of this.#tries.values()) {
+      if (end?.kind !== 'answered' || end.status !== 200) continue;
+      if (end.isSigned && end.body === composeBody(id)) continue;
+      breaks.push({ promise: 'own and whole answers', what: `${id} got ${end.body.slice(0, 40)}` });
+    }
+    return breaks;
+  }
+
+  #checkRuns(): readonly Break[] {
+    const breaks: Break[] = [];
+    const counts = new Map<string, number>();
+    for (const { id } of this.#runs) counts.set(id, (counts.get(id) ?? 0) + 1);
+    for (const [id, count] of counts) {
+      const made = this.#tries.get(id);
+      if (made === undefined || made.isRepeatable) continue;
+      if (count > 1) breaks.push({ promise: 'at most once', what: `${id} ran ${count} times` });
+      const { end } = made;
+      if (end?.kind === 'answered' && PROMISES.has(end.status)) {
+        breaks.push({ promise: 'true refusals', what: `${id} ran and was told ${end.status}` });
+      }
+    }
+    return breaks;
+  }
+
+  #checkDrains(): readonly Break[] {
+    const breaks: Break[] = [];
+    for (const { id, target, at } of this.#runs) {
+      const drainedAt = this.#drains.get(target) ?? Infinity;
+      const late = at - drainedAt - this.agreement.drainTime;
+      if (late <= MARGIN || !this.#isCalm(drainedAt, at)) continue;
+      breaks.push({ promise: 'leaving targets', what: `${id} ran at ${target} ${late} ms late` });
+    }
+    return breaks;
+  }
+
+  /** A planned stop cuts nothing that was sent before it or while callers could not know. */
+  #checkStops(): readonly Break[] {
+    const breaks: Break[] = [];
+    for (const { daemon, at } of this.#stops) {
+      for (const { id, daemon: asked, sentAt, end } of this.#tries.values()) {
+        if (asked !== daemon || end?.kind !== 'cut' || end.at < at || sentAt > end.at) continue;
+        if (sentAt > at + this.agreement.drainTime || !this.#isCalm(sentAt, end.at)) continue;
+        const hasRun = this.#runs.some((run) => run.id === id);
+        if (!hasRun && end.at - sentAt <= CROSSING) continue;
+        breaks.push({ promise: 'planned stops', what: `${id} was cut ${end.at - at} ms after` });
+      }
+    }
+    return breaks;
+  }
+
+  #checkConfiguration(): readonly Break[] {
+    const breaks: Break[] = [];
+    for (const { id, service, at } of this.#runs) {
+      const made = this.#tries.get(id);
+      if (made === undefined || !id.startsWith('moving')) continue;
+      const isAllowed = this.#configured.some((configured, index) => {
+        const next = this.#configured[index + 1]?.at ?? Infinity;
+        const isKnown = configured.at <= at;
+        const isInForce = made.sentAt <= next + this.agreement.applyTime + MARGIN;
+        return configured.service === service && isKnown && isInForce;
+      });
+      if (isAllowed || !this.#isCalm(made.sentAt - this.agreement.applyTime, at)) continue;
+      breaks.push({ promise: 'configuration in force', what: `${id} went to ${service}` });
+    }
+    return breaks;
+  }
+
+  #checkProbes(): readonly Break[] {
+    const most = (this.agreement.probesPerSecond * PROBE_SPAN) / 1000;
+    for (const [target, times] of this.#probes) {
+      for (const [index, at] of times.entries()) {
+        const first = times[index - Math.ceil(most)] ?? -Infinity;
+        if (at - first >= PROBE_SPAN) continue;
+        return [{ promise: 'probes', what: `${target} had over ${most} within ${PROBE_SPAN} ms` }];
+      }
+    }
+    return [];
+  }
+
+  #checkRepeats(): readonly Break[] {
+    const { retryRatio, retryWindow, retrySlack } = this.agreement;
+    const seen = new Set<string>();
+    const repeats: number[] = [];
+    for (const { id, at } of this.#runs) {
+      if (seen.has(id)) repeats.push(at);
+      seen.add(id);
+    }
+    const sent = [...this.#tries.values()].map(({ sentAt }) => sentAt).sort((a, b) => a - b);
+    const count = (times: readonly number[], from: number, to: number) =>
+      times.filter((at) => at > from && at <= to).length;
+    for (const end of repeats) {
+      const requests = Math.max(
+        ...[0, 0.5, 1].map((back) => {
+          const to = end - back * retryWindow;
+          return count(sent, to - retryWindow, to);
+        }),
+      );
+      const made = count(repeats, end - retryWindow, end);
+      if (made <= retryRatio * requests + retrySlack) continue;
+      return [{ promise: 'repeats', what: `${made} for ${requests} requests before ${end}` }];
+    }
+    return [];
+  }
+}
--- a/src/standin/index.ts
+++ b/src/standin/index.ts
@@ -2,3 +2,4 @@
 export * from './store.js';
 export * from './target.js';
 export * from './kv-server.js';
+export * from './site.js';
--- a/src/standin/kv-server.ts
+++ b/src/standin/kv-server.ts
@@ -56,6 +56,8 @@
 
   readonly #sockets = new Set<Socket>();
 
+  #address: Address = { host: '127.0.0.1', port: 0 };
+
   readonly #server = http.createServer((request, response) => {
     this.#take(request, response).catch(() => response.destroy());
   });
@@ -78,11 +80,17 @@
       this.#server.once('error', reject);
       this.#server.listen(address.port, address.host, () => {
         const { port } = this.#server.address() as AddressInfo;
-        resolve({ host: address.host, port });
+        this.#address = { host: address.host, port };
+        resolve(this.#address);
       });
     });
   }
 
+  /** Where it listens once it is started. */
+  get address(): Address {
+    return this.#address;
+  }
+
   /** Stops and closes every connection. */
   stop(): void {
     this.#server.close();
--- a/test/helpers/site.ts
+++ b/src/standin/site.ts
@@ -1,7 +1,7 @@
-/** Builders for what the users' store holds, and a target that speaks the users' protocol. */
+/** A stand-in for the users' targets and what they and the operators keep in the store: builders, and a target that counts. */
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
-import { type Address, formatAddress } from '../../src/kernel/index.js';
+import { type Address, formatAddress } from '../kernel/index.js';
 
 /** One rule of a configuration. */
 export interface RuleDraft {
@@ -80,6 +80,8 @@
   /** Health checks that it answered. */
   probes = 0;
 
+  onProbe: (() => void) | undefined;
+
   slowdown = 100;
 
   behaviour: Behaviour | undefined;
@@ -124,6 +126,7 @@
   async #take(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (request.url === '/health') {
       this.probes += 1;
+      this.onProbe?.();
       response.writeHead(200, {
         ...{ 'Instance-Id': this.incarnation, 'Server-Load': `0,0,4,${this.slowdown}` },
       });
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -5,7 +5,7 @@
 import { KEYS } from '../src/platform/index.js';
 import { waitUntil } from './helpers/fleet.js';
 import { Site, askReady, callersPort, askAddresses, sendTo } from './helpers/gateways.js';
-import { type Behaviour, type SiteTarget, writeTarget } from './helpers/site.js';
+import { type Behaviour, type SiteTarget, writeTarget } from '../src/standin/index.js';
 
 const RULES = [
   { prefix: '/a/' },
--- a/test/routing.test.ts
+++ b/test/routing.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import { SplitDealer, type Route, RouteTable } from '../src/routing/index.js';
 import { decodeConfiguration, decodeTarget, parseLoad } from '../src/platform/index.js';
-import { HOST, writeConfiguration, writeTarget } from './helpers/site.js';
+import { HOST, writeConfiguration, writeTarget } from '../src/standin/index.js';
 
 function decodeTable(text: string): RouteTable {
   const table = decodeConfiguration(text);
--- a/test/view.test.ts
+++ b/test/view.test.ts
@@ -3,7 +3,7 @@
 import { KEYS, type KvReader, type StoreEvent, type WatchAnswer } from '../src/platform/index.js';
 import { ReaderDuty } from '../src/peering/index.js';
 import { FleetView, StoreReader } from '../src/view/index.js';
-import { HOST, writeConfiguration, writeTarget } from './helpers/site.js';
+import { HOST, writeConfiguration, writeTarget } from '../src/standin/index.js';
 
 const ADDRESS = { host: '10.0.0.1', port: 80 };
 
