--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,12 +14,14 @@
 import { type ResolveQuestion, kvStoreService } from '../platform/index.js';
 import type { RouteTable } from '../routing/index.js';
 import { FleetView, StoreReader } from '../view/index.js';
+import { chooseHomes } from './address-choice.js';
 import { CallerServer } from './caller-server.js';
 import { serveDirectory, serveMetrics, serveReadiness } from './directory.js';
 import { LoadSharing } from './load-sharing.js';
 import { Prober } from './prober.js';
 import { Reception } from './reception.js';
 import type { GatewaySettings } from './settings.js';
+import { type GatewayStatus, describeStatus, listGauges } from './status.js';
 import { TargetSet } from './target-set.js';
 
 /** Readers of the store: two, so that one may die without anybody noticing late. */
@@ -63,26 +65,9 @@
 /** Callers have heard of the stop after this long. */
 const LEAVE_TIME = 2200;
 
-/**
- * Adds the home that follows in order to the near ones: a caller whose only address is gone has
- * nowhere to go. Each home is the spare of one other, so none gets more than its part.
- */
-function addSpare(
-  near: readonly MemberInfo[],
-  homes: readonly MemberInfo[],
-): readonly MemberInfo[] {
-  const after = homes.indexOf(near[near.length - 1]) + 1;
-  const spare = [...homes.slice(after), ...homes].find((home) => !near.includes(home));
-  return spare === undefined ? near : [...near, spare];
-}
-
 const STOP_PACE = 20;
 
 const STATUS_PACE = 5000;
-/** Stands for a proof that never came, in the metrics. */
-const MAX_AGE = 1_000_000_000;
-
-const BYTES_IN_MB = 1_048_576;
 
 /** The gateway daemon of one VM. */
 export class Gateway {
@@ -258,7 +243,7 @@
       ),
     );
     if (gateway.metrics !== 'none') {
-      this.#metrics.addGauges(() => this.#readGauges());
+      this.#metrics.addGauges(() => listGauges(this.#readStatus()));
       this.#servers.push(await serveMetrics(gateway.metrics, () => this.#metrics.format()));
     }
     await this.#callers.listen();
@@ -406,9 +391,7 @@
   #listAddresses(question: ResolveQuestion): readonly string[] {
     this.#lookups += 1;
     const { port } = this.#settings.gateway.callers;
-    const homes = this.#roster.listHomes();
-    const near = homes.filter((home) => home.domain === question.domain);
-    const chosen = near.length > 0 ? addSpare(near, homes) : homes;
+    const chosen = chooseHomes(this.#roster.listHomes(), question.domain);
     if (chosen.length > 0) return chosen.map(({ ip }) => `${ip}:${port}`);
     return this.#state === 'ready' ? [formatAddress(this.#settings.gateway.callers)] : [];
   }
@@ -420,56 +403,29 @@
     }
   }
 
-  #readGauges(): Readonly<Record<string, number>> {
-    const now = this.#clock.now();
-    const gauges: Record<string, number> = {
-      ...{ configuration_version: this.#view.table?.version ?? 0 },
-      ...{ proof_age_ms: Math.round(Math.min(now - this.#view.provenAt, MAX_AGE)) },
-      ...{ members: this.#roster.list().length, homes: this.#roster.listHomes().length },
-      ...{ is_home: Number(this.#isHome()), is_ready: Number(this.#state === 'ready') },
-      ...{ lookups: this.#lookups, connections: this.#callers.countConnections() },
-      ...{ probes: this.#prober.sent, target_connections_opened: this.#targets.opened },
-      rss_bytes: process.memoryUsage.rss(),
+  #readStatus(): GatewayStatus {
+    const homes = this.#roster.listHomes().map(({ ip }) => ip);
+    return {
+      ...{ state: this.#state, homes, isHome: this.#isHome() },
+      members: this.#roster.list().length,
+      version: this.#view.table?.version,
+      proofAge: this.#clock.now() - this.#view.provenAt,
+      counts: this.#reception.counts,
+      lookups: this.#lookups,
+      accepted: this.#callers.accepted,
+      connections: this.#callers.countConnections(),
+      probes: this.#prober.sent,
+      opened: this.#targets.opened,
+      storeCalls: this.kernel.find(kvStoreService).counts(),
+      services: this.#targets.list(),
     };
-    for (const [name, count] of Object.entries(this.#reception.counts))
-      gauges[`requests_${name}`] = count;
-    for (const [kind, count] of Object.entries(this.kernel.find(kvStoreService).counts())) {
-      gauges[`store_calls{kind="${kind}"}`] = count;
-    }
-    for (const { name, queue, budget, targets } of this.#targets.list()) {
-      gauges[`waiting{service="${name}"}`] = queue.size;
-      gauges[`targets{service="${name}"}`] = targets.size;
-      gauges[`repeats_denied{service="${name}"}`] = budget.counts.denied;
-    }
-    return gauges;
   }
 
   /** Writes now and then what was done and what it cost. */
   async #reportStatus(signal: AbortSignal): Promise<void> {
-    const store = this.kernel.find(kvStoreService);
     while (!signal.aborted) {
       await this.#clock.sleep(STATUS_PACE, signal);
-      const homes = this.#roster.listHomes();
-      this.#log.info('gateway.status', {
-        ...{
-          state: this.#state,
-          homes: homes.map(({ ip }) => ip).join(','),
-          ...this.#reception.counts,
-        },
-        ...{ members: this.#roster.list().length, version: this.#view.table?.version },
-        knee: this.#targets
-          .list()
-          .map((service) => `${service.name}:${service.knee.readFactor().toFixed(2)}`)
-          .join(','),
-        proof_age: Math.round(this.#clock.now() - this.#view.provenAt),
-        ...{ accepted: this.#callers.accepted, connections: this.#callers.countConnections() },
-        ...{ lookups: this.#lookups, probes: this.#prober.sent },
-        opened: this.#targets.opened,
-        store: Object.entries(store.counts())
-          .map(([kind, count]) => `${kind}:${count}`)
-          .join(','),
-        rss_mb: Math.round(process.memoryUsage.rss() / BYTES_IN_MB),
-      });
+      this.#log.info('gateway.status', describeStatus(this.#readStatus()));
     }
   }
 
--- /dev/null
+++ b/src/gateway/status.ts
@@ -0,0 +1,73 @@
+/** What a daemon tells of itself: gauges for whoever asks, and a line now and then. */
+import type { LogFields } from '../kernel/index.js';
+import type { MemberState } from '../peering/index.js';
+import type { ForwardingCounts } from './forwarding.js';
+import type { TargetService } from './target-set.js';
+
+/** The state of a daemon at one moment. */
+export interface GatewayStatus {
+  readonly state: MemberState;
+  /** IP numbers of the homes, as this daemon works them out. */
+  readonly homes: readonly string[];
+  readonly isHome: boolean;
+  readonly members: number;
+  /** Version of the configuration in force. */
+  readonly version: number | undefined;
+  /** Milliseconds since it was last shown that nothing newer is in the store. */
+  readonly proofAge: number;
+  readonly counts: ForwardingCounts;
+  readonly lookups: number;
+  readonly accepted: number;
+  readonly connections: number;
+  readonly probes: number;
+  readonly opened: number;
+  readonly storeCalls: Readonly<Record<string, number>>;
+  readonly services: readonly TargetService[];
+}
+
+/** Stands for a proof that never came, in the metrics. */
+const MAX_AGE = 1_000_000_000;
+
+const BYTES_IN_MB = 1_048_576;
+
+/** Lists the gauges of the metrics. */
+export function listGauges(status: GatewayStatus): Readonly<Record<string, number>> {
+  const gauges: Record<string, number> = {
+    ...{ configuration_version: status.version ?? 0 },
+    ...{ proof_age_ms: Math.round(Math.min(status.proofAge, MAX_AGE)) },
+    ...{ members: status.members, homes: status.homes.length },
+    ...{ is_home: Number(status.isHome), is_ready: Number(status.state === 'ready') },
+    ...{ lookups: status.lookups, connections: status.connections },
+    ...{ probes: status.probes, target_connections_opened: status.opened },
+    rss_bytes: process.memoryUsage.rss(),
+  };
+  for (const [name, count] of Object.entries(status.counts)) gauges[`requests_${name}`] = count;
+  for (const [kind, count] of Object.entries(status.storeCalls)) {
+    gauges[`store_calls{kind="${kind}"}`] = count;
+  }
+  for (const { name, queue, budget, targets } of status.services) {
+    gauges[`waiting{service="${name}"}`] = queue.size;
+    gauges[`targets{service="${name}"}`] = targets.size;
+    gauges[`repeats_denied{service="${name}"}`] = budget.counts.denied;
+  }
+  return gauges;
+}
+
+/** Describes the state as the fields of a log line. */
+export function describeStatus(status: GatewayStatus): LogFields {
+  const { state, homes, counts, services, storeCalls } = status;
+  return {
+    ...{ state, homes: homes.join(','), ...counts },
+    ...{ members: status.members, version: status.version },
+    knee: services
+      .map((service) => `${service.name}:${service.knee.readFactor().toFixed(2)}`)
+      .join(','),
+    proof_age: Math.round(status.proofAge),
+    ...{ accepted: status.accepted, connections: status.connections },
+    ...{ lookups: status.lookups, probes: status.probes, opened: status.opened },
+    store: Object.entries(storeCalls)
+      .map(([kind, count]) => `${kind}:${count}`)
+      .join(','),
+    rss_mb: Math.round(process.memoryUsage.rss() / BYTES_IN_MB),
+  };
+}
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -14,7 +14,13 @@
 import { Gateway, checkGatewaySettings } from '../../src/gateway/index.js';
 import { KEYS, type KvStore, createKvStore, kvStoreService } from '../../src/platform/index.js';
 import { KvStandin } from '../../src/standin/index.js';
-import { HOST, type RuleDraft, SiteTarget, writeConfiguration, writeTarget } from '../../src/standin/index.js';
+import {
+  HOST,
+  type RuleDraft,
+  SiteTarget,
+  writeConfiguration,
+  writeTarget,
+} from '../../src/standin/index.js';
 
 const PORTS = { callers: 18_144, readiness: 18_140, directory: 18_143, peers: 18_160 };
 
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -11,6 +11,7 @@
   judgeNeed,
   measureCost,
 } from '../src/balance/index.js';
+import { chooseHomes } from '../src/gateway/address-choice.js';
 import { CallerAims } from '../src/gateway/caller-aims.js';
 import { type SlotAnswer, type SlotCall, SlotQueue } from '../src/gateway/slot-queue.js';
 import { GatewayTarget } from '../src/gateway/target.js';
@@ -314,6 +315,26 @@
   });
 });
 
+describe('the homes that a caller is told', () => {
+  const makeHome = (ip: string, domain: string) => ({ ip, domain, capacity: 1, isSenior: true });
+  const [a, b, c] = [makeHome('a', 'd1'), makeHome('b', 'd2'), makeHome('c', 'd3')];
+  const second = makeHome('e', 'd1');
+
+  it('are the near one and the next in order, so that each is the spare of one other', () => {
+    expect(chooseHomes([a, b, c], 'd1')).to.deep.equal([a, b]);
+    expect(chooseHomes([a, b, c], 'd2')).to.deep.equal([b, c]);
+    expect(chooseHomes([a, b, c], 'd3')).to.deep.equal([c, a]);
+  });
+  it('are all near ones and one spare', () => {
+    expect(chooseHomes([a, b, c, second], 'd1')).to.deep.equal([a, second, b]);
+    expect(chooseHomes([a, second], 'd1')).to.deep.equal([a, second]);
+  });
+  it('are all of them for a caller from elsewhere', () => {
+    expect(chooseHomes([a, b], 'd9')).to.deep.equal([a, b]);
+    expect(chooseHomes([], 'd1')).to.deep.equal([]);
+  });
+});
+
 describe('what is left of an aim', () => {
   const route = { name: 'r', targetLatency: 200 } as Route;
   it('counts what the caller spent before it sent the request', () => {
