--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -31,14 +31,14 @@
  * Time between two datagrams to or from a daemon that is no home: a millisecond for each daemon, as
  * all of them may serve at once, within these bounds.
  */
-const GUEST_PACE_PER_DAEMON = 1;
-const SLOWEST_GUEST_PACE = 100;
+const NON_HOME_PACE_PER_DAEMON = 1;
+const SLOWEST_NON_HOME_PACE = 100;
 
 /** How often a daemon that has nobody to tell looks whether that has changed. */
 const IDLE_PACE = 250;
 
 /** A daemon that has told nothing for this long serves no calls any more. */
-const GUEST_LIFE = 1200;
+const NON_HOME_LIFE = 1200;
 
 /** What has not changed is told again after this long, since datagrams get lost. */
 const REPEAT = 500;
@@ -63,9 +63,9 @@
   readonly #heardAt = new Map<string, number>();
 
   /** News for the daemons that are no homes, which hear less often. */
-  #forGuests = new Map<number, LoadShare>();
+  #forNonHomes = new Map<number, LoadShare>();
 
-  #guestsToldAt = -Infinity;
+  #nonHomesToldAt = -Infinity;
 
   constructor(private readonly options: LoadSharingOptions) {}
 
@@ -78,7 +78,7 @@
     }
   }
 
-  /** Takes what another home told. */
+  /** Takes what another daemon told. */
   hear(from: string, shares: readonly LoadShare[]): void {
     const { targets, clock } = this.options;
     this.#heardAt.set(from, clock.now());
@@ -92,22 +92,22 @@
 
   #readPace(): number {
     const { listHomes, isServing } = this.options;
-    if (!this.#isHome()) return isServing() ? this.#readGuestPace() : IDLE_PACE;
+    if (!this.#isHome()) return isServing() ? this.#readNonHomePace() : IDLE_PACE;
     if (listHomes().length > 1) return PACE;
-    return this.#listGuests().length > 0 ? this.#readGuestPace() : IDLE_PACE;
+    return this.#listNonHomes().length > 0 ? this.#readNonHomePace() : IDLE_PACE;
   }
 
-  #readGuestPace(): number {
-    const pace = this.options.countMembers() * GUEST_PACE_PER_DAEMON;
-    return Math.min(SLOWEST_GUEST_PACE, Math.max(PACE, pace));
+  #readNonHomePace(): number {
+    const pace = this.options.countMembers() * NON_HOME_PACE_PER_DAEMON;
+    return Math.min(SLOWEST_NON_HOME_PACE, Math.max(PACE, pace));
   }
 
   /** The daemons that are no homes and have told of calls of late. */
-  #listGuests(): readonly string[] {
+  #listNonHomes(): readonly string[] {
     const now = this.options.clock.now();
     const homes = new Set(this.options.listHomes());
     for (const [ip, at] of this.#heardAt) {
-      if (now - at >= GUEST_LIFE) this.#heardAt.delete(ip);
+      if (now - at >= NON_HOME_LIFE) this.#heardAt.delete(ip);
     }
     return [...this.#heardAt.keys()].filter((ip) => !homes.has(ip));
   }
@@ -117,21 +117,21 @@
     const isHome = this.#isHome();
     if (!isHome && !isServing()) return;
     const homes = listHomes().filter((ip) => ip !== self);
-    const guests = isHome ? this.#listGuests() : [];
-    if (homes.length + guests.length === 0) return;
+    const nonHomes = isHome ? this.#listNonHomes() : [];
+    if (homes.length + nonHomes.length === 0) return;
     const news = this.#listNews();
     this.#sendTo(homes, news);
-    if (guests.length > 0) this.#tellGuests(guests, news);
+    if (nonHomes.length > 0) this.#tellNonHomes(nonHomes, news);
   }
 
   /** Of a target that changed more than once since the last time, only the last word is told. */
-  #tellGuests(guests: readonly string[], news: readonly LoadShare[]): void {
+  #tellNonHomes(nonHomes: readonly string[], news: readonly LoadShare[]): void {
     const now = this.options.clock.now();
-    for (const share of news) this.#forGuests.set(share.target, share);
-    if (now - this.#guestsToldAt < this.#readGuestPace()) return;
-    this.#guestsToldAt = now;
-    this.#sendTo(guests, [...this.#forGuests.values()]);
-    this.#forGuests.clear();
+    for (const share of news) this.#forNonHomes.set(share.target, share);
+    if (now - this.#nonHomesToldAt < this.#readNonHomePace()) return;
+    this.#nonHomesToldAt = now;
+    this.#sendTo(nonHomes, [...this.#forNonHomes.values()]);
+    this.#forNonHomes.clear();
   }
 
   #sendTo(ips: readonly string[], shares: readonly LoadShare[]): void {
--- a/test/measuring.test.ts
+++ b/test/measuring.test.ts
@@ -20,10 +20,10 @@
         const members = groups.reduce((sum, size) => sum + size, 0);
         let sent = 0;
         for (const present of groups) {
-          const guests = Math.max(0, present - HOMES);
+          const others = Math.max(0, present - HOMES);
           const terms = { limit, members, present };
           sent += 1000 / computeProbeInterval({ ...terms, isHome: true });
-          sent += (guests * 1000) / computeProbeInterval({ ...terms, isHome: false });
+          sent += (others * 1000) / computeProbeInterval({ ...terms, isHome: false });
         }
         expect(sent).to.be.at.most(limit);
       }),
@@ -117,21 +117,21 @@
   it('tell the home of their calls, and hear of its', async () => {
     const daemons = new Map<string, LoadSharing>();
     const atHome = createDaemon('home', daemons, () => true);
-    const atGuest = createDaemon('guest', daemons, () => true);
+    const atOther = createDaemon('other', daemons, () => true);
     atHome.start(0);
-    atGuest.start(0);
-    atGuest.start(0);
+    atOther.start(0);
+    atOther.start(0);
     await clock.advance(1000);
     expect(atHome.countCalls(1000, 1)).to.equal(3);
-    expect(atGuest.countCalls(1000, 1)).to.equal(3);
+    expect(atOther.countCalls(1000, 1)).to.equal(3);
   });
   it('are forgotten once they serve no more', async () => {
     const daemons = new Map<string, LoadSharing>();
     createDaemon('home', daemons, () => true);
     let isServing = true;
-    createDaemon('guest', daemons, () => isServing);
+    createDaemon('other', daemons, () => isServing);
     await clock.advance(1000);
-    expect(heard.some(({ to }) => to === 'guest')).to.equal(true);
+    expect(heard.some(({ to }) => to === 'other')).to.equal(true);
     isServing = false;
     await clock.advance(2000);
     heard = [];
