Daemons that are no homes tell ten times a second, and their words do not serve the queue

Cause: up to fourteen daemons told each home of their calls every 20 ms, and each word served the queue, which is sorted and advised each time. Test in measuring.test.ts (failed before).

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -195,7 +195,6 @@
     const listHomes = () => this.#roster.listHomes().map(({ ip }) => ip);
     this.#sharing = new LoadSharing({
       ...{ clock, targets: this.#targets, self: gateway.ip, listHomes },
-      countMembers: () => this.#roster.list().length,
       isServing: () => this.#targets.isServing(clock.now()),
       send: (ip, shares) => this.#link.sendShares(ip, shares),
     });
--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -17,8 +17,6 @@
   readonly self: string;
   /** The IP numbers of the homes, this daemon's included when it is one. */
   readonly listHomes: () => readonly string[];
-  /** Daemons known, this one included. */
-  readonly countMembers: () => number;
   /** Whether calls come to this daemon. */
   readonly isServing: () => boolean;
   readonly send: (ip: string, shares: readonly LoadShare[]) => void;
@@ -28,11 +26,11 @@
 const PACE = 20;
 
 /**
- * Time between two datagrams to or from a daemon that is no home: a millisecond for each daemon, as
- * all of them may serve at once, within these bounds.
+ * Time between two datagrams to or from a daemon that is no home. All of them may serve at once, and
+ * at 20 ms they took so much of a home's core under overload that four times as many calls were held
+ * to their end (zvolen-nabytok scale-1, 2026-12-02).
  */
-const NON_HOME_PACE_PER_DAEMON = 1;
-const SLOWEST_NON_HOME_PACE = 100;
+const NON_HOME_PACE = 100;
 
 /** How often a daemon that has nobody to tell looks whether that has changed. */
 const IDLE_PACE = 250;
@@ -80,9 +78,11 @@
 
   /** Takes what another daemon told. */
   hear(from: string, shares: readonly LoadShare[]): void {
-    const { targets, clock } = this.options;
+    const { targets, clock, listHomes } = this.options;
     this.#heardAt.set(from, clock.now());
     for (const share of shares) targets.findByHash(share.target)?.noteShare(from, share);
+    // Calls that wait are looked at every few milliseconds anyway; a word of few calls is no reason.
+    if (!listHomes().includes(from)) return;
     for (const service of targets.list()) service.queue.pump();
   }
 
@@ -92,14 +92,9 @@
 
   #readPace(): number {
     const { listHomes, isServing } = this.options;
-    if (!this.#isHome()) return isServing() ? this.#readNonHomePace() : IDLE_PACE;
+    if (!this.#isHome()) return isServing() ? NON_HOME_PACE : IDLE_PACE;
     if (listHomes().length > 1) return PACE;
-    return this.#listNonHomes().length > 0 ? this.#readNonHomePace() : IDLE_PACE;
-  }
-
-  #readNonHomePace(): number {
-    const pace = this.options.countMembers() * NON_HOME_PACE_PER_DAEMON;
-    return Math.min(SLOWEST_NON_HOME_PACE, Math.max(PACE, pace));
+    return this.#listNonHomes().length > 0 ? NON_HOME_PACE : IDLE_PACE;
   }
 
   /** The daemons that are no homes and have told of calls of late. */
@@ -128,7 +123,7 @@
   #tellNonHomes(nonHomes: readonly string[], news: readonly LoadShare[]): void {
     const now = this.options.clock.now();
     for (const share of news) this.#forNonHomes.set(share.target, share);
-    if (now - this.#nonHomesToldAt < this.#readNonHomePace()) return;
+    if (now - this.#nonHomesToldAt < NON_HOME_PACE) return;
     this.#nonHomesToldAt = now;
     this.#sendTo(nonHomes, [...this.#forNonHomes.values()]);
     this.#forNonHomes.clear();
--- a/test/measuring.test.ts
+++ b/test/measuring.test.ts
@@ -94,7 +94,6 @@
     targets.update(view);
     const sharing = new LoadSharing({
       ...{ clock, targets, self, isServing, listHomes: () => ['home'] },
-      countMembers: () => 2,
       send: (to, shares) => {
         heard.push({ from: self, to, shares });
         daemons.get(to)?.hear(self, shares);
@@ -125,6 +124,17 @@
     expect(atHome.countCalls(1000, 1)).to.equal(3);
     expect(atOther.countCalls(1000, 1)).to.equal(3);
   });
+  // Found on the users' bench: at 20 ms their words filled the homes' cores under overload.
+  it('tell ten times a second at most, however their calls change', async () => {
+    const daemons = new Map<string, LoadSharing>();
+    createDaemon('home', daemons, () => true);
+    const atOther = createDaemon('other', daemons, () => true);
+    for (let turn = 0; turn < 50; turn += 1) {
+      atOther.start(turn * 20);
+      await clock.advance(20);
+    }
+    expect(heard.filter(({ from }) => from === 'other')).to.have.length.within(5, 10);
+  });
   it('are forgotten once they serve no more', async () => {
     const daemons = new Map<string, LoadSharing>();
     createDaemon('home', daemons, () => true);
