One draw of an item, one shape of a wish, homes listed once a turn

Read again as a whole. The soak's plan, its callers and the older soak each drew an item by a line of their own: pickItem stands beside shuffleItems now. PlaceWish repeated two fields of SlotCall, which extends it. No behaviour changed, no test touched.

--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -69,10 +69,10 @@
 
   /** Tells until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock } = this.options;
+    const { clock, listHomes } = this.options;
     while (!signal.aborted) {
-      await clock.sleep(this.#readPace(), signal);
-      this.#tell();
+      await clock.sleep(this.#choosePace(listHomes()), signal);
+      this.#tell(listHomes());
     }
   }
 
@@ -86,36 +86,31 @@
     for (const service of targets.list()) service.queue.pump();
   }
 
-  #isHome(): boolean {
-    return this.options.listHomes().includes(this.options.self);
-  }
-
-  #readPace(): number {
-    const { listHomes, isServing } = this.options;
-    if (!this.#isHome()) return isServing() ? NON_HOME_PACE : IDLE_PACE;
-    if (listHomes().length > 1) return PACE;
-    return this.#listNonHomes().length > 0 ? NON_HOME_PACE : IDLE_PACE;
+  #choosePace(homes: readonly string[]): number {
+    const { self, isServing } = this.options;
+    if (!homes.includes(self)) return isServing() ? NON_HOME_PACE : IDLE_PACE;
+    if (homes.length > 1) return PACE;
+    return this.#listNonHomes(homes).length > 0 ? NON_HOME_PACE : IDLE_PACE;
   }
 
   /** The daemons that are no homes and have told of calls of late. */
-  #listNonHomes(): readonly string[] {
+  #listNonHomes(homes: readonly string[]): readonly string[] {
     const now = this.options.clock.now();
-    const homes = new Set(this.options.listHomes());
     for (const [ip, at] of this.#heardAt) {
       if (now - at >= NON_HOME_LIFE) this.#heardAt.delete(ip);
     }
-    return [...this.#heardAt.keys()].filter((ip) => !homes.has(ip));
+    return [...this.#heardAt.keys()].filter((ip) => !homes.includes(ip));
   }
 
-  #tell(): void {
-    const { listHomes, self, isServing } = this.options;
-    const isHome = this.#isHome();
+  #tell(homes: readonly string[]): void {
+    const { self, isServing } = this.options;
+    const isHome = homes.includes(self);
     if (!isHome && !isServing()) return;
-    const homes = listHomes().filter((ip) => ip !== self);
-    const nonHomes = isHome ? this.#listNonHomes() : [];
-    if (homes.length + nonHomes.length === 0) return;
+    const otherHomes = homes.filter((ip) => ip !== self);
+    const nonHomes = isHome ? this.#listNonHomes(homes) : [];
+    if (otherHomes.length + nonHomes.length === 0) return;
     const news = this.#listNews();
-    this.#sendTo(homes, news);
+    this.#sendTo(otherHomes, news);
     if (nonHomes.length > 0) this.#tellNonHomes(nonHomes, news);
   }
 
--- a/src/gateway/slot-queue.ts
+++ b/src/gateway/slot-queue.ts
@@ -7,8 +7,16 @@
 import type { Clock, Timer } from '../kernel/index.js';
 import type { GatewayTarget } from './target.js';
 
+/** What a call asks of its place. */
+export interface PlaceWish {
+  /** Targets that it has been sent to already. */
+  readonly tried: ReadonlySet<GatewayTarget>;
+  /** Length of its body, as far as it is known. */
+  readonly bodyBytes: number;
+}
+
 /** A call that asks for a target. */
-export interface SlotCall {
+export interface SlotCall extends PlaceWish {
   /** 0 is the most urgent. */
   readonly priority: number;
   /** When an answer stops to be fully useful. */
@@ -19,9 +27,6 @@
   readonly mayBeRefused: boolean;
   /** When it has waited for so long that it is better sent back. */
   readonly refusedAt: number;
-  readonly tried: ReadonlySet<GatewayTarget>;
-  /** Length of its body, as far as it is known. */
-  readonly bodyBytes: number;
 }
 
 /** What came of asking. */
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -9,7 +9,7 @@
   choosePlace,
 } from '../balance/index.js';
 import type { FleetView } from '../view/index.js';
-import { SlotQueue } from './slot-queue.js';
+import { type PlaceWish, SlotQueue } from './slot-queue.js';
 import { GatewayTarget } from './target.js';
 
 /** What the set is made from. */
@@ -35,13 +35,6 @@
 /** A daemon to which no call has come for this long serves none. */
 const SERVING_TIME = 1000;
 
-/** What a call asks of its place. */
-export interface PlaceWish {
-  /** Targets that it has been sent to already. */
-  readonly tried: ReadonlySet<GatewayTarget>;
-  readonly bodyBytes: number;
-}
-
 /** One service as this daemon uses it. */
 export class TargetService {
   readonly targets = new Map<string, GatewayTarget>();
--- a/src/kernel/random.ts
+++ b/src/kernel/random.ts
@@ -48,6 +48,11 @@
   return { next, id: () => Array.from({ length: ID_BYTES * 2 }, digit).join('') };
 }
 
+/** Returns one of `items`, each with the same chance; undefined when there are none. */
+export function pickItem<T>(items: readonly T[], random: Random): T {
+  return items[Math.floor(random.next() * items.length)];
+}
+
 /** Returns a copy of `items` in random order. */
 export function shuffleItems<T>(items: readonly T[], random: Random): readonly T[] {
   return items
--- a/src/soak/caller.ts
+++ b/src/soak/caller.ts
@@ -1,6 +1,6 @@
 /** One caller of a soak: asks for addresses, keeps connections, and tells the witness what it saw. */
 import http from 'node:http';
-import type { Random } from '../kernel/index.js';
+import { type Random, pickItem } from '../kernel/index.js';
 import { HOST } from '../standin/index.js';
 import { DAEMON_PORTS } from './daemon-process.js';
 import type { TryEnd, Witness } from './witness.js';
@@ -48,7 +48,7 @@
     const { random } = this.options;
     while (!signal.aborted) {
       await this.#refresh();
-      const ip = this.#pick(this.#addresses);
+      const ip = pickItem<string | undefined>(this.#addresses, this.options.random);
       if (ip !== undefined) await this.#call(ip);
       await new Promise((resolve) => {
         setTimeout(resolve, PAUSE * 2 * random.next());
@@ -57,14 +57,10 @@
     this.#agent.destroy();
   }
 
-  #pick<T>(items: readonly T[]): T | undefined {
-    return items[Math.floor(this.options.random.next() * items.length)];
-  }
-
   async #refresh(): Promise<void> {
     const { now, ips, random } = this.options;
     if (now() - this.#askedAt < this.#keep && this.#addresses.length > 0) return;
-    const ip = this.#pick(ips) ?? '';
+    const ip = pickItem(ips, random);
     const found = await askDirectory(ip);
     if (found.length === 0) return;
     this.#addresses = found;
@@ -75,7 +71,7 @@
   async #call(ip: string): Promise<void> {
     const { witness, now, random, name, ips } = this.options;
     this.#count += 1;
-    const route = this.#pick(ROUTES) ?? 'safe';
+    const route = pickItem(ROUTES, random);
     const id = `${route}-${name}-${this.#count}`;
     const isRepeatable = route !== 'once';
     witness.noteTry({ id, isRepeatable, daemon: ips.indexOf(ip), sentAt: now() });
--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -1,5 +1,5 @@
 /** Draws what goes wrong in a soak, and what the operators do meanwhile: one seed, one plan. */
-import type { Random } from '../kernel/index.js';
+import { type Random, pickItem } from '../kernel/index.js';
 import type { Fault } from '../standin/index.js';
 import type { LinkFault } from './link.js';
 
@@ -37,24 +37,20 @@
 const GAP = 700;
 const LONGEST = 4000;
 
-function pick<T>(items: readonly T[], random: Random): T {
-  return items[Math.floor(random.next() * items.length)];
-}
-
 function drawLinkFault(random: Random): LinkFault {
-  return pick<LinkFault>(
+  return pickItem<LinkFault>(
     [
       { kind: 'delay', time: 20 + 200 * random.next() },
       { kind: 'reset' },
       { kind: 'silent' },
-      { kind: 'one-way', lost: pick(['in', 'out'], random) },
+      { kind: 'one-way', lost: pickItem(['in', 'out'], random) },
     ],
     random,
   );
 }
 
 function drawStoreFault(random: Random): Fault {
-  return pick<Fault>(
+  return pickItem<Fault>(
     [
       ...(
         ['down', 'silent', 'busy', 'many', 'skip-watches', 'close-watches', 'stale'] as const
@@ -70,7 +66,7 @@
   const lasts = 300 + random.next() * LONGEST;
   const daemon = Math.floor(random.next() * daemons);
   const target = Math.floor(random.next() * targets);
-  const kind = pick(
+  const kind = pickItem(
     [
       ...(['store', 'store-link', 'target-link', 'target-link', 'stop', 'stop'] as const),
       ...(['kill', 'freeze', 'configure', 'configure', 'compact', 'drain', 'drain'] as const),
--- a/src/tool/soak.ts
+++ b/src/tool/soak.ts
@@ -5,7 +5,13 @@
  * not run has run, and no answer belongs to another call.
  */
 import http from 'node:http';
-import { type Address, type Random, createSeededRandom, shuffleItems } from '../kernel/index.js';
+import {
+  type Address,
+  type Random,
+  createSeededRandom,
+  pickItem,
+  shuffleItems,
+} from '../kernel/index.js';
 import { Fleet, putDocuments, writeService, pause } from '../demo/index.js';
 import type { Entry } from '../entry/index.js';
 import type { Fault, TargetFault, TargetServer } from '../standin/index.js';
@@ -68,10 +74,6 @@
 const DEADLINE = 1500;
 const SAME_KEY_SHARE = 0.3;
 
-function pick<T>(items: readonly T[], random: Random): T {
-  return items[Math.floor(random.next() * items.length)];
-}
-
 /** Sends one call and says what its caller was told. */
 function sendCall(to: Address, key: string, posting: boolean): Promise<Told> {
   return new Promise((resolve) => {
@@ -178,7 +180,7 @@
       const repeats = posting && this.#random.next() < SAME_KEY_SHARE ? 2 : 1;
       // The same key at several entries at once: a caller that got no answer and sent it again.
       for (let turn = 0; turn < repeats; turn += 1) {
-        const entry = pick(this.#fleet.entries, this.#random);
+        const entry = pickItem(this.#fleet.entries, this.#random);
         const key = `key-${number}`;
         running.push(
           sendCall(entry.callersAddress, key, posting).then((told) => {
@@ -207,16 +209,16 @@
   }
 
   #failTarget(): void {
-    const target = pick(this.#targets, this.#random);
+    const target = pickItem(this.#targets, this.#random);
     const healthy = this.#random.next() < 0.4;
-    const fault: TargetFault = healthy ? { kind: 'none' } : pick(TARGET_FAULTS, this.#random);
+    const fault: TargetFault = healthy ? { kind: 'none' } : pickItem(TARGET_FAULTS, this.#random);
     this.#say(`target fault ${fault.kind}`);
     target.setFault(fault);
   }
 
   #failPlatform(): void {
     const healthy = this.#random.next() < 0.5;
-    const fault: Fault = healthy ? { kind: 'none' } : pick(PLATFORM_FAULTS, this.#random);
+    const fault: Fault = healthy ? { kind: 'none' } : pickItem(PLATFORM_FAULTS, this.#random);
     this.#say(`platform fault ${fault.kind}`);
     this.#fleet.store.setFault(fault);
   }
