--- /dev/null
+++ b/src/balance/route-time.ts
@@ -0,0 +1,40 @@
+/** What the calls of one route have taught of their work. */
+import { DecayingMean, QuantileEstimate } from './estimate.js';
+
+/** The work follows the answers of some seconds. */
+const HALF_LIFE = 3000;
+
+/** Work of a call nothing is known of, before the first answer of its route, in milliseconds. */
+const FIRST_WORK = 100;
+
+/** The part of the calls that the spread covers. */
+const COVERED = 0.9;
+
+/** Taken before the first answer: work that varies by a third, as most does. */
+const FIRST_SPREAD = 1.4;
+
+/** A call that took this many times longer than expected met a fault, which says nothing of the next. */
+const MOST_RATIO = 4;
+
+/** The work of the calls of one route, and how far their times lie from what was expected. */
+export class RouteTime {
+  readonly #work = new DecayingMean(HALF_LIFE);
+
+  readonly #spread = new QuantileEstimate(COVERED);
+
+  /** Learns from one answer. @param ratio its time, in multiples of the expected one */
+  note(work: number, ratio: number, now: number): void {
+    this.#work.add(work, now);
+    if (ratio < MOST_RATIO) this.#spread.add(ratio);
+  }
+
+  /** Time of a call at a usual, idle target, in milliseconds. */
+  readWork(): number {
+    return this.#work.read(FIRST_WORK);
+  }
+
+  /** Nine of ten calls take no longer than this many times the expected time. */
+  readSpread(): number {
+    return Math.max(1, this.#spread.read(FIRST_SPREAD));
+  }
+}
--- a/src/gateway/reception.ts
+++ b/src/gateway/reception.ts
@@ -163,7 +163,7 @@
     const length = body.kind === 'whole' ? body.data?.length : readLength(request);
     return {
       ...{ id, route, arrivedAt, service: this.options.targets.find(admitted.service) },
-      aimAt: arrivedAt + this.#aims.read(route, asked),
+      aimAt: arrivedAt + this.#aims.read(route, asked, arrivedAt),
       deadline: arrivedAt + allowed,
       ...{ method: request.method ?? 'GET', path: request.url ?? '/' },
       body: body.kind === 'whole' ? body.data : body.source,
