Callers are told a short time while a daemon does not know the others yet

Change: a second instead of five until a daemon has run for 1.5 s and knows as many homes as are wanted.

--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -27,17 +27,17 @@
 const UNAVAILABLE = { status: 503, body: '{}' };
 const NOT_FOUND = { status: 404, body: '{}' };
 
-/** Answers callers that ask which addresses to use. */
+/** Answers callers that ask which addresses to use, and for how many milliseconds. */
 export function serveDirectory(
   address: Address,
   listAddresses: (question: ResolveQuestion) => readonly string[],
-  ttl: number,
+  readTtl: () => number,
 ): Promise<http.Server> {
   return serveAnswers(address, (url) => {
     if (url.pathname !== PATHS.resolve) return NOT_FOUND;
     const addresses = listAddresses(parseResolve(url.searchParams));
     if (addresses.length === 0) return UNAVAILABLE;
-    return { status: 200, body: encodeResolve(addresses, ttl) };
+    return { status: 200, body: encodeResolve(addresses, readTtl()) };
   });
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -58,6 +58,13 @@
 /** How long callers are told to keep an answer, in milliseconds; some keep it three times as long. */
 const ANSWER_TTL = 5000;
 
+/**
+ * What a daemon tells callers while it does not know the others yet, in milliseconds. After a restart of
+ * many the first one that is ready knows only itself: with the usual time all callers of those seconds
+ * stay with it, and it held most of them until they were late.
+ */
+const UNSETTLED_TTL = 1000;
+
 /** Parts of the grace in which a stopping daemon takes requests, and waits for those in flight. */
 const TAKE_PART = 0.5;
 const WAIT_PART = 0.93;
@@ -238,7 +245,7 @@
       await serveDirectory(
         gateway.directory,
         (question) => this.#listAddresses(question),
-        Math.min(ANSWER_TTL, this.#settings.promises.answer_ttl * 1000),
+        () => this.#readAnswerTtl(),
       ),
     );
     if (gateway.metrics !== 'none') {
@@ -395,6 +402,15 @@
     return this.#state === 'ready' ? [formatAddress(this.#settings.gateway.callers)] : [];
   }
 
+  #readAnswerTtl(): number {
+    const { promises, tuning } = this.#settings;
+    const usual = Math.min(ANSWER_TTL, promises.answer_ttl * 1000);
+    const isNew = this.#clock.now() - this.#startedAt < SETTLE_TIME;
+    const isShort =
+      this.#roster.listHomes().length < Math.min(tuning.homes, this.#roster.list().length);
+    return isNew || isShort ? Math.min(usual, UNSETTLED_TTL) : usual;
+  }
+
   async #trim(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.#clock.sleep(TRIM_PACE, signal);
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -4,7 +4,14 @@
 import { pause } from '../src/demo/index.js';
 import { KEYS } from '../src/platform/index.js';
 import { waitUntil } from './helpers/fleet.js';
-import { Site, askReady, callersPort, askAddresses, sendTo } from './helpers/gateways.js';
+import {
+  Site,
+  askReady,
+  callersPort,
+  askAddresses,
+  askDirectory,
+  sendTo,
+} from './helpers/gateways.js';
 import { type Behaviour, type SiteTarget, writeTarget } from '../src/standin/index.js';
 
 const RULES = [
@@ -348,6 +355,20 @@
     await stopped;
   }).timeout(15_000);
 
+  // After a restart of all, the first one that was ready named itself alone for the usual five seconds,
+  // and held most callers of that time until they were late.
+  it('are told to callers for a short time while a daemon does not know the others yet', async () => {
+    const first = await site.addGateway([], 'homes = 2\nhome_capacity = 0.1');
+    const lonely = await askDirectory(first);
+    expect(lonely.addresses).to.deep.equal([`${first}:${callersPort}`]);
+    expect(lonely.ttl).to.equal(1);
+    await site.addGateway([first], 'homes = 2\nhome_capacity = 0.1');
+    await pause(2500);
+    const settled = await askDirectory(first);
+    expect(settled.addresses).to.have.length(2);
+    expect(settled.ttl).to.equal(5);
+  }).timeout(15_000);
+
   it('hear of changes from those that read, and read themselves when nobody does', async () => {
     const first = await site.addGateway([], 'homes = 1\nhome_capacity = 0.5');
     const second = await site.addGateway([first], 'homes = 1\nhome_capacity = 0.5');
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -199,9 +199,21 @@
 
 /** Asks a daemon which addresses to use. */
 export async function askAddresses(ip: string): Promise<readonly string[]> {
+  return (await askDirectory(ip)).addresses;
+}
+
+/** Asks a daemon which addresses to use and for how many seconds; nothing when it does not tell. */
+export async function askDirectory(
+  ip: string,
+): Promise<{ readonly addresses: readonly string[]; readonly ttl: number }> {
   const path = `/resolve?name=${HOST}&region=r1&zone=d1`;
   const reply = await sendRequest({ host: ip, port: PORTS.directory, path, agent: false });
-  return reply.status === 200 ? (JSON.parse(reply.text) as { addresses: string[] }).addresses : [];
+  if (reply.status !== 200) return { addresses: [], ttl: 0 };
+  const { addresses, ttl_s: ttl } = JSON.parse(reply.text) as {
+    addresses: string[];
+    ttl_s: number;
+  };
+  return { addresses, ttl };
 }
 
 /** Asks whether a daemon is ready. */
