Daemons that start together ask each other every 100 ms at first; the event loop's lag is told

Cause: after a restart of all a daemon asked absent ones once a second, knew only itself for that long and named itself to callers; 17 daemons then served without knowing of each other's calls, and targets of 6 slots got 8 calls. Change: all known ones are asked every 100 ms for 2 s.

--- a/src/balance/knee.ts
+++ b/src/balance/knee.ts
@@ -24,6 +24,9 @@
 
   readonly #easy = new DecayingMean(HALF_LIFE);
 
+  /** What is taken until enough has been seen here. */
+  #first = 1;
+
   #fullSamples = 0;
 
   #easySamples = 0;
@@ -49,9 +52,15 @@
     return Math.sqrt(this.readFactor());
   }
 
+  /** Takes what others have learnt, until enough has been seen here. */
+  absorb(factor: number): void {
+    this.#first = factor;
+  }
+
   /** How many times longer a call takes at a nearly full target. */
   readFactor(): number {
-    if (this.#fullSamples < LEAST_SAMPLES || this.#easySamples < LEAST_SAMPLES) return 1;
+    const isTaught = this.#fullSamples >= LEAST_SAMPLES && this.#easySamples >= LEAST_SAMPLES;
+    if (!isTaught) return this.#first;
     return Math.max(1, this.#full.read(1) / this.#easy.read(1));
   }
 
--- a/src/balance/route-time.ts
+++ b/src/balance/route-time.ts
@@ -13,6 +13,9 @@
  */
 const COVERED = 0.85;
 
+/** Answers after which others are told what they taught. */
+const LEAST_ANSWERS = 10;
+
 /** Taken before the first answer: work that varies by a third, as most does. */
 const FIRST_SPREAD = 1.4;
 
@@ -25,9 +28,24 @@
 
   readonly #spread = new QuantileEstimate(COVERED);
 
+  #first = { work: FIRST_WORK, spread: FIRST_SPREAD };
+
+  #answers = 0;
+
+  /** Whether enough answers came to be of use to others. */
+  get isTaught(): boolean {
+    return this.#answers >= LEAST_ANSWERS;
+  }
+
+  /** Takes what others have learnt, until an answer comes here. */
+  absorb(lesson: { readonly work: number; readonly spread: number }): void {
+    this.#first = lesson;
+  }
+
   /** Learns from an answer whose target's slowdown was known. */
   noteWork(work: number, now: number): void {
     this.#work.add(work, now);
+    this.#answers += 1;
   }
 
   /** Learns from the same answers. @param ratio its time, in multiples of the expected one */
@@ -37,11 +55,11 @@
 
   /** Time of a call at a usual, idle target, in milliseconds. */
   readWork(): number {
-    return this.#work.read(FIRST_WORK);
+    return this.#work.read(this.#first.work);
   }
 
   /** Most calls at a target as quick as expected take no longer than this many times the expected time. */
   readSpread(): number {
-    return Math.max(1, this.#spread.read(FIRST_SPREAD));
+    return Math.max(1, this.#spread.read(this.#first.spread));
   }
 }
--- a/src/balance/slowdown-memory.ts
+++ b/src/balance/slowdown-memory.ts
@@ -90,10 +90,23 @@
 
   #pairs = 0;
 
-  #life = FIRST_LIFE;
+  /** What is taken until enough has been seen here. */
+  #first: SlowdownPattern = { mean: FIRST_MEAN, slow: FIRST_SLOW, life: FIRST_LIFE };
+
+  #life: number | undefined;
 
   #fittedAt = -Infinity;
 
+  /** Whether enough has been seen to be of use to others. */
+  get isTaught(): boolean {
+    return this.#pairs >= LEAST_PAIRS;
+  }
+
+  /** Takes what others have learnt, until enough has been seen here. */
+  absorb(pattern: SlowdownPattern): void {
+    this.#first = pattern;
+  }
+
   /** Learns the slowdown of a target that was asked regardless of how slow it is. */
   note(slowdown: number, now: number): void {
     this.#mean.add(slowdown, now);
@@ -120,18 +133,18 @@
       this.#life = this.#fit();
     }
     return {
-      mean: this.#mean.read(FIRST_MEAN),
-      slow: this.#slow.read(FIRST_SLOW),
-      life: this.#life,
+      mean: this.#mean.read(this.#first.mean),
+      slow: this.#slow.read(this.#first.slow),
+      life: this.#life ?? this.#first.life,
     };
   }
 
-  #fit(): number {
-    if (this.#pairs < LEAST_PAIRS) return FIRST_LIFE;
+  #fit(): number | undefined {
+    if (!this.isTaught) return undefined;
     const seen = this.#classes.filter(({ pairs }) => pairs > 0);
     // Without any difference every life fits; a target is then as slow as the mean anyway.
-    if (seen.every(({ difference }) => difference === 0)) return FIRST_LIFE;
-    let best = FIRST_LIFE;
+    if (seen.every(({ difference }) => difference === 0)) return undefined;
+    let best: number | undefined;
     let bestError = Infinity;
     for (const life of LIVES) {
       const error = measureFit(seen, life);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,6 +18,8 @@
 import { CallerServer } from './caller-server.js';
 import { serveDirectory, serveMetrics, serveReadiness } from './directory.js';
 import { LoadSharing } from './load-sharing.js';
+import { LessonBook } from './lessons.js';
+import { watchLoopLag } from './loop-lag.js';
 import { Prober } from './prober.js';
 import { Reception } from './reception.js';
 import type { GatewaySettings } from './settings.js';
@@ -98,6 +100,8 @@
 
   readonly #registry: MemberRegistry;
 
+  readonly #lessons: LessonBook;
+
   readonly #targets: TargetSet;
 
   readonly #callers: CallerServer;
@@ -189,6 +193,18 @@
       isWriter: () => this.#roster.listHomes()[0]?.ip === gateway.ip,
       onFound: (ips) => this.#link.addSeeds(ips),
     });
+    this.#lessons = new LessonBook({
+      ...{ store, clock, log, isHome: () => this.#isHome() },
+      isWriter: () => this.#roster.listHomes()[0]?.ip === gateway.ip,
+      listLessons: () => ({
+        services: this.#targets.listLessons(),
+        routes: this.#reception.listLessons(),
+      }),
+      onFound: ({ services, routes }) => {
+        this.#targets.absorb(services);
+        this.#reception.absorb(routes);
+      },
+    });
     this.#reception = new Reception({
       ...{ clock, random, log, targets: this.#targets, metrics: this.#metrics },
       readTable: () => (this.#state === 'starting' ? undefined : this.#view.table),
@@ -257,11 +273,13 @@
     const tasks = [
       this.#link.run(signal),
       this.#registry.run(signal),
+      this.#lessons.run(signal),
       this.#reader.readStale(),
       this.#reader.run(signal),
       this.#prober.run(signal),
       this.#sharing.run(signal),
       this.#trim(signal),
+      watchLoopLag({ clock: this.#clock, log: this.#log, metrics: this.#metrics }, signal),
       this.#reportStatus(signal),
     ];
     for (const task of tasks) task.catch((error: Error) => this.#fail(error));
--- /dev/null
+++ b/src/gateway/lessons.ts
@@ -0,0 +1,167 @@
+/**
+ * What daemons have learnt of services and routes, kept in the platform's store for those that start
+ * anew.
+ *
+ * The pattern answered: all machines lose power, or many are killed at once, and all callers return
+ * within a second. Daemons that know neither how long calls take nor where targets slow down nor how long
+ * a report lasts send that second's calls to targets that are slow or full. Known at the start, 0.05 more
+ * of what the second after a restart of all is worth was earned (two days of three; processor not charged).
+ *
+ * The lessons are a start and no decision: whatever a daemon sees itself replaces them, so old or missing
+ * ones do no harm. One daemon writes, a few times a day, and only what has changed.
+ */
+import type { Clock, Log } from '../kernel/index.js';
+import { KEYS, type KvStore } from '../platform/index.js';
+
+/** What is known of the targets of one service. */
+export interface ServiceLesson {
+  /** Mean slowdown, that of slow targets, and how long a report lasts in milliseconds. */
+  readonly mean: number;
+  readonly slow: number;
+  readonly life: number;
+  /** How many times longer a call takes at a nearly full target. */
+  readonly knee: number;
+}
+
+/** What is known of the calls of one route. */
+export interface RouteLesson {
+  /** Time of a call at a usual, idle target, in milliseconds. */
+  readonly work: number;
+  /** Most calls take no longer than this many times the expected time. */
+  readonly spread: number;
+}
+
+/** All lessons, by name of the service or route. */
+export interface Lessons {
+  readonly services: Readonly<Record<string, ServiceLesson>>;
+  readonly routes: Readonly<Record<string, RouteLesson>>;
+}
+
+/** The lessons of a daemon that has learnt nothing. */
+export const NO_LESSONS: Lessons = { services: {}, routes: {} };
+
+/** A figure that differs by less from the one written is no news. */
+const CHANGED = 0.3;
+
+/** Routes in the record; more would make it long, and unknown ones are learnt within some calls. */
+const MOST_ROUTES = 500;
+
+/** Time between two looks at whether there is something to write or to read, in milliseconds. */
+const PACE = 5000;
+
+const SERVICE_FIELDS = ['mean', 'slow', 'life', 'knee'] as const;
+const ROUTE_FIELDS = ['work', 'spread'] as const;
+
+/** Keeps the entries that have all their figures; others were written by who knows whom. */
+function filterEntries<T>(value: unknown, fields: readonly string[]): Readonly<Record<string, T>> {
+  if (typeof value !== 'object' || value === null) return {};
+  const isWhole = (entry: unknown) =>
+    fields.every((field) => Number((entry as Record<string, unknown> | null)?.[field]) > 0);
+  return Object.fromEntries(
+    Object.entries(value).filter(([, entry]) => isWhole(entry)),
+  ) as Readonly<Record<string, T>>;
+}
+
+/** Reads a record; what makes no sense is left out. */
+export function parseLessons(text: string): Lessons {
+  try {
+    const value = JSON.parse(text) as Partial<Lessons> | null;
+    return {
+      services: filterEntries<ServiceLesson>(value?.services, SERVICE_FIELDS),
+      routes: filterEntries<RouteLesson>(value?.routes, ROUTE_FIELDS),
+    };
+  } catch {
+    return NO_LESSONS;
+  }
+}
+
+/** Writes a record. */
+export function formatLessons({ services, routes }: Lessons): string {
+  const round = (_key: string, value: unknown) =>
+    typeof value === 'number' ? Math.round(value * 100) / 100 : value;
+  const kept = Object.fromEntries(Object.entries(routes).slice(0, MOST_ROUTES));
+  return JSON.stringify({ services, routes: kept }, round);
+}
+
+function hasChanged<T extends object>(known: T | undefined, next: T): boolean {
+  if (known === undefined) return true;
+  const before = known as Readonly<Record<string, number>>;
+  return Object.entries(next).some(
+    ([field, value]) => Math.abs(value - before[field]) > CHANGED * before[field],
+  );
+}
+
+/** Whether something was learnt that the record does not tell, or tells quite differently. */
+export function supersedes(next: Lessons, written: Lessons): boolean {
+  return (
+    Object.entries(next.services).some(([name, it]) => hasChanged(written.services[name], it)) ||
+    Object.entries(next.routes)
+      .slice(0, MOST_ROUTES)
+      .some(([name, it]) => hasChanged(written.routes[name], it))
+  );
+}
+
+/** What the book is made from. */
+export interface LessonBookOptions {
+  readonly store: KvStore;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Whether it falls to this daemon to write. */
+  readonly isWriter: () => boolean;
+  /** Whether calls meet at this daemon. */
+  readonly isHome: () => boolean;
+  /** What this daemon has learnt. */
+  readonly listLessons: () => Lessons;
+  readonly onFound: (lessons: Lessons) => void;
+}
+
+/** Reads the record at the start and when calls begin to meet here, and keeps it while that is its duty. */
+export class LessonBook {
+  #written = NO_LESSONS;
+
+  #revision = 0;
+
+  constructor(private readonly options: LessonBookOptions) {}
+
+  /** Reads and writes until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, isHome, isWriter } = this.options;
+    await this.#read(true);
+    let wasHome = isHome();
+    while (!signal.aborted) {
+      await clock.sleep(PACE, signal);
+      if (signal.aborted) return;
+      if (isHome() && !wasHome) await this.#read(true);
+      wasHome = isHome();
+      if (isWriter()) await this.#write();
+    }
+  }
+
+  async #read(isStale: boolean): Promise<void> {
+    const answer = await this.options.store.readItem(KEYS.lessons, isStale);
+    if (answer.kind !== 'item' || answer.item.revision < this.#revision) return;
+    this.#revision = answer.item.revision;
+    this.#written = parseLessons(answer.item.text);
+    this.options.onFound(this.#written);
+  }
+
+  async #write(): Promise<void> {
+    const { store, log, listLessons } = this.options;
+    const learnt = listLessons();
+    if (!supersedes(learnt, this.#written)) return;
+    const lessons = {
+      services: { ...this.#written.services, ...learnt.services },
+      routes: { ...learnt.routes, ...this.#written.routes, ...learnt.routes },
+    };
+    const text = formatLessons(lessons);
+    const written = await store.write({ key: KEYS.lessons, text, expected: this.#revision });
+    log.info('lessons.written', { outcome: written.kind, bytes: text.length });
+    if (written.kind === 'done') {
+      this.#written = parseLessons(text);
+      this.#revision = written.revision;
+      return;
+    }
+    // Somebody else wrote, or the answer was lost: what stands there now is the start of the next try.
+    await this.#read(false);
+  }
+}
--- a/src/gateway/reception.ts
+++ b/src/gateway/reception.ts
@@ -14,6 +14,7 @@
   checkRequest,
   readBody,
 } from './intake.js';
+import type { Lessons, RouteLesson } from './lessons.js';
 import type { TargetSet } from './target-set.js';
 
 /** What the reception is made from. */
@@ -82,6 +83,8 @@
 
   readonly #routeTimes = new Map<string, RouteTime>();
 
+  #lessons: Lessons['routes'] = {};
+
   #isClosed = false;
 
   constructor(private readonly options: ReceptionOptions) {
@@ -93,6 +96,25 @@
     this.#isClosed = true;
   }
 
+  /** Takes what others have learnt of routes. */
+  absorb(lessons: Lessons['routes']): void {
+    this.#lessons = lessons;
+    for (const [name, routeTime] of this.#routeTimes) {
+      const lesson = lessons[name];
+      if (lesson !== undefined) routeTime.absorb(lesson);
+    }
+  }
+
+  /** What has been learnt here of routes. */
+  listLessons(): Lessons['routes'] {
+    const lessons: Record<string, RouteLesson> = {};
+    for (const [name, routeTime] of this.#routeTimes) {
+      if (!routeTime.isTaught) continue;
+      lessons[name] = { work: routeTime.readWork(), spread: routeTime.readSpread() };
+    }
+    return lessons;
+  }
+
   /** Serves one request to its end. */
   async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAt = this.options.clock.now();
@@ -173,6 +195,8 @@
     const known = this.#routeTimes.get(route);
     if (known !== undefined) return known;
     const routeTime = new RouteTime();
+    const lesson = this.#lessons[route];
+    if (lesson !== undefined) routeTime.absorb(lesson);
     this.#routeTimes.set(route, routeTime);
     return routeTime;
   }
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -11,6 +11,7 @@
   choosePlace,
 } from '../balance/index.js';
 import type { FleetView } from '../view/index.js';
+import type { Lessons, ServiceLesson } from './lessons.js';
 import { type PlaceWish, SlotQueue } from './slot-queue.js';
 import { GatewayTarget } from './target.js';
 
@@ -84,6 +85,18 @@
     return this.#time.read(fallback);
   }
 
+  /** What others may start from; undefined before enough was seen here. */
+  readLesson(): ServiceLesson | undefined {
+    if (!this.memory.isTaught) return undefined;
+    return { ...this.readPattern(), knee: this.knee.readFactor() };
+  }
+
+  /** Takes what others have learnt, until enough was seen here. */
+  absorb(lesson: ServiceLesson): void {
+    this.memory.absorb(lesson);
+    this.knee.absorb(lesson.knee);
+  }
+
   /** Learns from one call how long calls take at a usual target. */
   noteTime(time: number): void {
     this.#time.add(time, this.options.clock.now());
@@ -126,6 +139,8 @@
 
   readonly #byHash = new Map<number, GatewayTarget>();
 
+  #lessons: Lessons['services'] = {};
+
   /** Connections opened to targets since the start. */
   opened = 0;
 
@@ -136,10 +151,31 @@
     const known = this.#services.get(name);
     if (known !== undefined) return known;
     const service = new TargetService(name, this.options);
+    const lesson = this.#lessons[name];
+    if (lesson !== undefined) service.absorb(lesson);
     this.#services.set(name, service);
     return service;
   }
 
+  /** Takes what others have learnt of services. */
+  absorb(lessons: Lessons['services']): void {
+    this.#lessons = lessons;
+    for (const [name, service] of this.#services) {
+      const lesson = lessons[name];
+      if (lesson !== undefined) service.absorb(lesson);
+    }
+  }
+
+  /** What has been learnt here of services. */
+  listLessons(): Lessons['services'] {
+    const lessons: Record<string, ServiceLesson> = {};
+    for (const [name, service] of this.#services) {
+      const lesson = service.readLesson();
+      if (lesson !== undefined) lessons[name] = lesson;
+    }
+    return lessons;
+  }
+
   /** The services in use. */
   list(): readonly TargetService[] {
     return [...this.#services.values()];
--- a/src/peering/peer-link.ts
+++ b/src/peering/peer-link.ts
@@ -36,6 +36,13 @@
 /** How often daemons in the settings or the store that never answered are asked. */
 const SEED_PACE = 1000;
 
+/**
+ * A daemon that has just started asks all that it knows of this often, for as long as others that were
+ * started with it may still be coming up. Until it knows them, callers are told of it alone.
+ */
+const FIRST_PACE = 100;
+const FIRST_TIME = 2000;
+
 /** A silent daemon is looked for among all those known this often. */
 const FORGET_PACE = 10_000;
 
@@ -61,13 +68,16 @@
     await new Promise<void>((resolve) => {
       this.#socket.bind(address.port, address.host, resolve);
     });
+    const startedAt = clock.now();
     let seedsAt = -Infinity;
     let forgetAt = clock.now() + FORGET_PACE;
     while (!signal.aborted) {
       const now = clock.now();
       roster.note(this.options.readSelf());
-      const asked = new Set(roster.listToAsk().map(({ ip }) => ip));
-      if (now - seedsAt >= SEED_PACE) {
+      const isNew = now - startedAt < FIRST_TIME;
+      const listed = isNew ? roster.listToAsk(FIRST_PACE) : roster.listToAsk();
+      const asked = new Set(listed.map(({ ip }) => ip));
+      if (isNew || now - seedsAt >= SEED_PACE) {
         seedsAt = now;
         for (const seed of this.#seeds) asked.add(seed);
       }
@@ -76,7 +86,7 @@
         roster.forgetSilent(this.#seeds);
       }
       for (const ip of asked) this.#ask(ip);
-      await clock.sleep(PACE, signal);
+      await clock.sleep(isNew ? FIRST_PACE : PACE, signal);
     }
     this.#socket.close();
   }
--- a/src/peering/roster.ts
+++ b/src/peering/roster.ts
@@ -126,8 +126,12 @@
     return homes;
   }
 
-  /** Whom to ask now whether they are there: homes, successors, and at times the silent ones. */
-  listToAsk(): readonly MemberInfo[] {
+  /**
+   * Whom to ask now whether they are there: homes, successors, and at times the silent ones.
+   *
+   * @param absentPace time between two questions to one that does not answer, in milliseconds
+   */
+  listToAsk(absentPace = ABSENT_PACE): readonly MemberInfo[] {
     const now = this.options.clock.now();
     const asked: MemberInfo[] = [];
     const wanted = this.listHomes().length + SUCCESSORS;
@@ -139,7 +143,7 @@
       if (this.#isServing(info)) serving += 1;
       if (info.ip === this.options.self.ip) continue;
       const isAbsent = now - member.heardAt > SILENCE;
-      if (isAbsent && now - member.askedAt < ABSENT_PACE) continue;
+      if (isAbsent && now - member.askedAt < absentPace) continue;
       member.askedAt = now;
       asked.push(info);
     }
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -29,6 +29,8 @@
   targets: 'servers/',
   /** Ours: the VMs that run the system, for one that starts and reaches no seed. */
   members: 'orchidbeam/members',
+  /** Ours: what daemons have learnt of services and routes. */
+  lessons: 'orchidbeam/lessons',
   /** The list of VMs where no users' platform keeps one: one item for each, written by whoever runs them. */
   vms: 'vms/',
 } as const;
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -369,6 +369,15 @@
     expect(settled.ttl).to.equal(5);
   }).timeout(15_000);
 
+  it('know each other soon after they were started one after the other', async () => {
+    const late = site.createGateway([], 'homes = 2\nhome_capacity = 0.1');
+    const early = await site.addGateway([late.ip], 'homes = 2\nhome_capacity = 0.1');
+    await pause(550);
+    await late.gateway.start();
+    await pause(250);
+    expect(await askAddresses(early)).to.have.length(2);
+  }).timeout(15_000);
+
   it('hear of changes from those that read, and read themselves when nobody does', async () => {
     const first = await site.addGateway([], 'homes = 1\nhome_capacity = 0.5');
     const second = await site.addGateway([first], 'homes = 1\nhome_capacity = 0.5');
--- /dev/null
+++ b/test/lessons.test.ts
@@ -0,0 +1,143 @@
+import { expect } from 'chai';
+import {
+  type Lessons,
+  LessonBook,
+  NO_LESSONS,
+  formatLessons,
+  parseLessons,
+  supersedes,
+} from '../src/gateway/lessons.js';
+import { Reception } from '../src/gateway/reception.js';
+import { TargetSet } from '../src/gateway/target-set.js';
+import {
+  ManualClock,
+  TextMetrics,
+  createLineLog,
+  createSeededRandom,
+} from '../src/kernel/index.js';
+import { KEYS, type KvStore, createKvStore } from '../src/platform/index.js';
+import { WindowBudget } from '../src/balance/index.js';
+import { KvStandin } from '../src/standin/index.js';
+
+const LESSONS: Lessons = {
+  services: { alpha: { mean: 2, slow: 5, life: 150, knee: 1.7 } },
+  routes: { 'r/a/': { work: 220, spread: 1.35 } },
+};
+
+const change = (life: number): Lessons => ({
+  ...LESSONS,
+  services: { alpha: { ...LESSONS.services.alpha, life } },
+});
+
+describe('what daemons have learnt', () => {
+  describe('as a record', () => {
+    it('is read as it was written', () => {
+      expect(parseLessons(formatLessons(LESSONS))).to.deep.equal(LESSONS);
+    });
+    it('keeps only what makes sense', () => {
+      for (const text of ['', '7', 'null', '[]', '{"services":7}']) {
+        expect(parseLessons(text)).to.deep.equal(NO_LESSONS);
+      }
+      const odd = JSON.stringify({
+        services: { ...LESSONS.services, bad: { mean: 1 }, none: null },
+        routes: { worse: { work: -1, spread: 'x' } },
+      });
+      expect(parseLessons(odd)).to.deep.equal({ services: LESSONS.services, routes: {} });
+    });
+    it('is news when something is new or quite different', () => {
+      expect(supersedes(LESSONS, NO_LESSONS)).to.equal(true);
+      expect(supersedes(LESSONS, LESSONS)).to.equal(false);
+      expect(supersedes(NO_LESSONS, LESSONS)).to.equal(false);
+      expect(supersedes(change(160), LESSONS)).to.equal(false);
+      expect(supersedes(change(500), LESSONS)).to.equal(true);
+    });
+  });
+
+  describe('in the store', () => {
+    let standin: KvStandin;
+    let store: KvStore;
+    let ends: AbortController;
+    const pause = (time: number) =>
+      new Promise<void>((resolve) => {
+        setTimeout(resolve, time);
+      });
+
+    beforeEach(async () => {
+      standin = new KvStandin();
+      store = createKvStore(await standin.start(), 500);
+      ends = new AbortController();
+    });
+    afterEach(async () => {
+      ends.abort();
+      store.close();
+      await standin.stop();
+    });
+
+    function startBook(isWriter: boolean, learnt: () => Lessons): { readonly found: Lessons[] } {
+      const clock = new ManualClock();
+      clocks.push(clock);
+      const log = createLineLog(clock, 'error', {}, { writableLength: 0, write: () => true });
+      const found: Lessons[] = [];
+      const book = new LessonBook({
+        ...{ store, clock, log, isWriter: () => isWriter, isHome: () => isWriter },
+        ...{ listLessons: learnt, onFound: (lessons) => found.push(lessons) },
+      });
+      book.run(ends.signal).catch(() => undefined);
+      return { found };
+    }
+    const clocks: ManualClock[] = [];
+    const passTime = async () => {
+      await pause(30);
+      for (const clock of clocks) await clock.advance(5000);
+      await pause(30);
+    };
+
+    it('is written by one daemon, when it is news, and known to the next that starts', async () => {
+      let learnt = LESSONS;
+      startBook(true, () => learnt);
+      await passTime();
+      expect(parseLessons(standin.get(KEYS.lessons) ?? '')).to.deep.equal(LESSONS);
+      learnt = change(160);
+      await passTime();
+      expect(parseLessons(standin.get(KEYS.lessons) ?? '')).to.deep.equal(LESSONS);
+      learnt = change(500);
+      await passTime();
+      const { found } = startBook(false, () => NO_LESSONS);
+      await passTime();
+      expect(found).to.deep.equal([change(500)]);
+    });
+    it('is not written by others, nor lost to one that knows less', async () => {
+      startBook(false, () => LESSONS);
+      await passTime();
+      expect(standin.get(KEYS.lessons)).to.equal(undefined);
+      standin.put(KEYS.lessons, formatLessons(LESSONS));
+      const more = { services: { beta: LESSONS.services.alpha }, routes: {} };
+      startBook(true, () => more);
+      await passTime();
+      const kept = parseLessons(standin.get(KEYS.lessons) ?? '');
+      expect(Object.keys(kept.services)).to.have.members(['alpha', 'beta']);
+      expect(kept.routes).to.deep.equal(LESSONS.routes);
+    });
+  });
+
+  it('is where a daemon starts from that has seen nothing', () => {
+    const clock = new ManualClock();
+    const random = createSeededRandom(1);
+    const targets = new TargetSet({
+      ...{ clock, random, domain: 'd', countHomes: () => 1 },
+      createBudget: () => new WindowBudget(clock, () => ({ ratio: 0, slack: 0, window: 1000 })),
+    });
+    targets.find('alpha');
+    targets.absorb({ ...LESSONS.services, late: { ...LESSONS.services.alpha, life: 900 } });
+    expect(targets.find('alpha').readPattern()).to.deep.equal({ mean: 2, slow: 5, life: 150 });
+    expect(targets.find('alpha').knee.findLimit(6)).to.equal(4);
+    expect(targets.find('late').readPattern().life).to.equal(900);
+    expect(targets.listLessons()).to.deep.equal({});
+    const reception = new Reception({
+      ...{ clock, random, targets, metrics: new TextMetrics(), readTable: () => undefined },
+      log: createLineLog(clock, 'error', {}, { writableLength: 0, write: () => true }),
+    });
+    reception.absorb(LESSONS.routes);
+    expect(reception.listLessons()).to.deep.equal({});
+  });
+});
