A stopping daemon closes a connection with the last answer on it, not the first

Cause: read in the code, shown by a test that failed: while a daemon stops, each answer said close, and those to requests sent behind it on the same connection were cut off after they had been passed to a target. Change: only the last one closes; what comes behind an answer that closes is not passed on.

--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -47,6 +47,9 @@
   /** Connections on which a refusal of the whole connection was written. */
   readonly #refused = new WeakSet<Socket>();
 
+  /** Answers that will close their connections. */
+  readonly #closers = new WeakMap<Socket, ServerResponse>();
+
   /** Bytes that had been read from a connection when its last request ended. */
   readonly #bytesAtRest = new WeakMap<Socket, number>();
 
@@ -153,7 +156,21 @@
       const active = this.#sockets.get(socket);
       if (active !== undefined) this.#sockets.set(socket, active - 1);
     });
-    if (this.#draining) response.shouldKeepAlive = false;
+    if (this.#draining && !this.#closeAfter(socket, response)) return;
     this.options.serve(request, response);
   }
+
+  /**
+   * Makes the last answer on a connection the one that closes it, so that none behind it is cut off.
+   * False when an answer that closes is on its way already: what comes behind it counts as not read, and
+   * must not be passed on.
+   */
+  #closeAfter(socket: Socket, response: ServerResponse): boolean {
+    const before = this.#closers.get(socket);
+    if (before !== undefined && before.headersSent) return false;
+    if (before !== undefined) before.shouldKeepAlive = true;
+    response.shouldKeepAlive = false;
+    this.#closers.set(socket, response);
+    return true;
+  }
 }
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -325,6 +325,39 @@
       expect(await running).to.include({ status: 200, whole: true });
       await stopped;
     }).timeout(10_000);
+
+    // A caller may send more before it has its first answer; one that closes the connection would cut
+    // off what has been passed on behind it.
+    it('answers every request that came behind another one on its connection', async () => {
+      for (const target of site.targets) {
+        target.behaviour = (request, response) => {
+          setTimeout(() => target.answer(request, response), 300);
+        };
+      }
+      const [{ gateway }] = site.gateways;
+      const socket = net.connect(callersPort, ip);
+      const closed = new Promise((resolve) => {
+        socket.once('close', resolve);
+      });
+      let received = '';
+      socket.on('data', (data) => {
+        received += data.toString();
+      });
+      const ask = (id: string) =>
+        socket.write(
+          `GET /a/${id} HTTP/1.1\r\nHost: test.example\r\nAttempt-Id: ${id}\r\nRequest-Deadline-Ms: 3000\r\n\r\n`,
+        );
+      ask('p1');
+      await waitUntil(() => countRuns() >= 1, 'the first request is at a target');
+      const stopped = gateway.stop();
+      ask('p2');
+      ask('p3');
+      await closed;
+      const ids = [...received.matchAll(/Attempt-Id: (\w+)/gi)].map(([, id]) => id);
+      expect(ids).to.deep.equal(['p1', 'p2', 'p3']);
+      expect(received.match(/Connection: close/gi)).to.have.length(1);
+      await stopped;
+    }).timeout(10_000);
   });
 });
 
