--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -67,9 +67,12 @@
  */
 const UNSETTLED_TTL = 1000;
 
-/** Parts of the grace in which a stopping daemon takes requests, and waits for those in flight. */
+/**
+ * Parts of the grace in which a stopping daemon takes requests, and waits for those in flight. What it
+ * took in the first half may run until the last sixth begins; the rest is left for a busy machine.
+ */
 const TAKE_PART = 0.5;
-const WAIT_PART = 0.93;
+const WAIT_PART = 0.86;
 
 /** Callers have heard of the stop after this long. */
 const LEAVE_TIME = 2200;
--- a/src/peering/feed.ts
+++ b/src/peering/feed.ts
@@ -21,7 +21,11 @@
 /** Longest wait for a feed; another daemon, or the store, is asked after it. */
 const TIMEOUT = 600;
 
-/** While one daemon's answer is this young, nobody else is asked for the same. */
+/**
+ * While this many daemons are asked, nobody else is for a moment. One may be frozen or cut off just then,
+ * so a second one is asked at once; more would only carry the same bytes.
+ */
+const ASKED_AT_ONCE = 2;
 const PATIENCE = 150;
 
 /**
@@ -90,7 +94,7 @@
   /** Fetches what changed after a position, unless that is under way already. */
   async fetchNews(ip: string, question: FeedQuestion): Promise<boolean> {
     const now = this.clock.now();
-    const isAsked = this.#fetching.size > 0 && now - this.#startedAt < PATIENCE;
+    const isAsked = this.#fetching.size >= ASKED_AT_ONCE && now - this.#startedAt < PATIENCE;
     if (isAsked || this.#fetching.has(ip)) return false;
     this.#startedAt = now;
     return this.#fetch(ip, question);
--- /dev/null
+++ b/test/feed.test.ts
@@ -0,0 +1,47 @@
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { expect } from 'chai';
+import { ManualClock } from '../src/kernel/index.js';
+import { FeedClient } from '../src/peering/index.js';
+
+const QUESTION = { position: { targets: 1, configuration: 1 }, members: 0 };
+
+describe('news of another daemon', () => {
+  const servers: http.Server[] = [];
+  let port = 0;
+  afterEach(() => {
+    for (const server of servers.splice(0)) {
+      server.closeAllConnections();
+      server.close();
+    }
+  });
+
+  /** Starts a daemon's feed on an address of its own; a silent one takes the question and says nothing. */
+  async function startFeed(host: string, isSilent: boolean): Promise<void> {
+    const server = http.createServer((_request, response) => {
+      if (!isSilent) response.end(JSON.stringify({ delta: host, members: [] }));
+    });
+    servers.push(server);
+    await new Promise<void>((resolve) => {
+      server.listen(port, host, resolve);
+    });
+    port = (server.address() as AddressInfo).port;
+  }
+
+  // A daemon that waits for a frozen one alone acts late on targets that leave and on configurations.
+  it('is asked of a second one at once, as the first may be frozen', async () => {
+    port = 0;
+    await startFeed('127.0.8.1', true);
+    await startFeed('127.0.8.2', false);
+    const heard: unknown[] = [];
+    const client = new FeedClient(new ManualClock(), port, ({ delta }) => heard.push(delta));
+    const silent = client.fetchNews('127.0.8.1', QUESTION);
+    const startedAt = performance.now();
+    expect(await client.fetchNews('127.0.8.2', QUESTION)).to.equal(true);
+    expect(performance.now() - startedAt).to.be.lessThan(400);
+    expect(heard).to.deep.equal(['127.0.8.2']);
+    expect(await client.fetchNews('127.0.8.1', QUESTION)).to.equal(false);
+    client.close();
+    await silent;
+  });
+});
