Targets are probed from their own failure domain; nothing is started that would end after its deadline

Calls held as late were started with too little time left. Change: a home probes the targets of its domain and tells the others; a call that no target has had is sent back when the one found would not answer before its deadline, with tests.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -228,7 +228,7 @@
       ...{ targets: this.#targets, clock },
       // While calls wait, probes come twice as often; that has to fit the agreed number as well.
       interval: Math.max(tuning.probe_interval, (2 * 1000) / promises.probes_per_second),
-      ...{ self: gateway.ip, listHomes },
+      ...{ self: gateway.ip, listHomes: () => this.#roster.listHomes() },
       readTable: () => this.#view.table,
       readLimit: () => this.#settings.promises.probes_per_second,
       countDaemons: () => this.#countDaemons(),
--- a/src/gateway/lessons.ts
+++ b/src/gateway/lessons.ts
@@ -58,9 +58,7 @@
   if (typeof value !== 'object' || value === null) return {};
   const isWhole = (entry: unknown) =>
     fields.every((field) => Number((entry as Record<string, unknown> | null)?.[field]) > 0);
-  return Object.fromEntries(
-    Object.entries(value).filter(([, entry]) => isWhole(entry)),
-  );
+  return Object.fromEntries(Object.entries(value).filter(([, entry]) => isWhole(entry)));
 }
 
 /** Reads a record; what makes no sense is left out. */
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -8,6 +8,12 @@
 import type { GatewayTarget } from './target.js';
 import type { TargetService, TargetSet } from './target-set.js';
 
+/** A home, as far as it matters for who probes what. */
+export interface ProbingHome {
+  readonly ip: string;
+  readonly domain: string;
+}
+
 /** What the prober is made from. */
 export interface ProberOptions {
   readonly targets: TargetSet;
@@ -16,8 +22,7 @@
   /** Time between two probes of a target, in milliseconds. */
   readonly interval: number;
   readonly self: string;
-  /** The IP numbers of the homes. */
-  readonly listHomes: () => readonly string[];
+  readonly listHomes: () => readonly ProbingHome[];
   /** Probes that the whole fleet may send to each target a second. */
   readonly readLimit: () => number;
   /** How many daemons are known, and how many of them look to this one. */
@@ -61,21 +66,28 @@
 
 /** How the targets of one service are probed in one turn; times in milliseconds. */
 interface ProbePlan {
-  readonly homes: readonly string[];
+  readonly homes: readonly ProbingHome[];
   readonly isHome: boolean;
   /** Least time between two probes of one target from here. */
   readonly least: number;
   readonly interval: number;
 }
 
-/** Returns the home that probes a target: the one of the highest hash. */
-function findProber(target: GatewayTarget, homes: readonly string[]): string | undefined {
+/**
+ * Returns the home that probes a target: of those in its failure domain, or of all where none is, the one
+ * of the highest hash. What it hears it tells the others, in a twentieth of the bytes of a probe.
+ */
+export function findProber(
+  target: Pick<GatewayTarget, 'hash' | 'record'>,
+  homes: readonly ProbingHome[],
+): string | undefined {
+  const near = homes.filter(({ domain }) => domain === target.record.domain);
   let best: string | undefined;
   let bestRank = -1;
-  for (const home of homes) {
-    const rank = recallPair(home, String(target.hash));
+  for (const { ip } of near.length > 0 ? near : homes) {
+    const rank = recallPair(ip, String(target.hash));
     if (rank <= bestRank) continue;
-    best = home;
+    best = ip;
     bestRank = rank;
   }
   return best;
@@ -136,17 +148,21 @@
     }
   }
 
-  #planProbes(service: TargetService, homes: readonly string[]): ProbePlan {
-    const { self, countDaemons, readLimit } = this.options;
-    const isHome = homes.includes(self);
+  #planProbes(service: TargetService, homes: readonly ProbingHome[]): ProbePlan {
+    const { countDaemons, readLimit } = this.options;
+    const isHome = this.#isHome(homes);
     const least = computeProbeInterval({ limit: readLimit(), ...countDaemons(), isHome });
     return { homes, isHome, least, interval: Math.max(least, this.#readInterval(service)) };
   }
 
+  #isHome(homes: readonly ProbingHome[]): boolean {
+    return homes.some(({ ip }) => ip === this.options.self);
+  }
+
   /** Calls meet at homes, so one call shows that more will come; elsewhere a few are no reason. */
-  #isInUse(service: TargetService, homes: readonly string[]): boolean {
+  #isInUse(service: TargetService, homes: readonly ProbingHome[]): boolean {
     const now = this.options.clock.now();
-    if (homes.includes(this.options.self)) return now - service.lastCallAt < IN_USE;
+    if (this.#isHome(homes)) return now - service.lastCallAt < IN_USE;
     return service.rate.read(now) >= LEAST_RATE;
   }
 
--- a/src/gateway/slot-queue.ts
+++ b/src/gateway/slot-queue.ts
@@ -53,7 +53,11 @@
   call: SlotCall,
   ahead: number,
 ) =>
-  | { readonly kind: 'now'; readonly candidate: GatewayTarget }
+  | {
+      readonly kind: 'now';
+      readonly candidate: GatewayTarget;
+      readonly prospect: { readonly slowdown: number };
+    }
   /** `pace` lies between two starts here, `slowdown` is that of the targets on the whole. */
   | { readonly kind: 'wait'; readonly pace: number; readonly slowdown: number }
   | { readonly kind: 'none' };
@@ -127,9 +131,7 @@
       case 'none':
         return { kind: 'refused', reason: 'no-target', wait: NO_TARGET_RETURN };
       case 'now':
-        return ahead.inTime + ahead.late === 0
-          ? this.#grant(advice.candidate)
-          : this.#wait(call, true);
+        return ahead.inTime + ahead.late === 0 ? this.#start(call, advice) : this.#wait(call, true);
       case 'wait': {
         this.#noteAdvice(call, advice);
         const outlook = this.#describeOutlook(ahead);
@@ -162,7 +164,7 @@
         continue;
       }
       const advice = this.adviser(waiting.call, kept.length);
-      if (advice.kind === 'now') waiting.resolve(this.#grant(advice.candidate));
+      if (advice.kind === 'now') waiting.resolve(this.#start(waiting.call, advice));
       else if (advice.kind === 'none') {
         waiting.resolve({ kind: 'refused', reason: 'no-target', wait: NO_TARGET_RETURN });
       } else {
@@ -199,8 +201,7 @@
 
   #follow(call: SlotCall, admission: Admission): SlotAnswer | undefined {
     if (admission.kind !== 'refuse' || !call.mayBeRefused) return undefined;
-    const later = admission.wait * (1 + RETURN_SPREAD * this.random.next());
-    return { kind: 'refused', reason: 'no-room', wait: Math.max(LEAST_RETURN, later) };
+    return { kind: 'refused', reason: 'no-room', wait: this.#chooseReturn(admission.wait) };
   }
 
   #noteAdvice(
@@ -228,10 +229,27 @@
     return { now: this.clock.now(), aimAt, deadline, duration, spread };
   }
 
-  /** Counts the call at once, so that the next one that asks finds the slot taken. */
-  #grant(target: GatewayTarget): SlotAnswer {
-    target.belief.start(this.clock.now());
-    return { kind: 'target', target };
+  /**
+   * Starts a call that is expected to be answered while its caller waits; one that would end too late
+   * takes a slot for nothing and is told so instead. Counts the call at once, so that the next one that
+   * asks finds the slot taken.
+   */
+  #start(
+    call: SlotCall,
+    { candidate, prospect }: Extract<ReturnType<SlotAdviser>, { kind: 'now' }>,
+  ): SlotAnswer {
+    const now = this.clock.now();
+    const duration = call.work * prospect.slowdown * call.spread;
+    if (call.mayBeRefused && now + duration > call.deadline) {
+      return { kind: 'refused', reason: 'no-room', wait: this.#chooseReturn(duration) };
+    }
+    candidate.belief.start(now);
+    return { kind: 'target', target: candidate };
+  }
+
+  /** Chooses when a caller may return: after the wait, and not together with others. */
+  #chooseReturn(wait: number): number {
+    return Math.max(LEAST_RETURN, wait * (1 + RETURN_SPREAD * this.random.next()));
   }
 
   #wait(call: SlotCall, isSure: boolean): Promise<SlotAnswer> {
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -243,11 +243,13 @@
   let clock: ManualClock;
   let target: GatewayTarget;
   let limit = 1;
+  let slowdown = 1;
   let queue: SlotQueue;
 
   beforeEach(() => {
     clock = new ManualClock();
     limit = 1;
+    slowdown = 1;
     const record = { incarnation: 'i', service: 's', domain: 'd', slots: 1, coldLeft: 0 };
     const address = { host: '127.0.0.1', port: 1 };
     target = new GatewayTarget(
@@ -257,7 +259,7 @@
     );
     queue = new SlotQueue(clock, createSeededRandom(7), () =>
       target.belief.inFlight < limit
-        ? { kind: 'now', candidate: target }
+        ? { kind: 'now', candidate: target, prospect: { slowdown } }
         : { kind: 'wait', pace: 1, slowdown: 1 },
     );
   });
@@ -303,6 +305,17 @@
     await Promise.all(asked);
     expect(order).to.deep.equal(['first', 'urgent', 'sooner', 'later', 'late']);
   });
+  // A slot for a call that can't be answered in time is lost for others, and its caller hears of it last.
+  it('are sent back rather than sent to a target that would not answer before the deadline', async () => {
+    slowdown = 7;
+    const answer = await ask('tight', { deadline: 300, mayBeRefused: true });
+    expect(answer).to.include({ kind: 'refused', reason: 'no-room' });
+    expect(target.belief.inFlight).to.equal(0);
+    expect((await ask('sent before', { deadline: 300 })).kind).to.equal('target');
+    slowdown = 1;
+    limit = 2;
+    expect((await ask('quick', { deadline: 300, mayBeRefused: true })).kind).to.equal('target');
+  });
   it('are sent back at once when their turn would not come in time, with the time to wait', async () => {
     order.length = 0;
     await ask('first');
--- a/test/measuring.test.ts
+++ b/test/measuring.test.ts
@@ -3,6 +3,7 @@
 import fc from 'fast-check';
 import { WindowBudget, computeProbeInterval } from '../src/balance/index.js';
 import { LoadSharing } from '../src/gateway/load-sharing.js';
+import { findProber } from '../src/gateway/prober.js';
 import { TargetSet } from '../src/gateway/target-set.js';
 import { ManualClock, createSeededRandom } from '../src/kernel/index.js';
 import type { LoadShare } from '../src/peering/index.js';
@@ -29,6 +30,21 @@
       }),
     );
   });
+  // Probes from afar were nearly all the bytes between failure domains, which are paid for.
+  it('is spent by the home in the failure domain of the target, where there is one', () => {
+    const homes = [
+      { ip: 'a', domain: 'd1' },
+      { ip: 'b', domain: 'd2' },
+      { ip: 'c', domain: 'd2' },
+    ];
+    const find = (domain: string, hash: number) =>
+      findProber({ hash, record: { domain } as TargetRecord }, homes);
+    const probers = (domain: string) =>
+      new Set(Array.from({ length: 60 }, (_, hash) => find(domain, hash)));
+    expect([...probers('d1')]).to.deep.equal(['a']);
+    expect([...probers('d2')]).to.have.members(['b', 'c']);
+    expect([...probers('d3')]).to.have.members(['a', 'b', 'c']);
+  });
   it('leaves most of it to the homes of a whole fleet', () => {
     const terms = { limit: 60, members: 17, present: 17, isHome: true };
     expect(computeProbeInterval(terms)).to.be.below(25);
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -42,7 +42,7 @@
   );
   const queue = new SlotQueue(clock, random, () =>
     target.belief.inFlight < SLOTS
-      ? { kind: 'now', candidate: target }
+      ? { kind: 'now', candidate: target, prospect: { slowdown: 1 } }
       : { kind: 'wait', pace: 1 / SLOTS, slowdown: 1 },
   );
   const played: Played[] = [];
