--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -221,8 +221,10 @@
       listLessons: () => ({
         services: this.#targets.listLessons(),
         routes: this.#reception.listLessons(),
+        homes: this.#roster.wanted,
       }),
-      onFound: ({ services, routes }) => {
+      onFound: ({ services, routes, homes }) => {
+        if (this.#roster.wanted < homes) this.#roster.setWanted(homes);
         this.#targets.absorb(services);
         this.#reception.absorb(routes);
       },
@@ -455,9 +457,10 @@
       if (this.#roster.listHomes()[0]?.ip !== this.#settings.gateway.ip) continue;
       const before = Math.max(this.#roster.wanted, this.#roster.listHomes().length);
       const busy = [this.#busy, ...this.#roster.listBusy()];
-      const planned = this.#homePlan.plan({
-        ...{ homes: before, least: this.#settings.tuning.homes, busy, now: this.#clock.now() },
-      });
+      const most = this.#roster.list().length;
+      const { homes: least } = this.#settings.tuning;
+      const load = { homes: before, least, busy, now: this.#clock.now() };
+      const planned = Math.min(most, this.#homePlan.plan(load));
       if (planned === before) continue;
       this.#roster.setWanted(planned);
       const parts = busy.map((part) => part.toFixed(2)).join(',');
--- a/src/gateway/lessons.ts
+++ b/src/gateway/lessons.ts
@@ -36,10 +36,12 @@
 export interface Lessons {
   readonly services: Readonly<Record<string, ServiceLesson>>;
   readonly routes: Readonly<Record<string, RouteLesson>>;
+  /** How many homes the load took. */
+  readonly homes: number;
 }
 
 /** The lessons of a daemon that has learnt nothing. */
-export const NO_LESSONS: Lessons = { services: {}, routes: {} };
+export const NO_LESSONS: Lessons = { services: {}, routes: {}, homes: 0 };
 
 /** A figure that differs by less from the one written is no news. */
 const CHANGED = 0.3;
@@ -68,6 +70,7 @@
     return {
       services: filterEntries<ServiceLesson>(value?.services, SERVICE_FIELDS),
       routes: filterEntries<RouteLesson>(value?.routes, ROUTE_FIELDS),
+      homes: Number.isInteger(value?.homes) ? Math.max(0, value?.homes ?? 0) : 0,
     };
   } catch {
     return NO_LESSONS;
@@ -75,11 +78,11 @@
 }
 
 /** Writes a record. */
-export function formatLessons({ services, routes }: Lessons): string {
+export function formatLessons({ services, routes, homes }: Lessons): string {
   const round = (_key: string, value: unknown) =>
     typeof value === 'number' ? Math.round(value * 100) / 100 : value;
   const kept = Object.fromEntries(Object.entries(routes).slice(0, MOST_ROUTES));
-  return JSON.stringify({ services, routes: kept }, round);
+  return JSON.stringify({ services, routes: kept, homes }, round);
 }
 
 function hasChanged<T extends object>(known: T | undefined, next: T): boolean {
@@ -93,6 +96,7 @@
 /** Whether something was learnt that the record does not tell, or tells quite differently. */
 export function supersedes(next: Lessons, written: Lessons): boolean {
   return (
+    hasChanged({ homes: written.homes }, { homes: next.homes }) ||
     Object.entries(next.services).some(([name, it]) => hasChanged(written.services[name], it)) ||
     Object.entries(next.routes)
       .slice(0, MOST_ROUTES)
@@ -151,6 +155,7 @@
     const lessons = {
       services: { ...this.#written.services, ...learnt.services },
       routes: { ...learnt.routes, ...this.#written.routes, ...learnt.routes },
+      homes: learnt.homes,
     };
     const text = formatLessons(lessons);
     const written = await store.write({ key: KEYS.lessons, text, expected: this.#revision });
--- a/src/peering/roster.ts
+++ b/src/peering/roster.ts
@@ -126,7 +126,7 @@
 
   /** Takes the plan of the first home. */
   setWanted(homes: number): void {
-    this.#wanted = Math.min(homes, this.#members.size);
+    this.#wanted = homes;
   }
 
   /** How busy the other homes are. */
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -63,7 +63,7 @@
   it('counts by time, service and cause, with the lines that were left out', async () => {
     const { code, json } = await runCommand(['account', join(folder, 'a.log')]);
     expect(code).to.equal(0);
-    const {rows} = (json as { rows: { service: string; cause: string; count: number }[] });
+    const { rows } = json as { rows: { service: string; cause: string; count: number }[] };
     expect(rows.map(({ service, cause, count }) => [service, cause, count])).to.deep.equal([
       ['alpha', 'late: waited', 5],
       ['beta', 'not-run: no-room, never sent', 1],
--- a/test/lessons.test.ts
+++ b/test/lessons.test.ts
@@ -22,6 +22,7 @@
 const LESSONS: Lessons = {
   services: { alpha: { mean: 2, slow: 5, life: 150, knee: 1.7 } },
   routes: { 'r/a/': { work: 220, spread: 1.35 } },
+  homes: 4,
 };
 
 const change = (life: number): Lessons => ({
@@ -42,12 +43,13 @@
         services: { ...LESSONS.services, bad: { mean: 1 }, none: null },
         routes: { worse: { work: -1, spread: 'x' } },
       });
-      expect(parseLessons(odd)).to.deep.equal({ services: LESSONS.services, routes: {} });
+      expect(parseLessons(odd)).to.deep.equal({ services: LESSONS.services, routes: {}, homes: 0 });
     });
     it('is news when something is new or quite different', () => {
       expect(supersedes(LESSONS, NO_LESSONS)).to.equal(true);
       expect(supersedes(LESSONS, LESSONS)).to.equal(false);
-      expect(supersedes(NO_LESSONS, LESSONS)).to.equal(false);
+      expect(supersedes({ ...NO_LESSONS, homes: 4 }, LESSONS)).to.equal(false);
+      expect(supersedes({ ...LESSONS, homes: 8 }, LESSONS)).to.equal(true);
       expect(supersedes(change(160), LESSONS)).to.equal(false);
       expect(supersedes(change(500), LESSONS)).to.equal(true);
     });
@@ -111,7 +113,7 @@
       await passTime();
       expect(standin.get(KEYS.lessons)).to.equal(undefined);
       standin.put(KEYS.lessons, formatLessons(LESSONS));
-      const more = { services: { beta: LESSONS.services.alpha }, routes: {} };
+      const more = { services: { beta: LESSONS.services.alpha }, routes: {}, homes: 4 };
       startBook(true, () => more);
       await passTime();
       const kept = parseLessons(standin.get(KEYS.lessons) ?? '');
