Lines of a request in a module of their own; nothing is sent back on a guess; slow is not stuck

Cause: two tests of the route's and the caller's time failed (503 for 504): a call of which nothing was known was sent back on first guesses of its work. Calls that met a slow target (5 times the work) counted as stuck at 4 times, so that healthy targets were doubted; read in the code. Change: only learnt work sends a call back; stuck is what takes longer than slow targets do.

--- a/src/balance/route-time.ts
+++ b/src/balance/route-time.ts
@@ -32,6 +32,13 @@
 
   #answers = 0;
 
+  #isTold = false;
+
+  /** Whether anything is known of the calls. */
+  get isKnown(): boolean {
+    return this.#answers > 0 || this.#isTold;
+  }
+
   /** Whether enough answers came to be of use to others. */
   get isTaught(): boolean {
     return this.#answers >= LEAST_ANSWERS;
@@ -40,6 +47,7 @@
   /** Takes what others have learnt, until an answer comes here. */
   absorb(lesson: { readonly work: number; readonly spread: number }): void {
     this.#first = lesson;
+    this.#isTold = true;
   }
 
   /** Learns from an answer whose target's slowdown was known. */
--- a/src/balance/second-attempt.ts
+++ b/src/balance/second-attempt.ts
@@ -45,15 +45,16 @@
 /** A last chance is taken when the first attempt would be late if it took this many times its estimate. */
 const RISK = 2;
 
-/** An attempt this many times over its expected time is stuck. */
+/** An attempt this many times over its expected time is stuck, where no target is known to be as slow. */
 const STUCK_FACTOR = 4;
 
 /** A call never has less than this part of its work before it, as far as anybody knows. */
 const LEAST_LEFT = 0.25;
 
 /** Whether an attempt has been at its target for far longer than it should. */
-export function isStuck({ work, elapsed, slowdown }: FirstAttempt): boolean {
-  return elapsed > STUCK_FACTOR * work * Math.max(1, slowdown);
+export function isStuck({ work, elapsed, slowdown, slow, spread }: FirstAttempt): boolean {
+  // A call that met a slow target, which no report told of, takes this long without anything being wrong.
+  return elapsed > work * Math.max(STUCK_FACTOR * Math.max(1, slowdown), slow * spread);
 }
 
 /**
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -15,7 +15,6 @@
   type RouteTime,
   isQuicker,
   isStuck,
-  judgeLateness,
   judgeNeed,
 } from '../balance/index.js';
 import { type Told, writeAnswer, writeTold } from './answers.js';
@@ -26,6 +25,7 @@
   type TargetAnswer,
   startTargetAttempt,
 } from './attempt.js';
+import { RequestLog } from './request-log.js';
 import type { SlotAnswer, SlotCall } from './slot-queue.js';
 import type { GatewayTarget } from './target.js';
 import type { TargetService } from './target-set.js';
@@ -102,6 +102,8 @@
 export class Forwarding {
   readonly #ledger: SendLedger;
 
+  readonly #log: RequestLog;
+
   readonly #running = new Set<RunningAttempt>();
 
   readonly #tried = new Set<GatewayTarget>();
@@ -112,9 +114,6 @@
 
   #sendings = 0;
 
-  /** When it was first sent to a target. */
-  #firstSentAt: number | undefined;
-
   #timers: Timer[] = [];
 
   #isOver = false;
@@ -130,6 +129,7 @@
     private readonly response: ServerResponse,
   ) {
     this.#ledger = new SendLedger(this.#isRepeatable);
+    this.#log = new RequestLog(context, request);
   }
 
   get #isRepeatable(): boolean {
@@ -215,6 +215,7 @@
       aimAt: Math.min(request.aimAt, request.deadline),
       deadline: request.deadline,
       work,
+      isWorkKnown: routeTime.isKnown,
       spread: routeTime.readSpread(),
       mayBeRefused: this.#sendings === 0,
       tried: this.#tried,
@@ -258,7 +259,7 @@
     const { request } = this;
     this.#tried.add(target);
     this.#sendings += 1;
-    this.#firstSentAt ??= this.context.clock.now();
+    this.#log.noteSent();
     this.#ledger.noteSent();
     const attempt = startTargetAttempt(
       target,
@@ -286,18 +287,18 @@
         this.#ledger.noteNotRun();
         this.#sendings -= 1;
         target.noteFailure(1);
-        this.#logEnd(attempt, outcome.kind, outcome.reason);
+        this.#log.tellFailure(attempt, outcome.kind, outcome.reason);
         if (this.#running.size === 0) this.#begin();
         return;
       case 'not-run':
         this.#ledger.noteNotRun();
         target.noteFailure(outcome.cause === 'shed' ? 0.5 : 1);
-        this.#logEnd(attempt, outcome.kind, outcome.cause);
+        this.#log.tellFailure(attempt, outcome.kind, outcome.cause);
         this.#repeat('no-room');
         return;
       case 'lost':
         target.noteFailure(1);
-        this.#logEnd(attempt, outcome.kind, outcome.reason);
+        this.#log.tellFailure(attempt, outcome.kind, outcome.reason);
         this.#repeat('lost');
         return;
       case 'cancelled':
@@ -313,7 +314,7 @@
     const isFailure = answer.status >= SERVER_ERROR;
     if (isFailure) {
       target.noteFailure(1);
-      this.#logEnd(attempt, 'failed', `status ${answer.status}`);
+      this.#log.tellFailure(attempt, 'failed', `status ${answer.status}`);
       if (this.#isRepeatable && this.#running.size > 0) return;
       if (this.#isRepeatable && this.#mayRepeat()) {
         this.context.counts.retries += 1;
@@ -327,7 +328,7 @@
     }
     if (isFailure) this.context.counts.failed += 1;
     else this.context.counts.answered += 1;
-    this.#logAnswer(attempt);
+    this.#log.tellAnswer(attempt, this.context.routeTime.readWork());
     writeAnswer(this.response, answer);
   }
 
@@ -432,65 +433,10 @@
   }
 
   #tell(told: Told): void {
-    const { counts, log, clock } = this.context;
-    const { id, route, service, arrivedAt } = this.request;
-    const reason = 'reason' in told ? told.reason : '';
-    this.context.metrics.count('request_told', { service: service.name, told: told.kind, reason });
+    const { counts } = this.context;
     if (told.kind === 'not-run') counts.notRun += 1;
     else counts.unknown += 1;
-    log.info('request.told', {
-      ...{ id, route: route.name, service: service.name, told: told.kind },
-      ...{ reason: 'reason' in told ? told.reason : undefined, sendings: this.#sendings },
-      held: Math.round(clock.now() - arrivedAt),
-    });
-    writeTold(this.response, id, told);
-  }
-
-  #logAnswer({ target, startedAt, timing }: RunningAttempt): void {
-    const { clock, log } = this.context;
-    const { id, route, arrivedAt } = this.request;
-    const now = clock.now();
-    this.context.metrics.observe('request_held_ms', { route: route.name }, now - arrivedAt);
-    this.context.metrics.observe('attempt_head_ms', { route: route.name }, timing.head);
-    this.#logLateness(target, now);
-    log.debug('request.answered', {
-      ...{ id, route: route.name, target: target.record.incarnation, sendings: this.#sendings },
-      ...{ before: Math.round(startedAt - arrivedAt), connect: Math.round(timing.connected) },
-      ...{ head: Math.round(timing.head), held: Math.round(now - arrivedAt) },
-      ...{ slowdown: target.belief.lastSlowdown, calls: target.belief.countCalls(now, 1) },
-    });
-  }
-
-  /** Tells of an answer that came after its aim, and why. */
-  #logLateness(target: GatewayTarget, now: number): void {
-    const { log, metrics, routeTime } = this.context;
-    const { id, route, arrivedAt, aimAt, service } = this.request;
-    const times = {
-      ...{ aimLeft: aimAt - arrivedAt, waited: (this.#firstSentAt ?? now) - arrivedAt },
-      ...{ held: now - arrivedAt, sendings: this.#sendings },
-    };
-    const why = judgeLateness(times, routeTime.readWork());
-    if (why === 'in-time') return;
-    metrics.count('answers_late', { service: service.name, why });
-    log.info('request.late', {
-      ...{ id, route: route.name, service: service.name, why },
-      ...{ aim_left: Math.round(times.aimLeft), waited: Math.round(times.waited) },
-      ...{ held: Math.round(times.held), sendings: this.#sendings },
-      ...{ target: target.record.incarnation, calls: target.belief.countCalls(now, 1) },
-    });
-  }
-
-  #logEnd({ target, startedAt }: RunningAttempt, outcome: string, reason: string): void {
-    const { clock, log } = this.context;
-    const now = clock.now();
-    const { service } = this.request;
-    this.context.metrics.count('attempt_failed', { service: service.name, outcome });
-    log.info('attempt.failed', {
-      ...{ id: this.request.id, service: service.name },
-      ...{ target: target.record.incarnation, outcome, reason },
-      ...{ took: Math.round(now - startedAt), calls: target.belief.countCalls(now, 1) },
-      report_age: Math.round(now - target.belief.reportedAt),
-      slowdown: target.belief.lastSlowdown,
-    });
+    this.#log.tellOwnAnswer(told);
+    writeTold(this.response, this.request.id, told);
   }
 }
--- a/src/gateway/slot-queue.ts
+++ b/src/gateway/slot-queue.ts
@@ -30,6 +30,8 @@
   readonly priority: number;
   /** How long the call takes at a usual, idle target, in milliseconds. */
   readonly work: number;
+  /** Whether calls of its route have taught that; nothing is sent back for a guess. */
+  readonly isWorkKnown: boolean;
   /** When an answer stops to be fully useful. */
   readonly aimAt: number;
   /** When the call is given up. */
@@ -62,12 +64,14 @@
   | { readonly kind: 'none' };
 
 /** Calls of a lower rank go first. */
-const enum Rank {
-  InTime,
+const RANKS = {
+  inTime: 0,
   /** It would be in time if its turn came now; nothing is kept free for it. */
-  Unsure,
-  Late,
-}
+  unsure: 1,
+  late: 2,
+} as const;
+
+type Rank = (typeof RANKS)[keyof typeof RANKS];
 
 interface WaitingCall {
   readonly call: SlotCall;
@@ -183,7 +187,7 @@
     const ordered = this.#order();
     for (const waiting of ordered) {
       const { call, resolve } = waiting;
-      const hasTurn = this.#rank(waiting) === Rank.InTime;
+      const hasTurn = this.#rank(waiting) === RANKS.inTime;
       const refusal = !hasTurn
         ? this.#follow(call, judgeLate(this.#describeTerms(call), this.#describeOutlook(ahead)))
         : undefined;
@@ -199,7 +203,7 @@
   }
 
   #follow(call: SlotCall, admission: Admission): SlotAnswer | undefined {
-    if (admission.kind !== 'refuse' || !call.mayBeRefused) return undefined;
+    if (admission.kind !== 'refuse' || !call.mayBeRefused || !call.isWorkKnown) return undefined;
     return { kind: 'refused', reason: 'no-room', wait: this.#chooseReturn(admission.wait) };
   }
 
@@ -239,7 +243,7 @@
   ): SlotAnswer {
     const now = this.clock.now();
     const duration = call.work * prospect.slowdown * call.spread;
-    if (call.mayBeRefused && now + duration > call.deadline) {
+    if (call.mayBeRefused && call.isWorkKnown && now + duration > call.deadline) {
       return { kind: 'refused', reason: 'no-room', wait: this.#chooseReturn(duration) };
     }
     candidate.belief.start(now);
@@ -279,8 +283,8 @@
   }
 
   #rank({ call, isSure }: Pick<WaitingCall, 'call' | 'isSure'>): Rank {
-    if (this.#isLate(call)) return Rank.Late;
-    return isSure ? Rank.InTime : Rank.Unsure;
+    if (this.#isLate(call)) return RANKS.late;
+    return isSure ? RANKS.inTime : RANKS.unsure;
   }
 
   #compare(
@@ -290,7 +294,7 @@
     const rank = this.#rank(a);
     const urgency = rank - this.#rank(b) || a.call.priority - b.call.priority;
     if (urgency !== 0) return urgency;
-    return rank === Rank.Late ? a.call.deadline - b.call.deadline : a.call.aimAt - b.call.aimAt;
+    return rank === RANKS.late ? a.call.deadline - b.call.deadline : a.call.aimAt - b.call.aimAt;
   }
 
   /** Counts those that go before a call if it is let in to be in time. */
@@ -298,7 +302,7 @@
     const ahead = { inTime: 0, late: 0 };
     for (const waiting of this.#waiting) {
       if (this.#compare(waiting, { call, isSure: true }) > 0) continue;
-      if (this.#rank(waiting) === Rank.InTime) ahead.inTime += 1;
+      if (this.#rank(waiting) === RANKS.inTime) ahead.inTime += 1;
       else ahead.late += 1;
     }
     return ahead;
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -51,6 +51,7 @@
     const entry: Played = { at: now };
     played.push(entry);
     const wish: SlotCall = {
+      isWorkKnown: true,
       ...{ priority: 1, aimAt, deadline: now + DEADLINE, work: WORK, spread: 1.4 },
       ...{ mayBeRefused: true, tried: new Set<GatewayTarget>(), bodyBytes: 0 },
     };
