--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -11,22 +11,15 @@
 } from '../kernel/index.js';
 import { WindowBudget } from '../balance/index.js';
 import { type Knowledge, FeedClient, type MemberInfo, type MemberState } from '../peering/index.js';
-import {
-  HomePlan,
-  MemberRegistry,
-  PeerLink,
-  ReaderDuty,
-  Roster,
-  serveFeed,
-} from '../peering/index.js';
+import { MemberRegistry, PeerLink, ReaderDuty, Roster, serveFeed } from '../peering/index.js';
 import { type ResolveQuestion, kvStoreService } from '../platform/index.js';
 import type { RouteTable } from '../routing/index.js';
 import { FleetView, StoreReader } from '../view/index.js';
 import { chooseHomes } from './address-choice.js';
-import { BusyMeter, createUtilizationReader } from './busy-meter.js';
 import { CallerServer } from './caller-server.js';
 import { serveDirectory, serveMetrics, serveReadiness } from './directory.js';
 import { LoadSharing } from './load-sharing.js';
+import { HomePlanner } from './home-planner.js';
 import { LessonBook } from './lessons.js';
 import { watchLoopLag } from './loop-lag.js';
 import { Prober } from './prober.js';
@@ -88,9 +81,6 @@
 
 const STOP_PACE = 20;
 
-/** Time between two looks at how busy this daemon is. */
-const PLAN_PACE = 500;
-
 const STATUS_PACE = 5000;
 
 /** The gateway daemon of one VM. */
@@ -139,11 +129,7 @@
 
   #startedAt = -Infinity;
 
-  readonly #busyMeter: BusyMeter;
-
-  readonly #homePlan = new HomePlan();
-
-  #busy = 0;
+  readonly #planner: HomePlanner;
 
   #lookups = 0;
 
@@ -196,10 +182,13 @@
       isReader: () => this.#duty.isReader(),
     });
     const [port = 0] = gateway.peer_ports;
-    this.#busyMeter = new BusyMeter(clock, createUtilizationReader());
+    this.#planner = new HomePlanner({
+      ...{ clock, log, roster: this.#roster, self: gateway.ip },
+      readLeast: () => this.#settings.tuning.homes,
+    });
     this.#link = new PeerLink({
       ...{ address: { host: gateway.ip, port }, readSelf, selfState, roster: this.#roster },
-      ...{ clock, log, readBusy: () => this.#busy },
+      ...{ clock, log, readBusy: () => this.#planner.busy },
       readKnowledge: () => this.#readKnowledge(),
       onKnowledge: (from, knowledge) => {
         this.#hear(from, knowledge).catch(() => undefined);
@@ -305,7 +294,7 @@
       this.#prober.run(signal),
       this.#sharing.run(signal),
       this.#trim(signal),
-      this.#planHomes(signal),
+      this.#planner.run(signal),
       watchLoopLag({ clock: this.#clock, log: this.#log, metrics: this.#metrics }, signal),
       this.#reportStatus(signal),
     ];
@@ -449,25 +438,6 @@
     return this.#state === 'ready' ? [formatAddress(this.#settings.gateway.callers)] : [];
   }
 
-  /** Measures how busy this daemon is, and as the first home how many homes that calls for. */
-  async #planHomes(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      await this.#clock.sleep(PLAN_PACE, signal);
-      this.#busy = this.#busyMeter.read();
-      if (this.#roster.listHomes()[0]?.ip !== this.#settings.gateway.ip) continue;
-      const before = Math.max(this.#roster.wanted, this.#roster.listHomes().length);
-      const busy = [this.#busy, ...this.#roster.listBusy()];
-      const most = this.#roster.list().length;
-      const { homes: least } = this.#settings.tuning;
-      const load = { homes: before, least, busy, now: this.#clock.now() };
-      const planned = Math.min(most, this.#homePlan.plan(load));
-      if (planned === before) continue;
-      this.#roster.setWanted(planned);
-      const parts = busy.map((part) => part.toFixed(2)).join(',');
-      this.#log.info('homes.planned', { before, after: this.#roster.wanted, busy: parts });
-    }
-  }
-
   #readAnswerTtl(): number {
     const { promises, tuning } = this.#settings;
     const usual = Math.min(ANSWER_TTL, promises.answer_ttl * 1000);
@@ -487,7 +457,7 @@
   #readStatus(): GatewayStatus {
     const homes = this.#roster.listHomes().map(({ ip }) => ip);
     return {
-      ...{ state: this.#state, homes, isHome: this.#isHome(), busy: this.#busy },
+      ...{ state: this.#state, homes, isHome: this.#isHome(), busy: this.#planner.busy },
       members: this.#roster.list().length,
       version: this.#view.table?.version,
       proofAge: this.#clock.now() - this.#view.provenAt,
--- /dev/null
+++ b/src/gateway/home-planner.ts
@@ -0,0 +1,58 @@
+/** Measures how busy this daemon is and, while it is the first home, plans how many homes there are. */
+import type { Clock, Log } from '../kernel/index.js';
+import { HomePlan, type Roster } from '../peering/index.js';
+import { BusyMeter, createUtilizationReader } from './busy-meter.js';
+
+/** What the planner is made from. */
+export interface HomePlannerOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly roster: Roster;
+  /** IP number of this daemon. */
+  readonly self: string;
+  /** Homes that the settings ask for at least. */
+  readonly readLeast: () => number;
+}
+
+/** Time between two looks, in milliseconds. */
+const PACE = 500;
+
+/** The planner of one daemon. */
+export class HomePlanner {
+  readonly #plan = new HomePlan();
+
+  readonly #meter: BusyMeter;
+
+  #busy = 0;
+
+  constructor(private readonly options: HomePlannerOptions) {
+    this.#meter = new BusyMeter(options.clock, createUtilizationReader());
+  }
+
+  /** The part of its time in which this daemon was at work of late, from 0 to 1. */
+  get busy(): number {
+    return this.#busy;
+  }
+
+  /** Measures and plans until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, roster, self } = this.options;
+    while (!signal.aborted) {
+      await clock.sleep(PACE, signal);
+      this.#busy = this.#meter.read();
+      if (roster.listHomes()[0]?.ip === self) this.#planHomes();
+    }
+  }
+
+  #planHomes(): void {
+    const { clock, log, roster, readLeast } = this.options;
+    const before = Math.max(roster.wanted, roster.listHomes().length);
+    const busy = [this.#busy, ...roster.listBusy()];
+    const load = { homes: before, least: readLeast(), busy, now: clock.now() };
+    const planned = Math.min(roster.list().length, this.#plan.plan(load));
+    if (planned === before) return;
+    roster.setWanted(planned);
+    const parts = busy.map((part) => part.toFixed(2)).join(',');
+    log.info('homes.planned', { before, after: roster.wanted, busy: parts });
+  }
+}
