--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -30,8 +30,8 @@
 
 /**
  * Time between two datagrams to or from a daemon that is no home. All of them may serve at once, and
- * at 20 ms they took so much of a home's core under overload that four times as many calls were held
- * to their end (zvolen-nabytok scale-1, 2026-12-02).
+ * at 20 ms their words took so much of a home's core under overload that four times as many calls were
+ * held to their end.
  */
 const NON_HOME_PACE = 100;
 
