A test of waiting calls holds them long enough to be seen waiting

Cause: beside 25 runnable processes on 8 cores, 16 calls of 40 ms trickled in so slowly that never 12 waited at once. Each call takes 300 ms now; what is asserted is unchanged.

--- a/test/decisions.test.ts
+++ b/test/decisions.test.ts
@@ -121,7 +121,8 @@
   it('urgent calls pass ahead of those that wait', async () => {
     const classes =
       '[class urgent]\nweight = 100\nwait = 5s\n[class normal]\nweight = 1\nwait = 5s';
-    await open(1, '', classes, 40);
+    // Long enough that all have come before the first ones end, also on a busy machine.
+    await open(1, '', classes, 300);
     const order: string[] = [];
     const note = (name: string) => () => {
       order.push(name);
