--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -87,6 +87,8 @@
   /** Least time between two probes of one target from here. */
   readonly least: number;
   readonly interval: number;
+  /** A report younger than this is not asked for again. */
+  readonly rest: number;
   /** Probes a second that the service's calls are worth here. */
   readonly worth: number;
 }
@@ -198,8 +200,10 @@
     const worth = Math.max(isHome ? LEAST_PROBES : 0, PROBES_PER_CALL * calls);
     // At this interval a home's part of the targets takes no more probes than that.
     const affordable = (service.targets.size / Math.max(1, homes.length) / worth) * 1000;
-    const interval = Math.max(least, affordable, this.#readInterval(service));
-    return { homes, isHome, least, interval, worth };
+    const wanted = this.#readInterval(service);
+    const interval = Math.max(least, affordable, wanted);
+    // Each target is looked at once in the wanted interval, so it may be due half of that early.
+    return { homes, isHome, least, interval, rest: interval - wanted / 2, worth };
   }
 
   /**
@@ -232,12 +236,12 @@
    * Homes divide the targets among themselves; what a home has not heard of in time it asks itself.
    * Others hear from the homes, and ask only what their small part of the agreed number allows.
    */
-  #isDue(target: GatewayTarget, { homes, isHome, least, interval }: ProbePlan): boolean {
+  #isDue(target: GatewayTarget, { homes, isHome, least, interval, rest }: ProbePlan): boolean {
     const now = this.options.clock.now();
     // A target that does not answer is due again no sooner than the others.
-    if (now - target.probedAt < Math.max(least, interval / 2)) return false;
+    if (now - target.probedAt < Math.max(least, rest)) return false;
     const age = now - target.belief.slowdownAt;
-    if (age < interval / 2) return false;
+    if (age < rest) return false;
     const isMine = isHome && findProber(target, homes) === this.options.self;
     return isMine || age >= interval * STAND_IN_FACTOR;
   }
