Settings files of both daemons are checked by one function

The loop over sections stood in settings/entry.ts and gateway/settings.ts; settings/file.ts serves both.

--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -1,11 +1,10 @@
 /** The settings of a gateway daemon, in INI. */
-import { Either, Left, Right } from 'purify-ts';
+import { type Either } from 'purify-ts';
 import { LOG_LEVELS } from '../kernel/index.js';
-import { type Mistake, readIni } from '../settings/ini.js';
+import { type SectionValues, checkSettingsFile } from '../settings/file.js';
+import { type Mistake } from '../settings/ini.js';
 import {
   type Fields,
-  type Values,
-  checkSection,
   describeAddress,
   describeChoice,
   describeDuration,
@@ -86,37 +85,12 @@
 } as const;
 
 /** The checked settings of a gateway daemon. */
-export interface GatewaySettings {
-  readonly gateway: Values<typeof gatewayFields>;
-  readonly machine: Values<typeof machineFields>;
-  readonly platform: Values<typeof platformFields>;
-  readonly promises: Values<typeof promiseFields>;
-  readonly tuning: Values<typeof tuningFields>;
-  readonly log: Values<typeof logFields>;
-}
+export type GatewaySettings = SectionValues<typeof gatewaySections>;
 
 /** Checks the text of a settings file; all its mistakes come together. */
 export function checkGatewaySettings(
   file: string,
   text: string,
 ): Either<readonly Mistake[], GatewaySettings> {
-  const ini = readIni(file, text);
-  const mistakes: Mistake[] = [...ini.mistakes];
-  const checked: Record<string, unknown> = {};
-  for (const [name, fields] of Object.entries(gatewaySections)) {
-    const section = ini.sections.find((candidate) => candidate.name === name) ?? {
-      ...{ name, line: 0, entries: [] },
-    };
-    checkSection(file, section, fields as Fields)
-      .ifLeft((more) => mistakes.push(...more))
-      .ifRight((values) => {
-        checked[name] = values;
-      });
-  }
-  const known = Object.keys(gatewaySections);
-  for (const { name, line } of ini.sections) {
-    if (known.includes(name)) continue;
-    mistakes.push({ file, line, what: `unknown section [${name}]`, expected: known.join(', ') });
-  }
-  return mistakes.length > 0 ? Left(mistakes) : Right(checked as unknown as GatewaySettings);
+  return checkSettingsFile(file, text, gatewaySections);
 }
--- a/src/settings/entry.ts
+++ b/src/settings/entry.ts
@@ -1,11 +1,10 @@
 /** The settings of an entry daemon: where it listens, its failure domain, whom it talks to. */
-import { Either, Left, Right } from 'purify-ts';
+import { type Either, Left, Right } from 'purify-ts';
 import { LOG_LEVELS } from '../kernel/index.js';
-import { type Mistake, readIni } from './ini.js';
+import { type SectionValues, checkSettingsFile } from './file.js';
+import { type Mistake } from './ini.js';
 import {
   type Fields,
-  type Values,
-  checkSection,
   describeAddress,
   describeChoice,
   describeDuration,
@@ -16,7 +15,6 @@
   describeOptionalText,
   describeText,
 } from './schema.js';
-import { suggestName } from './suggest.js';
 
 const entryFields = {
   name: describeName('Name of this VM, shown in status and logs'),
@@ -91,9 +89,7 @@
 } as const;
 
 /** The checked settings of an entry daemon. */
-export type EntrySettings = {
-  readonly [S in keyof typeof entrySections]: Values<(typeof entrySections)[S]>;
-};
+export type EntrySettings = SectionValues<typeof entrySections>;
 
 const MIN_SECRET = 16;
 
@@ -124,26 +120,8 @@
   file: string,
   text: string,
 ): Either<readonly Mistake[], EntrySettings> {
-  const ini = readIni(file, text);
-  const mistakes: Mistake[] = [...ini.mistakes];
-  const known = Object.keys(entrySections);
-  for (const section of ini.sections) {
-    if (known.includes(section.name)) continue;
-    const what = `unknown section [${section.name}]`;
-    mistakes.push({ file, line: section.line, what, expected: suggestName(section.name, known) });
-  }
-  const values: Record<string, unknown> = {};
-  for (const [name, fields] of Object.entries(entrySections)) {
-    const found = ini.sections.find((section) => section.name === name);
-    const section = found ?? { name, line: 0, entries: [] };
-    checkSection(file, section, fields as Fields)
-      .ifLeft((more) => mistakes.push(...more))
-      .ifRight((checked) => {
-        values[name] = checked;
-      });
-  }
-  if (mistakes.length > 0) return Left(mistakes);
-  const settings = values as unknown as EntrySettings;
-  const meaning = checkMeaning(file, settings);
-  return meaning.length > 0 ? Left(meaning) : Right(settings);
+  return checkSettingsFile(file, text, entrySections).chain((settings) => {
+    const meaning = checkMeaning(file, settings);
+    return meaning.length > 0 ? Left(meaning) : Right(settings);
+  });
 }
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -2,4 +2,5 @@
 export * from './ini.js';
 export * from './suggest.js';
 export * from './schema.js';
+export * from './file.js';
 export * from './entry.js';
