--- a/test/gateway-settings.test.ts
+++ b/test/gateway-settings.test.ts
@@ -65,7 +65,12 @@
     ],
     ['a number', 'grace = 6', 'grace = soon', '[promises] grace = "soon"; expected a whole number'],
     ['a misspelt key', 'grace = 6', 'grase = 6', 'unknown key "grase" in [promises]'],
-    ['an unknown section', '[machine]', '[machines]', 'unknown section [machines]; expected "machine"'],
+    [
+      'an unknown section',
+      '[machine]',
+      '[machines]',
+      'unknown section [machines]; expected "machine"',
+    ],
   ] as const) {
     it(`says where ${what} is wrong, and what was expected`, () => {
       const text = writeSettings(FIELDS).replace(from, to);
