Lines of lost attempts tell which request it was and whether its target ended

Cause of the gap: a lost attempt was told with the id of its try, another one each time, and a reset in the same words whether the target lives or not.

No choice changes; a repeat after a loss waits for that connection, one way there and back, which the next call to that target uses.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -41,8 +41,8 @@
   | { readonly kind: 'not-connected'; readonly reason: string }
   /** The target said that it did not run the request. */
   | { readonly kind: 'not-run'; readonly cause: 'shed' | 'misdirected' }
-  /** It was sent and no whole answer came. */
-  | { readonly kind: 'lost'; readonly reason: string }
+  /** It was sent and no whole answer came; `isEnded` tells whether its target has ended. */
+  | { readonly kind: 'lost'; readonly reason: string; readonly isEnded: boolean }
   /** Given up by this daemon; `sent` tells whether the target may have had it. */
   | { readonly kind: 'cancelled'; readonly sent: boolean };
 
@@ -134,6 +134,14 @@
     this.#resolve(outcome);
   }
 
+  /** Settles an attempt that brought no whole answer, once it is known what became of its target. */
+  #lose(reason: string): void {
+    if (this.#isSettled) return;
+    this.#isSettled = true;
+    const resolve = (isEnded: boolean) => this.#resolve({ kind: 'lost', reason, isEnded });
+    this.target.findEnded().then(resolve, () => resolve(false));
+  }
+
   #write(connection: TargetConnection): void {
     const { method, path, headers, body } = this.sending;
     const request = http.request({
@@ -142,7 +150,7 @@
     });
     this.#request = request;
     request.on('error', (error: NodeJS.ErrnoException) => {
-      this.#settle({ kind: 'lost', reason: error.code ?? error.message });
+      this.#lose(error.code ?? error.message);
     });
     request.on('response', (response) => this.#read(response, connection));
     if (body === undefined || Buffer.isBuffer(body)) request.end(body);
@@ -152,15 +160,17 @@
   #read(response: IncomingMessage, connection: TargetConnection): void {
     const { target } = this;
     this.timing.head = this.clock.now() - this.startedAt;
-    const stop = (outcome: AttemptOutcome) => {
-      this.#settle(outcome);
+    response.on('error', (error) => {
+      this.#lose(error.message);
       connection.socket.destroy();
-    };
-    response.on('error', (error) => stop({ kind: 'lost', reason: error.message }));
+    });
     const echoed = readHeader(response, HEADERS.requestId);
     if (echoed !== undefined && echoed !== this.sending.requestId) {
       target.noteStrayBytes();
-      stop({ kind: 'lost', reason: 'the answer belongs to another request' });
+      this.#settle({
+        ...{ kind: 'lost', reason: 'the answer belongs to another request', isEnded: false },
+      });
+      connection.socket.destroy();
       return;
     }
     const status = response.statusCode ?? 0;
@@ -204,11 +214,11 @@
     };
     const onEnd = () => {
       if (response.complete) this.#settle(answer(undefined));
-      else this.#settle({ kind: 'lost', reason: 'the answer broke off' });
+      else this.#lose('the answer broke off');
     };
     response.on('data', onData);
     response.on('end', onEnd);
-    response.on('aborted', () => this.#settle({ kind: 'lost', reason: 'the answer broke off' }));
+    response.on('aborted', () => this.#lose('the answer broke off'));
   }
 }
 
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -25,6 +25,12 @@
   | { readonly kind: 'connected'; readonly connection: TargetConnection }
   | { readonly kind: 'not-connected'; readonly reason: string };
 
+/** Whether anybody listens at an address. */
+export type Presence = 'somebody' | 'nobody' | 'unknown';
+
+/** How the system tells that nobody listens: a machine that is cut off or frozen tells nothing. */
+const REFUSED = 'ECONNREFUSED';
+
 /** Longest wait for a new connection: a hundred times the usual, and short of what callers notice. */
 const CONNECT_TIMEOUT = 250;
 
@@ -52,6 +58,8 @@
 
   #open = 0;
 
+  #asking: Promise<Presence> | undefined;
+
   constructor(
     private readonly address: Address,
     private readonly clock: Clock,
@@ -70,6 +78,16 @@
     return this.#connect();
   }
 
+  /** Finds out by a new connection whether anybody listens; it is kept for the next call. */
+  async findPresence(): Promise<Presence> {
+    this.#asking ??= this.#askPresence();
+    try {
+      return await this.#asking;
+    } finally {
+      this.#asking = undefined;
+    }
+  }
+
   /** Closes connections that have rested too long. */
   trim(): void {
     const now = this.clock.now();
@@ -83,6 +101,13 @@
     for (const connection of [...this.#resting]) connection.socket.destroy();
   }
 
+  async #askPresence(): Promise<Presence> {
+    const asked = await this.#connect();
+    if (asked.kind === 'not-connected') return asked.reason === REFUSED ? 'nobody' : 'unknown';
+    asked.connection.socket.emit('free');
+    return 'somebody';
+  }
+
   #takeResting(maxRest: number): TargetConnection | undefined {
     const now = this.clock.now();
     for (;;) {
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -26,6 +26,7 @@
   startTargetAttempt,
 } from './attempt.js';
 import { RequestLog } from './request-log.js';
+import type { RequestIdentity } from './request-identity.js';
 import type { SlotAnswer, SlotCall } from './slot-queue.js';
 import type { GatewayTarget } from './target.js';
 import type { TargetService } from './target-set.js';
@@ -45,6 +46,8 @@
   readonly deadline: number;
   readonly method: string;
   readonly path: string;
+  /** What makes another try the same request. */
+  readonly identity: RequestIdentity;
   readonly body: Sending['body'];
   /** Length of the body, as far as it is known. */
   readonly bodyBytes: number;
@@ -306,7 +309,9 @@
         return;
       case 'lost':
         target.noteFailure(1);
-        this.#log.tellFailure(attempt, outcome.kind, outcome.reason);
+        this.#log.tellFailure(attempt, outcome.kind, outcome.reason, {
+          ...{ ended: outcome.isEnded, request: this.request.identity.whole },
+        });
         this.#repeat('lost');
         return;
       case 'cancelled':
--- a/src/gateway/reception.ts
+++ b/src/gateway/reception.ts
@@ -22,6 +22,7 @@
   readBody,
 } from './intake.js';
 import type { Lessons, RouteLesson } from './lessons.js';
+import { RequestIdentity } from './request-identity.js';
 import { RequestLog } from './request-log.js';
 import type { TargetSet } from './target-set.js';
 
@@ -259,12 +260,17 @@
     const { id, route, arrivedAt, cameAt, aimAt, deadline } = admitted;
     const passed = buildPassedHeaders(request);
     const length = body.kind === 'whole' ? body.data?.length : readLength(request);
-    return {
-      ...{ id, route, arrivedAt, cameAt, aimAt, deadline },
-      service: this.options.targets.find(admitted.service),
+    const sent = {
       ...{ method: request.method ?? 'GET', path: request.url ?? '/' },
       body: body.kind === 'whole' ? body.data : body.source,
       bodyBytes: length ?? 0,
+    };
+    const { host = '' } = request.headers;
+    const caller = request.socket.remoteAddress ?? '';
+    return {
+      ...{ id, route, arrivedAt, cameAt, aimAt, deadline, ...sent },
+      service: this.options.targets.find(admitted.service),
+      identity: new RequestIdentity({ ...sent, host, caller }),
       buildHeaders: (target, timeLeft) => buildTargetHeaders(passed, target, { timeLeft, length }),
     };
   }
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -229,7 +229,7 @@
         service.targets.delete(incarnation);
         service.noteChange();
         this.#byHash.delete(target.hash);
-        target.connections.close();
+        target.leave();
       }
     }
     for (const [incarnation, entry] of listed) {
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -73,6 +73,8 @@
 
   #misdirected = false;
 
+  #isGone = false;
+
   /** When this daemon last sent a probe there. */
   probedAt = -Infinity;
 
@@ -100,6 +102,26 @@
     return this.record.state === 'ready' && !this.#misdirected;
   }
 
+  /**
+   * Whether the target has ended without having said that it would. One that resets a connection, is cut off or
+   * frozen has not: of those nobody refuses a new connection.
+   */
+  async findEnded(): Promise<boolean> {
+    if (this.#isLeaving) return false;
+    const presence = await this.connections.findPresence();
+    return presence === 'nobody' && !this.#isLeaving;
+  }
+
+  /** Notes that the target is in use no more. */
+  leave(): void {
+    this.#isGone = true;
+    this.connections.close();
+  }
+
+  get #isLeaving(): boolean {
+    return this.#isGone || this.record.state === 'draining';
+  }
+
   /** Takes a newer entry. */
   update(listed: ListedTarget): void {
     this.#listed = listed;
