--- a/src/standin/site.ts
+++ b/src/standin/site.ts
@@ -51,12 +51,13 @@
 /** Writes a target's entry as the target would. */
 export function writeTarget(
   address: Address,
-  { service = 'alpha', state = 'ready', seq = 1, cold = 0 } = {},
+  { service = 'alpha', state = 'ready', seq = 1, cold = 0, born = 0, version = 'v1' } = {},
 ): string {
   return JSON.stringify({
     address: formatAddress(address),
-    info: { service, version: 'v1', zone: 'd1', slots: 4 },
+    info: { service, version, zone: 'd1', slots: 4 },
     status: { state, seq, warmup_left_ms: cold },
+    born,
   });
 }
 
@@ -86,6 +87,9 @@
 
   behaviour: Behaviour | undefined;
 
+  /** How often its process has ended and taken all that it ran with it. */
+  crashes = 0;
+
   readonly #sockets = new Set<Socket>();
 
   readonly #server = http.createServer((request, response) => {
@@ -114,6 +118,21 @@
     for (const socket of this.#sockets) socket.destroy();
   }
 
+  /** Ends as a process does that crashes: its connections are reset, and nobody listens. */
+  crash(): void {
+    this.crashes += 1;
+    this.#server.close();
+    for (const socket of this.#sockets) socket.resetAndDestroy();
+  }
+
+  /** Starts again at the address that it had, knowing nothing of before. */
+  async restart(): Promise<void> {
+    const { host, port } = this.address;
+    await new Promise<void>((resolve) => {
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
   /** Answers a request well. */
   answer(request: IncomingMessage, response: ServerResponse, body = this.incarnation): void {
     response.writeHead(200, {
