--- a/src/balance/index.ts
+++ b/src/balance/index.ts
@@ -19,3 +19,4 @@
 export * from './probe-share.js';
 export * from './second-attempt.js';
 export * from './candidates.js';
+export * from './poison.js';
--- /dev/null
+++ b/src/balance/poison.ts
@@ -0,0 +1,284 @@
+/**
+ * Which requests targets end under: a poison request (query of death) crashes whoever begins to run it.
+ *
+ * The pattern answered: one look-up that its caller, this daemon and the other daemons repeat, each time at a target
+ * that ends some ten milliseconds later with all that it runs. Eight targets behind three daemons ended 58 to 66
+ * times in four seconds of it; twice with this record. A target that ends takes some innocent requests with it for each guilty one, so
+ * a single end blames nobody: whoever lost a target may run again, apart from others that did, and whoever is
+ * answered is innocent. Under whom a second target ends, is held out.
+ *
+ * Only requests that lost a target are remembered. What daemons tell each other of one may come in any order and
+ * more than once.
+ */
+
+/** What is known of one request. */
+export interface PoisonCase {
+  /** Stands for the request; begins with its head. */
+  readonly request: string;
+  /** Stand for the lives of targets that ended while they ran it; none when it was answered since. */
+  readonly ended: readonly number[];
+  /** Releases of those targets. */
+  readonly releases: readonly string[];
+  /** When the last of them ended, or when it was answered; in milliseconds on this daemon's clock. */
+  readonly changedAt: number;
+}
+
+/** The end of a target as seen from a request that ran there. */
+export interface TargetEnd {
+  /** Stands for the life that ended. */
+  readonly target: number;
+  /** The release of the target; empty where it says none. */
+  readonly release: string;
+}
+
+/** What may be done with a request. */
+export type PoisonVerdict =
+  /** No target has ended under it. */
+  | { readonly kind: 'clear' }
+  /** It may run once at a time, at a target where no other suspect runs and of a release other than these. */
+  | { readonly kind: 'suspect'; readonly avoided: readonly string[] }
+  /** It is sent nowhere; `wait` is the time after which its caller may ask again. */
+  | { readonly kind: 'held'; readonly wait: number };
+
+/** What a verdict depends on besides the record. */
+export interface PoisonTerms {
+  readonly now: number;
+  /** Targets of the service. */
+  readonly targets: number;
+  /** Releases that targets of the service run. */
+  readonly releases: ReadonlySet<string>;
+  /** Whether it falls to this daemon to try requests that are held out. */
+  readonly isTrier: boolean;
+}
+
+/** Ends of targets after which a request is held out; one more while targets also end by themselves. */
+const ENDS = 2;
+
+/**
+ * How long a request is held out after the last end, in milliseconds, before it is tried once more: the first time
+ * for an innocent one that lost two targets by chance, some times as long as its caller would wait; the second for
+ * targets that were mended without a new release. After that only a new release, or forgetting it, sets it free: each
+ * trial of a guilty one costs a target and what else runs there.
+ */
+const HOLDS = [15_000, 300_000];
+
+/** A request is forgotten this long after it last lost a target: a day, in which releases are made. */
+const CASE_LIFE = 86_400_000;
+
+/** That a request was answered is remembered for this long, for words of before that are still on their way. */
+const CLEARED_LIFE = 60_000;
+
+/** Requests remembered: about a megabyte. Those that lost one target go first. */
+const MOST_CASES = 4096;
+
+/** Cases looked at, the oldest first, whether they are over, at each that comes; all of them take 40 us. */
+const MOST_TRIMMED = 8;
+
+/** Ends of targets count as chance for this long, in milliseconds: some calls' time. */
+const CHANCE_WINDOW = 10_000;
+
+/** A caller whose copy of the same request is being run may return after this long. */
+const COPY_WAIT = 250;
+
+/** The longest time after which a caller is told to come back: it may be one whose request is good again by then. */
+const LONGEST_WAIT = 60_000;
+
+/** More releases or ended targets of one request say nothing more. */
+const MOST_NAMED = 8;
+
+/** Characters of a digest, 6 bits each. A request's name is that of its head and that of its body. */
+export const HEAD_LENGTH = 16;
+
+interface ChanceEnd {
+  readonly at: number;
+  /** Whether a request that is held out, or about to be, explains it. */
+  isExplained: boolean;
+}
+
+function joinNamed<T>(known: readonly T[], more: readonly T[]): readonly T[] {
+  return [...new Set([...known, ...more])].slice(-MOST_NAMED);
+}
+
+/** What a word of another daemon was worth: `outdated` says that the other does not know what is known here. */
+export type HeardCase = 'news' | 'known' | 'outdated';
+
+/** Whether a case still blames its request for anything. */
+function isBlamed({ ended }: PoisonCase): boolean {
+  return ended.length > 0;
+}
+
+/** Joins what two daemons know of a blamed request. */
+function mergeCases(a: PoisonCase, b: PoisonCase): PoisonCase {
+  return {
+    request: a.request,
+    ended: joinNamed(a.ended, b.ended),
+    releases: joinNamed(a.releases, b.releases),
+    changedAt: Math.max(a.changedAt, b.changedAt),
+  };
+}
+
+/** The record of one daemon. */
+export class PoisonRecord {
+  readonly #cases = new Map<string, PoisonCase>();
+
+  /** How many cases begin with each head, so that only requests with a known one are told apart by their bodies. */
+  readonly #heads = new Map<string, number>();
+
+  /** Suspects that run from here. */
+  readonly #running = new Set<string>();
+
+  /** Targets that ended of late. */
+  readonly #ends = new Map<number, ChanceEnd>();
+
+  /** Whether nothing is known of any request, as on most days. */
+  get isEmpty(): boolean {
+    return this.#cases.size === 0;
+  }
+
+  /** Whether a request with this head may be known. */
+  mayKnow(head: string): boolean {
+    return this.#heads.has(head);
+  }
+
+  /** Finds what is known of a request. */
+  find(request: string): PoisonCase | undefined {
+    return this.#cases.get(request);
+  }
+
+  /** Says what may be done with a request that is to be sent. */
+  judge(request: string, terms: PoisonTerms): PoisonVerdict {
+    const known = this.#cases.get(request);
+    if (known === undefined || !isBlamed(known)) return { kind: 'clear' };
+    if (this.#running.has(request)) return { kind: 'held', wait: COPY_WAIT };
+    const { now, releases, isTrier } = terms;
+    const held = known.ended.length - this.#countEnough(terms);
+    if (held < 0) return { kind: 'suspect', avoided: [] };
+    const isMended = [...releases].some((release) => !known.releases.includes(release));
+    if (isMended && isTrier) return { kind: 'suspect', avoided: known.releases };
+    const left = known.changedAt + (HOLDS[held] ?? Infinity) - now;
+    if (left <= 0 && isTrier) return { kind: 'suspect', avoided: [] };
+    return { kind: 'held', wait: Math.min(LONGEST_WAIT, Math.max(COPY_WAIT, left)) };
+  }
+
+  /** Notes that a suspect is sent; copies of it wait meanwhile. */
+  start(request: string): void {
+    this.#running.add(request);
+  }
+
+  /** Notes that what was sent of a suspect has come to an end. */
+  finish(request: string): void {
+    this.#running.delete(request);
+  }
+
+  /** Notes that a target ended while it ran a request. Returns what is known of the request now. */
+  noteEnd(request: string, { target, release }: TargetEnd, now: number): PoisonCase {
+    const seen = { request, ended: [target], releases: [release], changedAt: now };
+    this.hear(seen, now);
+    return this.#cases.get(request) ?? seen;
+  }
+
+  /** Notes that a target ran a request to its end. Returns the case if it was blamed before. */
+  noteAnswer(request: string, now: number): PoisonCase | undefined {
+    const known = this.#cases.get(request);
+    if (known === undefined || !isBlamed(known)) return undefined;
+    const cleared = { request, ended: [], releases: [], changedAt: now };
+    this.#put(cleared);
+    return cleared;
+  }
+
+  /** Takes what another daemon knows; what is older than its opposite here says nothing. */
+  hear(word: PoisonCase, now: number): HeardCase {
+    const known = this.#cases.get(word.request);
+    if (!isBlamed(word)) {
+      if (known === undefined || !isBlamed(known)) return 'known';
+      if (word.changedAt <= known.changedAt) return 'known';
+      this.#put(word);
+      return 'news';
+    }
+    if (known !== undefined && !isBlamed(known)) {
+      if (word.changedAt <= known.changedAt) return 'outdated';
+      this.#take(word, now);
+      return 'news';
+    }
+    const isNews = word.ended.some((target) => known?.ended.includes(target) !== true);
+    if (!isNews) return 'known';
+    this.#take(mergeCases(known ?? word, word), now);
+    return 'news';
+  }
+
+  /** Lists the requests that are held out, those that lost a target last at the end. */
+  listHeld(): readonly PoisonCase[] {
+    return [...this.#cases.values()].filter(({ ended }) => ended.length >= ENDS);
+  }
+
+  /** Lists what changed after a moment. */
+  listSince(moment: number): readonly PoisonCase[] {
+    return [...this.#cases.values()].filter(({ changedAt }) => changedAt > moment);
+  }
+
+  /**
+   * How many ends it takes. Where targets end by themselves, requests lose two by chance: with e ends within ten
+   * seconds at T targets, five requests at each and a quarter of a second at a target, that happens to e * e / 8T
+   * of them. Where that may be one in ten seconds, three are asked for.
+   */
+  #countEnough({ now, targets }: PoisonTerms): number {
+    let ends = 0;
+    for (const [target, { at, isExplained }] of this.#ends) {
+      if (now - at > CHANCE_WINDOW) this.#ends.delete(target);
+      else if (!isExplained) ends += 1;
+    }
+    return ends * ends > targets ? ENDS + 1 : ENDS;
+  }
+
+  #take(next: PoisonCase, now: number): void {
+    this.#put(next);
+    this.#noteEnds(next, now);
+    this.#trim(now);
+  }
+
+  #noteEnds({ ended, changedAt }: PoisonCase, now: number): void {
+    if (now - changedAt > CHANCE_WINDOW) return;
+    const isExplained = ended.length >= ENDS;
+    for (const target of ended) {
+      const known = this.#ends.get(target);
+      if (known === undefined) this.#ends.set(target, { at: changedAt, isExplained });
+      else if (isExplained) known.isExplained = true;
+    }
+  }
+
+  /** Keeps cases in the order in which they last changed. */
+  #put(next: PoisonCase): void {
+    const { request } = next;
+    if (!this.#cases.delete(request)) this.#countHead(request, 1);
+    this.#cases.set(request, next);
+  }
+
+  #countHead(request: string, step: number): void {
+    const head = request.slice(0, HEAD_LENGTH);
+    const count = (this.#heads.get(head) ?? 0) + step;
+    if (count > 0) this.#heads.set(head, count);
+    else this.#heads.delete(head);
+  }
+
+  #forget(request: string): void {
+    if (this.#cases.delete(request)) this.#countHead(request, -1);
+  }
+
+  #trim(now: number): void {
+    let looked = 0;
+    for (const known of this.#cases.values()) {
+      looked += 1;
+      if (looked > MOST_TRIMMED) break;
+      const life = isBlamed(known) ? CASE_LIFE : CLEARED_LIFE;
+      if (now - known.changedAt > life) this.#forget(known.request);
+    }
+    if (this.#cases.size <= MOST_CASES) return;
+    for (const { request, ended } of this.#cases.values()) {
+      if (ended.length >= ENDS) continue;
+      this.#forget(request);
+      return;
+    }
+    const [oldest] = this.#cases.keys();
+    this.#forget(oldest);
+  }
+}
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -26,8 +26,9 @@
   startTargetAttempt,
 } from './attempt.js';
 import { RequestLog } from './request-log.js';
+import type { PoisonDesk } from './poison-desk.js';
 import type { RequestIdentity } from './request-identity.js';
-import type { SlotAnswer, SlotCall } from './slot-queue.js';
+import type { PlaceCare, SlotAnswer, SlotCall } from './slot-queue.js';
 import type { GatewayTarget } from './target.js';
 import type { TargetService } from './target-set.js';
 
@@ -63,6 +64,8 @@
   readonly routeTime: RouteTime;
   readonly counts: ForwardingCounts;
   readonly metrics: TextMetrics;
+  /** Knows the requests under which targets end. */
+  readonly poison: PoisonDesk;
 }
 
 /** Counters over all requests. */
@@ -101,6 +104,9 @@
 /** Statuses that promise a caller that its request did not run; only we may say so, with proof. */
 const PROMISES = new Set([408, 421, 429, 503]);
 
+/** Why a request is ended without a target's answer. */
+type GivingUp = 'timeout' | 'no-target' | 'no-room' | 'lost' | 'poison';
+
 /** Gives back a slot that is not used after all. */
 function giveBack(answer: SlotAnswer): void {
   if (answer.kind === 'target') answer.target.belief.finish();
@@ -129,6 +135,9 @@
   /** The call in the service's queue, while it waits there. */
   #waiting: SlotCall | undefined;
 
+  /** How carefully the request is placed, when targets have ended under it. */
+  #care: PlaceCare | undefined;
+
   readonly #onSlow = () => this.#happen({ kind: 'look' });
 
   constructor(
@@ -220,6 +229,7 @@
   #begin(): void {
     const { request } = this;
     const { clock, routeTime } = this.context;
+    if (!this.#isAllowed()) return;
     const work = routeTime.readWork();
     const call: SlotCall = {
       priority: request.route.priority,
@@ -231,6 +241,7 @@
       mayBeRefused: this.#sendings === 0,
       tried: this.#tried,
       bodyBytes: request.bodyBytes,
+      care: this.#care,
     };
     if (request.deadline - clock.now() < LEAST_TIME) {
       this.#giveUp('timeout');
@@ -250,6 +261,24 @@
       .catch((error: Error) => this.context.log.error('request.broken', { error: error.message }));
   }
 
+  /** Whether the request may be sent; one under which targets end is given up. */
+  #isAllowed(): boolean {
+    const verdict = this.context.poison.judge(this.request);
+    switch (verdict.kind) {
+      case 'clear':
+        this.#care = undefined;
+        return true;
+      case 'suspect':
+        this.#care = verdict;
+        return true;
+      case 'held':
+        this.#giveUp('poison', verdict.wait);
+        return false;
+      default:
+        return verdict satisfies never;
+    }
+  }
+
   /** Starts an attempt at the target that was given, or tells the caller that there is none. */
   #place(answer: SlotAnswer): void {
     this.#waiting = undefined;
@@ -263,7 +292,9 @@
       this.#giveUp('timeout');
       return;
     }
-    this.#start(answer.target, left);
+    // What is known of the request may have changed while it waited.
+    if (this.#isAllowed()) this.#start(answer.target, left);
+    else giveBack(answer);
   }
 
   #start(target: GatewayTarget, left: number): void {
@@ -282,12 +313,27 @@
       { isRepeatable: this.#isRepeatable, clock: this.context.clock },
     );
     this.#running.add(attempt);
+    if (this.#care !== undefined) this.#watchSuspect(attempt);
     if (this.#isRepeatable) target.onSlow.add(this.#onSlow);
     attempt.done
       .then((outcome) => this.#happen({ kind: 'ended', attempt, outcome }))
       .catch((error: Error) => this.context.log.error('request.broken', { error: error.message }));
   }
 
+  /** Keeps copies of a suspect from being sent, and other suspects from its target, while it runs. */
+  #watchSuspect({ target, done }: RunningAttempt): void {
+    const { poison, log } = this.context;
+    poison.start(this.request, target);
+    target.suspects += 1;
+    const finish = () => {
+      target.suspects -= 1;
+      poison.finish(this.request);
+    };
+    done
+      .then(finish)
+      .catch((error: Error) => log.error('request.broken', { error: error.message }));
+  }
+
   #conclude(attempt: RunningAttempt, outcome: AttemptOutcome): void {
     const { target } = attempt;
     switch (outcome.kind) {
@@ -312,6 +358,7 @@
         this.#log.tellFailure(attempt, outcome.kind, outcome.reason, {
           ...{ ended: outcome.isEnded, request: this.request.identity.whole },
         });
+        this.#noteLost(attempt, outcome.isEnded);
         this.#repeat('lost');
         return;
       case 'cancelled':
@@ -322,8 +369,20 @@
     }
   }
 
+  /** Notes that a target ended under the request, or that this may still turn out. */
+  #noteLost({ target, startedAt }: RunningAttempt, isEnded: boolean): void {
+    const { poison, clock } = this.context;
+    const { id, route, service, path, identity } = this.request;
+    const ran = clock.now() - startedAt;
+    // What is kept for a while holds no body.
+    const watched = { id, route, service, path, identity: identity.settle() };
+    if (isEnded) poison.noteEnd(watched, target, ran);
+    else target.noteLoss(() => poison.noteEnd(watched, target, ran));
+  }
+
   #takeAnswer(attempt: RunningAttempt, answer: TargetAnswer): void {
     const { target } = attempt;
+    if (answer.rest === undefined) this.context.poison.noteAnswer(this.request);
     const isFailure = answer.status >= SERVER_ERROR;
     if (isFailure) {
       target.noteFailure(1);
@@ -406,7 +465,7 @@
     const { route, service, aimAt, deadline, bodyBytes } = this.request;
     const [attempt] = this.#running;
     if (this.#running.size !== 1 || attempt === undefined) return;
-    if (this.#sendings >= route.maxAttempts) return;
+    if (this.#sendings >= route.maxAttempts || this.#care !== undefined) return;
     const now = clock.now();
     const { trail } = attempt.target;
     const pattern = service.readPattern();
@@ -434,7 +493,7 @@
   }
 
   /** Ends the request without a target's answer. */
-  #giveUp(reason: 'timeout' | 'no-target' | 'no-room' | 'lost', wait = 0): void {
+  #giveUp(reason: GivingUp, wait = 0): void {
     for (const attempt of this.#running) attempt.abort();
     if (!this.#ledger.mayHaveRun) {
       this.#ledger.assertNotRun();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -27,6 +27,7 @@
 import { serveDirectory, serveMetrics, serveReadiness } from './directory.js';
 import { LoadSharing } from './load-sharing.js';
 import { HomePlanner } from './home-planner.js';
+import { PoisonDesk } from './poison-desk.js';
 import { LessonBook } from './lessons.js';
 import { Prober } from './prober.js';
 import { Reception } from './reception.js';
@@ -124,6 +125,8 @@
 
   readonly #targets: TargetSet;
 
+  readonly #poison: PoisonDesk;
+
   readonly #callers: CallerServer;
 
   readonly #prober: Prober;
@@ -215,6 +218,16 @@
         this.#hear(from, knowledge).catch(() => undefined);
       },
       onShares: (from, shares) => this.#sharing.hear(from, shares),
+      onCases: (from, cases) => this.#poison.hear(from, cases),
+    });
+    this.#poison = new PoisonDesk({
+      ...{ clock, log, metrics: this.#metrics },
+      isTrier: () => this.#isFirstHome(),
+      send: (words) => {
+        for (const { ip } of this.#roster.listHomes()) {
+          if (ip !== gateway.ip) this.#link.sendCases(ip, words);
+        }
+      },
     });
     this.#feed = new FeedClient(clock, port, ({ delta, members }) => {
       this.#view.applyDelta(delta, clock.now());
@@ -222,19 +235,21 @@
     });
     this.#registry = new MemberRegistry({
       ...{ store, roster: this.#roster, clock, log, isFirstStart: isFirstStart(gateway) },
-      isWriter: () => this.#roster.listHomes()[0]?.ip === gateway.ip,
+      isWriter: () => this.#isFirstHome(),
       onFound: (ips) => this.#link.addSeeds(ips),
     });
     this.#lessons = new LessonBook({
       ...{ store, clock, log, isHome: () => this.#isHome() },
       isFirstStart: isFirstStart(gateway),
-      isWriter: () => this.#roster.listHomes()[0]?.ip === gateway.ip,
+      isWriter: () => this.#isFirstHome(),
       listLessons: () => ({
         services: this.#targets.listLessons(),
         routes: this.#reception.listLessons(),
         homes: this.#roster.wanted,
+        poison: this.#poison.listStored(),
       }),
-      onFound: ({ services, routes, homes }) => {
+      onFound: ({ services, routes, homes, poison }) => {
+        this.#poison.absorb(poison);
         if (this.#roster.wanted < homes) this.#roster.setWanted(homes);
         this.#targets.absorb(services);
         this.#reception.absorb(routes);
@@ -246,6 +261,7 @@
     });
     this.#reception = new Reception({
       ...{ clock, random, log, targets: this.#targets, metrics: this.#metrics },
+      poison: this.#poison,
       ...{ turns: this.#turns, onBroken: (error: Error) => this.#fail(error) },
       readTable: () => (this.#state === 'starting' ? undefined : this.#view.table),
     });
@@ -398,6 +414,11 @@
     return this.#roster.listHomes().some((home) => home.ip === ip);
   }
 
+  /** Whether what one daemon does for all falls to this one. */
+  #isFirstHome(): boolean {
+    return this.#roster.listHomes()[0]?.ip === this.#settings.gateway.ip;
+  }
+
   #isSenior(): boolean {
     const age = this.#clock.now() - this.#startedAt;
     return isFirstStart(this.#settings.gateway) || age > SENIORITY;
@@ -429,6 +450,7 @@
       members: this.#roster.readFingerprint(),
       homes: this.#roster.wanted,
       presences: this.#roster.listPresences(),
+      cases: this.#poison.listToTell(),
     };
   }
 
@@ -537,6 +559,7 @@
       connections: this.#callers.countConnections(),
       backlog: this.#reception.waiting,
       unreadable: this.#reader.unreadable,
+      heldOut: this.#poison.heldOut,
       probes: this.#prober.sent,
       opened: this.#targets.opened,
       storeCalls: this.kernel.find(kvStoreService).counts(),
--- a/src/gateway/lessons.ts
+++ b/src/gateway/lessons.ts
@@ -32,16 +32,30 @@
   readonly spread: number;
 }
 
+/** A request under which targets ended, and which is held out. */
+export interface PoisonLesson {
+  /** Stands for the request. */
+  readonly request: string;
+  /** Stand for the targets that ended. */
+  readonly ended: readonly number[];
+  /** Releases of those targets. */
+  readonly releases: readonly string[];
+  /** When the last of them ended, in milliseconds since 1970. */
+  readonly at: number;
+}
+
 /** All lessons, by name of the service or route. */
 export interface Lessons {
   readonly services: Readonly<Record<string, ServiceLesson>>;
   readonly routes: Readonly<Record<string, RouteLesson>>;
   /** How many homes the load took. */
   readonly homes: number;
+  /** Requests that are held out: after a loss of all power each of them would end targets anew. */
+  readonly poison: readonly PoisonLesson[];
 }
 
 /** The lessons of a daemon that has learnt nothing. */
-export const NO_LESSONS: Lessons = { services: {}, routes: {}, homes: 0 };
+export const NO_LESSONS: Lessons = { services: {}, routes: {}, homes: 0, poison: [] };
 
 /** A figure that differs by less from the one written is no news. */
 const CHANGED = 0.3;
@@ -63,6 +77,16 @@
   return Object.fromEntries(Object.entries(value).filter(([, entry]) => isWhole(entry)));
 }
 
+function isPoison(value: unknown): value is PoisonLesson {
+  const { request, ended, releases, at } = (value ?? {}) as Partial<PoisonLesson>;
+  if (typeof request !== 'string' || typeof at !== 'number') return false;
+  if (!Array.isArray(ended) || !Array.isArray(releases)) return false;
+  return (
+    ended.every((target) => typeof target === 'number') &&
+    releases.every((release) => typeof release === 'string')
+  );
+}
+
 /** Reads a record; what makes no sense is left out. */
 export function parseLessons(text: string): Lessons {
   try {
@@ -71,6 +95,7 @@
       services: filterEntries<ServiceLesson>(value?.services, SERVICE_FIELDS),
       routes: filterEntries<RouteLesson>(value?.routes, ROUTE_FIELDS),
       homes: Number.isInteger(value?.homes) ? Math.max(0, value?.homes ?? 0) : 0,
+      poison: Array.isArray(value?.poison) ? value.poison.filter(isPoison) : [],
     };
   } catch {
     return NO_LESSONS;
@@ -78,11 +103,11 @@
 }
 
 /** Writes a record. */
-export function formatLessons({ services, routes, homes }: Lessons): string {
+export function formatLessons({ services, routes, homes, poison }: Lessons): string {
   const round = (_key: string, value: unknown) =>
     typeof value === 'number' ? Math.round(value * 100) / 100 : value;
   const kept = Object.fromEntries(Object.entries(routes).slice(0, MOST_ROUTES));
-  return JSON.stringify({ services, routes: kept, homes }, round);
+  return JSON.stringify({ services, routes: kept, homes, poison }, round);
 }
 
 function hasChanged<T extends object>(known: T | undefined, next: T): boolean {
@@ -93,10 +118,18 @@
   );
 }
 
+/** Whether other requests are held out, or more targets have ended under one. */
+function hasPoisonChanged(next: Lessons['poison'], written: Lessons['poison']): boolean {
+  const name = ({ request, ended }: PoisonLesson) => `${request}/${ended.length}`;
+  const before = new Set(written.map(name));
+  return next.length !== before.size || next.some((it) => !before.has(name(it)));
+}
+
 /** Whether something was learnt that the record does not tell, or tells quite differently. */
 export function supersedes(next: Lessons, written: Lessons): boolean {
   return (
     hasChanged({ homes: written.homes }, { homes: next.homes }) ||
+    hasPoisonChanged(next.poison, written.poison) ||
     Object.entries(next.services).some(([name, it]) => hasChanged(written.services[name], it)) ||
     Object.entries(next.routes)
       .slice(0, MOST_ROUTES)
@@ -157,7 +190,7 @@
     const lessons = {
       services: { ...this.#written.services, ...learnt.services },
       routes: { ...learnt.routes, ...this.#written.routes, ...learnt.routes },
-      homes: learnt.homes,
+      ...{ homes: learnt.homes, poison: learnt.poison },
     };
     const text = formatLessons(lessons);
     const written = await store.write({ key: KEYS.lessons, text, expected: this.#revision });
--- /dev/null
+++ b/src/gateway/poison-desk.ts
@@ -0,0 +1,198 @@
+/**
+ * The daemon's dealings with poison requests: what its own requests saw, what the other daemons tell, what the
+ * platform's store keeps, and the lines and counters for engineers on call.
+ *
+ * What one daemon saw goes to the homes at once, and again with every answer for a while, as datagrams get lost; who
+ * is held out goes with every answer, so a daemon that starts knows it before it serves. What is held out lies in
+ * the store as well, for a fleet that loses all power.
+ */
+import {
+  type PoisonCase,
+  PoisonRecord,
+  type PoisonTerms,
+  type PoisonVerdict,
+} from '../balance/index.js';
+import type { Clock, Log, TextMetrics } from '../kernel/index.js';
+import type { CaseWord } from '../peering/index.js';
+import type { PoisonLesson } from './lessons.js';
+import type { Identified } from './request-identity.js';
+import { type GatewayTarget, readRelease } from './target.js';
+import type { TargetService } from './target-set.js';
+
+/** What the desk is made from. */
+export interface PoisonDeskOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: TextMetrics;
+  /** Whether it falls to this daemon to try requests that are held out: one daemon does, so one target ends. */
+  readonly isTrier: () => boolean;
+  /** Tells the homes. */
+  readonly send: (words: readonly CaseWord[]) => void;
+}
+
+/** A request that this desk looks at. */
+export interface WatchedRequest {
+  readonly id: string;
+  readonly route: { readonly name: string };
+  readonly service: TargetService;
+  readonly path: string;
+  readonly identity: Identified;
+}
+
+/** News are told again with every answer for this long: some questions of each daemon, as datagrams get lost. */
+const FRESH_TIME = 1500;
+
+/** Words in one answer, so that it stays below what a network carries in one piece. */
+const MOST_HELD_TOLD = 12;
+const MOST_FRESH_TOLD = 12;
+
+/** Requests in the store's record. */
+const MOST_STORED = 64;
+
+/** The desk of one daemon. */
+export class PoisonDesk {
+  readonly #record = new PoisonRecord();
+
+  /** Until when a request is told of with every answer. */
+  readonly #fresh = new Map<string, number>();
+
+  /** Where the next answer goes on to name those that are held out. */
+  #turn = 0;
+
+  constructor(private readonly options: PoisonDeskOptions) {}
+
+  /** Says what may be done with a request that is to be sent. */
+  judge(request: WatchedRequest): PoisonVerdict {
+    if (!this.#mayKnow(request)) return { kind: 'clear' };
+    return this.#record.judge(request.identity.whole, this.#readTerms(request.service));
+  }
+
+  /** Notes that a suspect is sent to a target. */
+  start({ id, identity }: WatchedRequest, target: GatewayTarget): void {
+    const { whole: request } = identity;
+    this.#record.start(request);
+    const { incarnation, release } = target.record;
+    this.options.log.info('poison.tried', { id, request, target: incarnation, release });
+  }
+
+  /** Notes that what was sent of a suspect has come to an end. */
+  finish({ identity }: WatchedRequest): void {
+    this.#record.finish(identity.whole);
+  }
+
+  /** Notes that a target ended while it ran a request. @param ran for how long it ran there, in milliseconds */
+  noteEnd(request: WatchedRequest, target: GatewayTarget, ran: number): void {
+    const { clock, log, metrics } = this.options;
+    const { id, route, service, path, identity } = request;
+    const { record, hash } = target;
+    const end = { target: hash, release: readRelease(record) };
+    const known = this.#record.noteEnd(identity.whole, end, clock.now());
+    metrics.count('target_ended_under', { service: service.name });
+    const tell = known.ended.length > 1 ? log.warn : log.info;
+    tell('poison.suspected', {
+      ...{ id, route: route.name, service: service.name, path, request: identity.whole },
+      ...{ target: record.incarnation, born: record.born, release: record.release },
+      ...{ ran: Math.round(ran), ended: known.ended.length },
+    });
+    this.#tell(known);
+  }
+
+  /** Notes that a target ran a request to its end. */
+  noteAnswer(request: WatchedRequest): void {
+    if (!this.#mayKnow(request)) return;
+    const { clock, log } = this.options;
+    const cleared = this.#record.noteAnswer(request.identity.whole, clock.now());
+    if (cleared === undefined) return;
+    log.info('poison.cleared', { id: request.id, request: cleared.request });
+    this.#tell(cleared);
+  }
+
+  /** Takes what another daemon tells. */
+  hear(from: string, words: readonly CaseWord[]): void {
+    const { clock, log } = this.options;
+    const now = clock.now();
+    for (const { request, ended, releases, age } of words) {
+      const heard = this.#record.hear({ request, ended, releases, changedAt: now - age }, now);
+      // Who does not know that it was answered learns it with the next answers.
+      if (heard === 'outdated') this.#fresh.set(request, now + FRESH_TIME);
+      if (heard !== 'news') continue;
+      this.#fresh.set(request, now + FRESH_TIME);
+      log.info('poison.heard', { from, request, ended: ended.length, age: Math.round(age) });
+    }
+  }
+
+  /** Lists what goes with every answer to another daemon. */
+  listToTell(): readonly CaseWord[] {
+    if (this.#record.isEmpty) return [];
+    const now = this.options.clock.now();
+    const told = new Map<string, PoisonCase>();
+    for (const [request, until] of [...this.#fresh].reverse()) {
+      const known = this.#record.find(request);
+      if (known === undefined || until < now) this.#fresh.delete(request);
+      else if (told.size < MOST_FRESH_TOLD) told.set(request, known);
+    }
+    for (const held of this.#takeHeld()) told.set(held.request, held);
+    return [...told.values()].map((known) => describeCase(known, now));
+  }
+
+  /** Requests that are held out. */
+  get heldOut(): number {
+    return this.#record.isEmpty ? 0 : this.#record.listHeld().length;
+  }
+
+  /** Lists what the store is to keep, the last ones first. */
+  listStored(): readonly PoisonLesson[] {
+    if (this.#record.isEmpty) return [];
+    const { clock } = this.options;
+    const toWall = clock.wall() - clock.now();
+    return this.#record
+      .listHeld()
+      .slice(-MOST_STORED)
+      .map(({ request, ended, releases, changedAt }) => ({
+        ...{ request, ended, releases, at: Math.round(changedAt + toWall) },
+      }));
+  }
+
+  /** Takes what the store kept. */
+  absorb(stored: readonly PoisonLesson[]): void {
+    const { clock } = this.options;
+    const words = stored.map(({ request, ended, releases, at }) => ({
+      ...{ request, ended, releases, age: Math.max(0, clock.wall() - at) },
+    }));
+    this.hear('store', words);
+  }
+
+  #mayKnow({ identity }: WatchedRequest): boolean {
+    return !this.#record.isEmpty && this.#record.mayKnow(identity.head);
+  }
+
+  #readTerms(service: TargetService): PoisonTerms {
+    const { clock, isTrier } = this.options;
+    const { targets } = service;
+    const releases = new Set<string>();
+    for (const { record, isUsable } of targets.values()) {
+      if (isUsable) releases.add(readRelease(record));
+    }
+    return { now: clock.now(), targets: targets.size, releases, isTrier: isTrier() };
+  }
+
+  #tell(known: PoisonCase): void {
+    const now = this.options.clock.now();
+    this.#fresh.delete(known.request);
+    this.#fresh.set(known.request, now + FRESH_TIME);
+    this.options.send([describeCase(known, now)]);
+  }
+
+  /** Some of those that are held out, in turn. */
+  #takeHeld(): readonly PoisonCase[] {
+    const held = this.#record.listHeld();
+    if (held.length <= MOST_HELD_TOLD) return held;
+    const start = this.#turn % held.length;
+    this.#turn = start + MOST_HELD_TOLD;
+    return [...held, ...held].slice(start, start + MOST_HELD_TOLD);
+  }
+}
+
+function describeCase({ request, ended, releases, changedAt }: PoisonCase, now: number): CaseWord {
+  return { request, ended, releases, age: Math.max(0, now - changedAt) };
+}
--- a/src/gateway/reception.ts
+++ b/src/gateway/reception.ts
@@ -22,6 +22,7 @@
   readBody,
 } from './intake.js';
 import type { Lessons, RouteLesson } from './lessons.js';
+import type { PoisonDesk } from './poison-desk.js';
 import { RequestIdentity } from './request-identity.js';
 import { RequestLog } from './request-log.js';
 import type { TargetSet } from './target-set.js';
@@ -33,6 +34,7 @@
   readonly log: Log;
   readonly targets: TargetSet;
   readonly metrics: TextMetrics;
+  readonly poison: PoisonDesk;
   readonly turns: BacklogOptions['turns'];
   /** Called when a request met a broken invariant. */
   readonly onBroken: (error: Error) => void;
@@ -195,9 +197,9 @@
   }
 
   #makeContext(route: Route): ForwardingContext {
-    const { clock, log, metrics } = this.options;
+    const { clock, log, metrics, poison } = this.options;
     return {
-      ...{ clock, log, metrics, counts: this.counts },
+      ...{ clock, log, metrics, poison, counts: this.counts },
       routeTime: this.#findRouteTime(route.name),
     };
   }
--- a/src/gateway/request-identity.ts
+++ b/src/gateway/request-identity.ts
@@ -7,6 +7,7 @@
  * It is worked out when it is asked for: on most days never.
  */
 import { createHash } from 'node:crypto';
+import { HEAD_LENGTH } from '../balance/index.js';
 import type { Sending } from './attempt.js';
 
 /** What a request is told apart by. */
@@ -29,11 +30,14 @@
   return hash.digest('base64url').slice(0, HEAD_LENGTH);
 }
 
-/** Characters of a digest, 6 bits each. */
-const HEAD_LENGTH = 16;
+/** A request that is told apart by its digests. */
+export interface Identified {
+  readonly head: string;
+  readonly whole: string;
+}
 
 /** The digests of one request. */
-export class RequestIdentity {
+export class RequestIdentity implements Identified {
   #head: string | undefined;
 
   #whole: string | undefined;
@@ -54,4 +58,9 @@
     this.#whole ??= this.head + hashParts(parts);
     return this.#whole;
   }
+
+  /** The digests alone, for whoever keeps them: a body may be long. */
+  settle(): Identified {
+    return { head: this.head, whole: this.whole };
+  }
 }
--- a/src/gateway/slot-queue.ts
+++ b/src/gateway/slot-queue.ts
@@ -9,6 +9,14 @@
   readonly tried: ReadonlySet<GatewayTarget>;
   /** Length of its body, as far as it is known. */
   readonly bodyBytes: number;
+  /** How carefully it has to be placed, because a target has ended under it; undefined when none has. */
+  readonly care?: PlaceCare;
+}
+
+/** What a suspect asks of its place. */
+export interface PlaceCare {
+  /** Releases of targets that it is not sent to. */
+  readonly avoided: readonly string[];
 }
 
 /** A call that asks for a target. */
--- a/src/gateway/status.ts
+++ b/src/gateway/status.ts
@@ -25,6 +25,8 @@
   readonly backlog: number;
   /** Entries of targets in the store that this daemon read and could not decode. */
   readonly unreadable: number;
+  /** Requests that are sent nowhere because targets ended under them. */
+  readonly heldOut: number;
   readonly probes: number;
   readonly opened: number;
   readonly storeCalls: Readonly<Record<string, number>>;
@@ -45,7 +47,7 @@
     ...{ is_home: Number(status.isHome), is_ready: Number(status.state === 'ready') },
     ...{ lookups: status.lookups, connections: status.connections, busy: status.busy },
     backlog: status.backlog,
-    targets_unreadable: status.unreadable,
+    ...{ targets_unreadable: status.unreadable, poison_held_out: status.heldOut },
     ...{ probes: status.probes, target_connections_opened: status.opened },
     rss_bytes: process.memoryUsage.rss(),
   };
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -16,7 +16,7 @@
 import type { FleetView } from '../view/index.js';
 import type { Lessons, ServiceLesson } from './lessons.js';
 import { type PlaceWish, SlotQueue } from './slot-queue.js';
-import { GatewayTarget } from './target.js';
+import { GatewayTarget, readRelease } from './target.js';
 
 /** What the set is made from. */
 export interface TargetSetOptions {
@@ -40,6 +40,12 @@
 /** Calls of a service change little; this follows some hundreds of them. */
 const TIME_HALF_LIFE = 3000;
 
+/**
+ * A target that has run for this long, in milliseconds, is not one of those that end every few seconds: what is lost
+ * there was not lost by chance.
+ */
+const STEADY_AGE = 20_000;
+
 /** A daemon to which no call has come for this long serves none. */
 const SERVING_TIME = 1000;
 
@@ -131,10 +137,10 @@
   }
 
   /** Advises a call that has tried some targets already. @param ahead calls that go first */
-  choosePlace({ tried, bodyBytes }: PlaceWish, ahead: number): Advice<GatewayTarget> {
+  choosePlace(wish: PlaceWish, ahead: number): Advice<GatewayTarget> {
     const { random, domain } = this.options;
-    const isUsable = (target: GatewayTarget) => target.isUsable && !tried.has(target);
-    const drawn = drawCandidates(this.#readPool(), { random, isUsable });
+    const { bodyBytes } = wish;
+    const drawn = this.#drawFor(wish);
     const homes = this.options.countHomes();
     const tellers = this.options.countTellers();
     const terms = { pattern: this.readPattern(), domain, homes, tellers, knee: this.knee };
@@ -144,6 +150,23 @@
     });
   }
 
+  /** Draws targets for a call. A suspect goes where no other one runs, and to one that has run for long. */
+  #drawFor({ tried, care }: PlaceWish): readonly GatewayTarget[] {
+    const { random, clock } = this.options;
+    const mayTake = (target: GatewayTarget) => target.isUsable && !tried.has(target);
+    const draw = (isUsable: (target: GatewayTarget) => boolean) =>
+      drawCandidates(this.#readPool(), { random, isUsable });
+    if (care === undefined) return draw(mayTake);
+    const now = clock.wall();
+    const isAllowed = (target: GatewayTarget) =>
+      mayTake(target) && !care.avoided.includes(readRelease(target.record));
+    const isApart = (target: GatewayTarget) => isAllowed(target) && target.suspects === 0;
+    const steady = draw((target) => isApart(target) && now - target.record.born > STEADY_AGE);
+    if (steady.length > 0) return steady;
+    const apart = draw(isApart);
+    return apart.length > 0 ? apart : draw(isAllowed);
+  }
+
   /**
    * How many times this daemon's calls all daemons have at the targets: it gets that part of the slots.
    * After a restart callers meet at one home, whose part is nearly all.
@@ -229,7 +252,7 @@
         service.targets.delete(incarnation);
         service.noteChange();
         this.#byHash.delete(target.hash);
-        target.leave();
+        target.leave(record !== undefined && record.born > target.record.born);
       }
     }
     for (const [incarnation, entry] of listed) {
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -23,6 +23,20 @@
 /** A target that has spoilt the order of answers gets a new connection for each call this long. */
 const SUSPECT_TIME = 10_000;
 
+/**
+ * A call that was lost this long before a later start of the target was heard of may have ended it, in milliseconds:
+ * some heartbeats, as a supervisor may start a process again before anybody finds that nobody listens.
+ */
+const LOSS_LIFE = 5000;
+
+/** Calls remembered as lost: some times what a target runs at once. */
+const MOST_LOSSES = 32;
+
+interface Loss {
+  readonly at: number;
+  readonly onEnded: () => void;
+}
+
 /** Reports this slow make calls there look for another target. */
 const SLOW = 2.5;
 
@@ -47,6 +61,11 @@
   readonly onOpened: () => void;
 }
 
+/** The release of a target; those that say none count as one. */
+export function readRelease({ release = '' }: TargetRecord): string {
+  return release;
+}
+
 /** A target in use. */
 export class GatewayTarget {
   readonly belief = new LoadBelief();
@@ -75,6 +94,12 @@
 
   #isGone = false;
 
+  /** Calls that were lost here of late, and whom to tell if the target turns out to have ended then. */
+  #losses: readonly Loss[] = [];
+
+  /** Calls from here under which targets have ended before. */
+  suspects = 0;
+
   /** When this daemon last sent a probe there. */
   probedAt = -Infinity;
 
@@ -112,10 +137,22 @@
     return presence === 'nobody' && !this.#isLeaving;
   }
 
-  /** Notes that the target is in use no more. */
-  leave(): void {
+  /** Notes that a call was lost here, without a sign that the target ended. */
+  noteLoss(onEnded: () => void): void {
+    const at = this.clock.now();
+    const young = this.#losses.filter((loss) => at - loss.at < LOSS_LIFE);
+    this.#losses = [...young, { at, onEnded }].slice(-MOST_LOSSES);
+  }
+
+  /** Notes that the target is in use no more. @param isReborn whether a later start took its name */
+  leave(isReborn: boolean): void {
     this.#isGone = true;
     this.connections.close();
+    const losses = this.#losses;
+    this.#losses = [];
+    if (!isReborn || this.record.state === 'draining') return;
+    const now = this.clock.now();
+    for (const { at, onEnded } of losses) if (now - at < LOSS_LIFE) onEnded();
   }
 
   get #isLeaving(): boolean {
@@ -136,7 +173,8 @@
       slowdown: this.trail.read(now, pattern),
       cold: now < this.#listed.coldUntil ? COLD_FACTOR : 1,
       failures: this.readFailures(now),
-      doubtful: this.#ill || now < this.#stuckUntil,
+      // What runs beside a suspect may end with it, so others go elsewhere while there is room.
+      doubtful: this.#ill || now < this.#stuckUntil || this.suspects > 0,
       isFar: this.record.domain !== domain,
     };
   }
--- a/src/peering/datagram.ts
+++ b/src/peering/datagram.ts
@@ -26,6 +26,19 @@
   readonly homes: number;
   /** What it heard itself from daemons that serve or may soon. */
   readonly presences: readonly Presence[];
+  /** Requests under which targets ended, as far as they are news or held out. */
+  readonly cases: readonly CaseWord[];
+}
+
+/** What a daemon tells of a request under which targets ended. */
+export interface CaseWord {
+  /** Stands for the request. */
+  readonly request: string;
+  /** Stand for the targets that ended; none when it was answered since. */
+  readonly ended: readonly number[];
+  readonly releases: readonly string[];
+  /** How long ago the last of them ended, or it was answered, in milliseconds. */
+  readonly age: number;
 }
 
 /** A reading of the store, by the daemon that made it. */
@@ -51,13 +64,15 @@
   /** `asked` is how many daemons are asked in all, this one included. */
   | { readonly kind: 'ask'; readonly self: SelfWord; readonly asked: number }
   | { readonly kind: 'tell'; readonly self: SelfWord; readonly knowledge: Knowledge }
-  | { readonly kind: 'load'; readonly shares: readonly LoadShare[] };
+  | { readonly kind: 'load'; readonly shares: readonly LoadShare[] }
+  | { readonly kind: 'cases'; readonly cases: readonly CaseWord[] };
 
 const STATES: readonly MemberState[] = ['starting', 'ready', 'stopping'];
 
 const ASK = 0;
 const TELL = 1;
 const LOAD = 2;
+const CASES = 3;
 
 /** Slowdowns travel as whole tenths, and none as 0. */
 const SLOWDOWN_STEPS = 10;
@@ -100,6 +115,12 @@
   ]);
 }
 
+function encodeCases(cases: readonly CaseWord[]): readonly unknown[] {
+  return cases.map(({ request, ended, releases, age }) => [
+    ...[request, Math.max(0, Math.round(age)), ended, releases],
+  ]);
+}
+
 /** Packs a datagram. */
 export function encodeDatagram(datagram: Datagram): Uint8Array {
   switch (datagram.kind) {
@@ -112,6 +133,7 @@
         ...[encodeAge(proofAge), targetsRevision, members, homes],
         ...[reading === undefined ? null : [encodeIp(reading.reader), encodeAge(reading.age)]],
         encodePresences(datagram.knowledge.presences.slice(0, MOST_PRESENCES)),
+        encodeCases(datagram.knowledge.cases),
       ]);
     }
     case 'load':
@@ -121,6 +143,8 @@
           ...[target, inFlight, Math.round((slowdown ?? 0) * SLOWDOWN_STEPS), Math.round(age)],
         ]),
       ]);
+    case 'cases':
+      return encode([CASES, ...encodeCases(datagram.cases)]);
     default:
       return datagram satisfies never;
   }
@@ -169,22 +193,43 @@
   }
   return presences;
 }
+
+function isTexts(values: readonly unknown[]): values is readonly string[] {
+  return values.every((value) => typeof value === 'string');
+}
+
+/** Reads cases; undefined when one makes no sense. */
+function decodeCases(values: unknown): readonly CaseWord[] | undefined {
+  if (!Array.isArray(values)) return undefined;
+  const cases: CaseWord[] = [];
+  for (const value of values as readonly unknown[]) {
+    if (!Array.isArray(value)) return undefined;
+    const [request, age, ended, releases] = value as readonly unknown[];
+    if (typeof request !== 'string' || typeof age !== 'number' || !(age >= 0)) return undefined;
+    if (!Array.isArray(ended) || !isNumbers(ended)) return undefined;
+    if (!Array.isArray(releases) || !isTexts(releases)) return undefined;
+    cases.push({ request, age, ended, releases });
+  }
+  return cases;
+}
+
 const SHARE_LENGTH = 4;
 
 function decodeTell(fields: readonly unknown[]): Datagram | undefined {
   const self = decodeSelf(fields);
   const [targets, configuration, proofAge, ...rest] = fields.slice(SELF_LENGTH);
-  const [targetsRevision, members, homes, told, heard] = rest;
+  const [targetsRevision, members, homes, told, heard, known] = rest;
   const numbers = [targets, configuration, targetsRevision, members, homes];
   if (self === undefined || !isNumbers(numbers) || !isAge(proofAge)) return undefined;
   const reading = decodeReading(told);
   const presences = decodePresences(heard);
-  if (reading === undefined || presences === undefined) return undefined;
+  const cases = decodeCases(known);
+  if (reading === undefined || presences === undefined || cases === undefined) return undefined;
   return {
     ...{ kind: 'tell', self },
     knowledge: {
       position: { targets: numbers[0], configuration: numbers[1] },
-      ...{ proofAge: proofAge ?? Infinity, reading: reading ?? undefined, presences },
+      ...{ proofAge: proofAge ?? Infinity, reading: reading ?? undefined, presences, cases },
       ...{ targetsRevision: numbers[2], members: numbers[3], homes: numbers[4] },
     },
   };
@@ -222,6 +267,10 @@
       return decodeTell(fields);
     case LOAD:
       return decodeLoad(fields);
+    case CASES: {
+      const cases = decodeCases(fields);
+      return cases && { kind: 'cases', cases };
+    }
     default:
       return undefined;
   }
--- a/src/peering/feed.ts
+++ b/src/peering/feed.ts
@@ -38,7 +38,8 @@
 
 function isRecord(value: unknown): value is TargetRecord {
   if (!isJsonObject(value) || !isJsonObject(value.address)) return false;
-  const { incarnation, service, domain, slots, state, coldLeft, born, address } = value;
+  const { incarnation, service, domain, slots, state, coldLeft, born, address, release } = value;
+  if (release !== undefined && !isText(release)) return false;
   const isNamed = [incarnation, service, domain, address.host].every(isText);
   const isCounted = [slots, coldLeft, born, address.port].every(isNumber);
   return isNamed && isCounted && (state === 'ready' || state === 'draining');
--- a/src/peering/peer-link.ts
+++ b/src/peering/peer-link.ts
@@ -6,6 +6,7 @@
 import dgram from 'node:dgram';
 import type { Address, Clock, Log } from '../kernel/index.js';
 import {
+  type CaseWord,
   type Datagram,
   type Knowledge,
   type LoadShare,
@@ -30,6 +31,8 @@
   readonly onKnowledge: (from: MemberInfo, knowledge: Knowledge) => void;
   /** Called with what another home knows of targets. */
   readonly onShares: (from: string, shares: readonly LoadShare[]) => void;
+  /** Called with what another daemon tells of requests under which targets ended. */
+  readonly onCases: (from: string, cases: readonly CaseWord[]) => void;
 }
 
 /** How often a daemon asks those that it looks to. */
@@ -152,6 +155,11 @@
     this.#send(ip, { kind: 'load', shares });
   }
 
+  /** Tells another daemon of requests under which targets ended. */
+  sendCases(ip: string, cases: readonly CaseWord[]): void {
+    this.#send(ip, { kind: 'cases', cases });
+  }
+
   #describeSelf(): SelfWord {
     const { domain, capacity, isSenior } = this.options.readSelf();
     const { selfState, readBusy } = this.options;
@@ -178,13 +186,17 @@
   }
 
   #take(bytes: Uint8Array, ip: string): void {
-    const { roster, clock, onKnowledge, onShares } = this.options;
+    const { roster, clock, onKnowledge, onShares, onCases } = this.options;
     const datagram = decodeDatagram(bytes);
     if (datagram === undefined) return;
     if (datagram.kind === 'load') {
       onShares(ip, datagram.shares);
       return;
     }
+    if (datagram.kind === 'cases') {
+      onCases(ip, datagram.cases);
+      return;
+    }
     const { domain, capacity, isSenior } = datagram.self;
     const info = { ip, domain, capacity, isSenior };
     if (datagram.kind === 'ask') {
@@ -200,6 +212,7 @@
     const travelled = clock.now() - (this.#askedAt.get(ip) ?? clock.now());
     const { knowledge } = datagram;
     const { reading, presences } = knowledge;
+    if (knowledge.cases.length > 0) onCases(ip, knowledge.cases);
     for (const presence of presences) {
       roster.hearOf({ ...presence, age: presence.age + travelled });
     }
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -20,6 +20,8 @@
   readonly domain: string;
   readonly slots: number;
   readonly state: 'ready' | 'draining';
+  /** The version of its software; undefined where it does not say. */
+  readonly release?: string;
   /** For how long the target is still slow after its start, in milliseconds. */
   readonly coldLeft: number;
 }
@@ -182,6 +184,7 @@
       state: readState(status.state),
       coldLeft: Math.max(0, readNumber(status.warmup_left_ms ?? 0, 'warmup_left_ms')),
       born: readWhole(document.born ?? 0, 'born', 0),
+      release: typeof info.version === 'string' ? info.version : undefined,
     };
   });
 }
--- a/src/standin/site.ts
+++ b/src/standin/site.ts
@@ -133,6 +133,11 @@
     });
   }
 
+  /** Whether its process runs. */
+  get isListening(): boolean {
+    return this.#server.listening;
+  }
+
   /** Answers a request well. */
   answer(request: IncomingMessage, response: ServerResponse, body = this.incarnation): void {
     response.writeHead(200, {
--- a/src/view/fleet-view.ts
+++ b/src/view/fleet-view.ts
@@ -64,7 +64,8 @@
     a.address.port === b.address.port &&
     a.domain === b.domain &&
     a.slots === b.slots &&
-    a.state === b.state
+    a.state === b.state &&
+    a.release === b.release
   );
 }
 
--- a/test/lessons.test.ts
+++ b/test/lessons.test.ts
@@ -7,6 +7,7 @@
   parseLessons,
   supersedes,
 } from '../src/gateway/lessons.js';
+import { PoisonDesk } from '../src/gateway/poison-desk.js';
 import { Reception } from '../src/gateway/reception.js';
 import { TargetSet } from '../src/gateway/target-set.js';
 import {
@@ -23,6 +24,7 @@
   services: { alpha: { mean: 2, slow: 5, life: 150, knee: 1.7 } },
   routes: { 'r/a/': { work: 220, spread: 1.35 } },
   homes: 4,
+  poison: [{ request: 'q1', ended: [7, 9], releases: ['v1'], at: 1_700_000_000_000 }],
 };
 
 const change = (life: number): Lessons => ({
@@ -43,12 +45,19 @@
         services: { ...LESSONS.services, bad: { mean: 1 }, none: null },
         routes: { worse: { work: -1, spread: 'x' } },
       });
-      expect(parseLessons(odd)).to.deep.equal({ services: LESSONS.services, routes: {}, homes: 0 });
+      expect(parseLessons(odd)).to.deep.equal({
+        services: LESSONS.services,
+        routes: {},
+        homes: 0,
+        poison: [],
+      });
     });
     it('is news when something is new or quite different', () => {
       expect(supersedes(LESSONS, NO_LESSONS)).to.equal(true);
       expect(supersedes(LESSONS, LESSONS)).to.equal(false);
-      expect(supersedes({ ...NO_LESSONS, homes: 4 }, LESSONS)).to.equal(false);
+      expect(supersedes({ ...NO_LESSONS, homes: 4, poison: LESSONS.poison }, LESSONS)).to.equal(
+        false,
+      );
       expect(supersedes({ ...LESSONS, homes: 8 }, LESSONS)).to.equal(true);
       expect(supersedes(change(160), LESSONS)).to.equal(false);
       expect(supersedes(change(500), LESSONS)).to.equal(true);
@@ -114,7 +123,7 @@
       await passTime();
       expect(standin.get(KEYS.lessons)).to.equal(undefined);
       standin.put(KEYS.lessons, formatLessons(LESSONS));
-      const more = { services: { beta: LESSONS.services.alpha }, routes: {}, homes: 4 };
+      const more = { services: { beta: LESSONS.services.alpha }, routes: {}, homes: 4, poison: [] };
       startBook(true, () => more);
       await passTime();
       const kept = parseLessons(standin.get(KEYS.lessons) ?? '');
@@ -136,11 +145,15 @@
     expect(targets.find('alpha').knee.findLimit(6)).to.equal(4);
     expect(targets.find('late').readPattern().life).to.equal(900);
     expect(targets.listLessons()).to.deep.equal({});
+    const log = createLineLog(clock, 'error', {}, { writableLength: 0, write: () => true });
+    const metrics = new TextMetrics();
     const reception = new Reception({
-      ...{ clock, random, targets, metrics: new TextMetrics(), readTable: () => undefined },
-      log: createLineLog(clock, 'error', {}, { writableLength: 0, write: () => true }),
+      ...{ clock, random, targets, metrics, log, readTable: () => undefined },
       turns: { isAcceptingOn: false, accepted: 0, hidesWaits: false, atTurnEnd: () => undefined },
       onBroken: () => undefined,
+      poison: new PoisonDesk({
+        ...{ clock, log, metrics, isTrier: () => true, send: () => undefined },
+      }),
     });
     reception.absorb(LESSONS.routes);
     expect(reception.listLessons()).to.deep.equal({});
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -410,6 +410,10 @@
           { ip: '10.1.0.38', state: 'ready', age: 40 },
           { ip: '255.0.2.1', state: 'stopping', age: 0 },
         ],
+        cases: [
+          { request: 'q1', ended: [7, 2 ** 32 - 1], releases: ['v1'], age: 90 },
+          { request: 'q2', ended: [], releases: [], age: 0 },
+        ],
       },
     },
     {
@@ -419,6 +423,7 @@
         { target: 17, inFlight: 0, slowdown: undefined, age: 0 },
       ],
     },
+    { kind: 'cases', cases: [{ request: 'q1', ended: [7], releases: [], age: 3 }] },
   ];
   for (const sample of samples) {
     it(`${sample.kind} arrives as it was sent`, () => {
--- /dev/null
+++ b/test/poison-record.test.ts
@@ -0,0 +1,191 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { type PoisonCase, PoisonRecord, type PoisonTerms } from '../src/balance/index.js';
+import { RequestIdentity, type RequestTraits } from '../src/gateway/request-identity.js';
+
+const MINUTE = 60_000;
+const DAY = 24 * 60 * MINUTE;
+
+const TERMS: PoisonTerms = { now: 0, targets: 30, releases: new Set(['v1']), isTrier: true };
+
+const makeEnd = (target: number, release = 'v1') => ({ target, release });
+
+describe('the record of requests under which targets end', () => {
+  let record: PoisonRecord;
+  beforeEach(() => {
+    record = new PoisonRecord();
+  });
+
+  const judge = (now: number, terms: Partial<PoisonTerms> = {}, request = 'q') =>
+    record.judge(request, { ...TERMS, ...terms, now });
+
+  describe('who is to blame', () => {
+    it('is nobody without an end, a suspect after one, held out after two', () => {
+      expect(judge(0).kind).to.equal('clear');
+      record.noteEnd('q', makeEnd(1), 0);
+      expect(judge(1).kind).to.equal('suspect');
+      record.noteEnd('q', makeEnd(2), 100);
+      expect(judge(101).kind).to.equal('held');
+      expect(judge(101, {}, 'other').kind).to.equal('clear');
+    });
+    it('counts the end of one life once, whoever tells of it', () => {
+      record.noteEnd('q', makeEnd(1), 0);
+      const word = { request: 'q', ended: [1], releases: ['v1'], changedAt: 40 };
+      expect(record.hear(word, 50)).to.equal('known');
+      expect(judge(60).kind).to.equal('suspect');
+    });
+    it('is nobody that a target ran to its end, and words of before say nothing', () => {
+      record.noteEnd('q', makeEnd(1), 0);
+      expect(record.noteAnswer('q', 200)?.ended).to.deep.equal([]);
+      expect(judge(201).kind).to.equal('clear');
+      const late = { request: 'q', ended: [1, 2], releases: ['v1'], changedAt: 150 };
+      expect(record.hear(late, 300)).to.equal('outdated');
+      expect(judge(301).kind).to.equal('clear');
+      expect(record.hear({ ...late, changedAt: 350 }, 360)).to.equal('news');
+      expect(judge(361).kind).to.equal('held');
+    });
+    it('lets a copy wait while one of them runs', () => {
+      record.noteEnd('q', makeEnd(1), 0);
+      record.start('q');
+      expect(judge(10)).to.include({ kind: 'held' });
+      record.finish('q');
+      expect(judge(20).kind).to.equal('suspect');
+    });
+    it('takes one end more while targets end by themselves', () => {
+      for (let target = 10; target < 20; target += 1) {
+        record.noteEnd(`other-${target}`, makeEnd(target), 0);
+      }
+      record.noteEnd('q', makeEnd(1), 100);
+      record.noteEnd('q', makeEnd(2), 300);
+      expect(judge(400).kind).to.equal('suspect');
+      record.noteEnd('q', makeEnd(3), 500);
+      expect(judge(600).kind).to.equal('held');
+    });
+    it('does not take the ends that several such requests cause for chance', () => {
+      for (let index = 0; index < 20; index += 1) {
+        record.noteEnd(`other-${index}`, makeEnd(10 + 2 * index), 0);
+        record.noteEnd(`other-${index}`, makeEnd(11 + 2 * index), 50);
+      }
+      record.noteEnd('q', makeEnd(1), 100);
+      record.noteEnd('q', makeEnd(2), 300);
+      expect(judge(400).kind).to.equal('held');
+    });
+  });
+
+  describe('who finds out that one is good again', () => {
+    beforeEach(() => {
+      record.noteEnd('q', makeEnd(1), 0);
+      record.noteEnd('q', makeEnd(2), 100);
+    });
+    /** Asks every second for a day, and ends a target at each trial. */
+    const countEnds = (terms: Partial<PoisonTerms>) => {
+      let ended = 0;
+      for (let now = 1000; now < DAY; now += 1000) {
+        if (judge(now, terms).kind !== 'suspect') continue;
+        ended += 1;
+        record.noteEnd('q', makeEnd(100 + ended), now);
+      }
+      return ended;
+    };
+    it('is one daemon, at the cost of two targets a day', () => {
+      expect(countEnds({ isTrier: false })).to.equal(0);
+      expect(countEnds({})).to.equal(2);
+    });
+    it('tries a new release at once, and only that', () => {
+      const releases = new Set(['v1', 'v2']);
+      expect(judge(500, { releases })).to.deep.equal({ kind: 'suspect', avoided: ['v1'] });
+      record.noteEnd('q', makeEnd(3, 'v2'), 600);
+      expect(judge(700, { releases }).kind).to.equal('held');
+    });
+    it('tells the others, and who has not heard it when that one tells of it', () => {
+      const held = record.find('q');
+      record.noteAnswer('q', 20_000);
+      expect(record.hear(held ?? expect.fail('held'), 30_000)).to.equal('outdated');
+      const other = new PoisonRecord();
+      other.noteEnd('q', makeEnd(1), 0);
+      other.noteEnd('q', makeEnd(2), 100);
+      const cleared = record.find('q') ?? expect.fail('remembered');
+      expect(other.hear(cleared, 30_000)).to.equal('news');
+      expect(other.judge('q', { ...TERMS, now: 30_001 }).kind).to.equal('clear');
+    });
+  });
+
+  describe('words of other daemons', () => {
+    it('give the same in any order, and more than once', () => {
+      const word = fc.record({
+        ended: fc.array(fc.integer({ min: 1, max: 4 }), { minLength: 1, maxLength: 3 }),
+        changedAt: fc.integer({ min: 0, max: 1000 }),
+      });
+      const pair = fc
+        .array(word, { maxLength: 6 })
+        .chain((words) =>
+          fc.tuple(
+            fc.constant(words),
+            fc.shuffledSubarray([...words, ...words], { minLength: 2 * words.length }),
+          ),
+        );
+      const collect = (words: readonly Pick<PoisonCase, 'ended' | 'changedAt'>[]) => {
+        const hearing = new PoisonRecord();
+        for (const { ended, changedAt } of words) {
+          hearing.hear({ request: 'q', ended, releases: ['v1'], changedAt }, 2000);
+        }
+        return [...(hearing.find('q')?.ended ?? [])].sort();
+      };
+      const check = fc.property(pair, ([words, mixed]) => {
+        expect(collect(mixed)).to.deep.equal(collect(words));
+      });
+      fc.assert(check, { seed: 27, numRuns: 300 });
+    });
+  });
+
+  describe('memory', () => {
+    it('is bounded with a hundred thousand requests cut off once, and who is held out stays', () => {
+      record.noteEnd('q', makeEnd(1), 0);
+      record.noteEnd('q', makeEnd(2), 1);
+      for (let index = 0; index < 100_000; index += 1) {
+        record.noteEnd(`${String(index).padStart(16, '0')}-body`, makeEnd(index), 2 + index / 100);
+      }
+      expect(record.listSince(-Infinity).length).to.be.at.most(4096);
+      expect(record.listHeld().map(({ request }) => request)).to.deep.equal(['q']);
+      expect(record.mayKnow('0'.repeat(16))).to.equal(false);
+    });
+    it('lasts a day, and a minute of those that were answered', () => {
+      record.noteEnd('q', makeEnd(1), 0);
+      record.noteEnd('a', makeEnd(1), 0);
+      record.noteAnswer('a', 10);
+      record.noteEnd('x', makeEnd(3), 2 * MINUTE);
+      expect(record.listSince(-Infinity).map(({ request }) => request)).to.have.members(['q', 'x']);
+      record.noteEnd('y', makeEnd(4), DAY + 3 * MINUTE);
+      expect(record.listSince(-Infinity).map(({ request }) => request)).to.deep.equal(['y']);
+    });
+  });
+});
+
+describe('what makes two tries the same request', () => {
+  const traits: RequestTraits = {
+    ...{ method: 'POST', host: 'a.example', path: '/p?x=1', caller: '10.0.0.9' },
+    ...{ body: Buffer.from('body'), bodyBytes: 4 },
+  };
+  const name = (changes: Partial<RequestTraits> = {}) =>
+    new RequestIdentity({ ...traits, ...changes }).whole;
+  it('is nothing but method, host, path with its parameters, caller and body', () => {
+    expect(name()).to.equal(name({ body: Buffer.from('body') }));
+    const others = [
+      ...[{ method: 'PUT' }, { host: 'b.example' }, { path: '/p?x=2' }, { caller: '10.0.0.8' }],
+      ...[{ body: Buffer.from('bodY') }, { body: undefined, bodyBytes: 0 }],
+      // What ends one part can't begin the next.
+      { host: 'a.example/p', path: '?x=1' },
+    ];
+    expect(new Set([name(), ...others.map(name)]).size).to.equal(others.length + 1);
+  });
+  it('is the length of a body that is not held', () => {
+    const body = undefined;
+    expect(name({ body, bodyBytes: 9_000_000 })).to.equal(name({ body, bodyBytes: 9_000_000 }));
+    expect(name({ body, bodyBytes: 9_000_000 })).to.not.equal(name({ body, bodyBytes: 9_000_001 }));
+  });
+  it('begins with what is known before the body', () => {
+    const identity = new RequestIdentity(traits);
+    expect(identity.whole.startsWith(identity.head)).to.equal(true);
+    expect(name({ body: Buffer.from('other') }).startsWith(identity.head)).to.equal(true);
+  });
+});
--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -14,6 +14,7 @@
 import { pause } from '../src/demo/index.js';
 import { KEYS } from '../src/platform/index.js';
 import { type Behaviour, type SiteTarget, writeTarget } from '../src/standin/index.js';
+import { waitUntil } from './helpers/fleet.js';
 import { type CallerReply, Site, sendTo } from './helpers/gateways.js';
 
 const POISON = '/a/poison?page=3';
@@ -28,7 +29,6 @@
 describe('a request that ends every target that runs it', () => {
   let site: Site;
   let ips: readonly string[];
-  let born = 1000;
   const timers = new Set<NodeJS.Timeout>();
 
   const later = (time: number, action: () => void) => {
@@ -42,8 +42,7 @@
   /** Ends a target; it is back after a while, under its name, as a later start. */
   const crash = (target: SiteTarget) => {
     target.crash();
-    born += 1;
-    const life = born;
+    const life = Date.now();
     later(AWAY_TIME, () => {
       target
         .restart()
@@ -55,6 +54,16 @@
     });
   };
 
+  /** Takes what the targets do with the request, and what their entries say. */
+  const release = (version: string) => {
+    for (const target of site.targets) {
+      target.behaviour = (request, response) =>
+        later(RUN_TIME, () => target.answer(request, response));
+      const entry = writeTarget(target.address, { version, born: Date.now() });
+      site.store.put(KEYS.targets + target.incarnation, entry);
+    }
+  };
+
   const countEnded = () => site.targets.reduce((sum, { crashes }) => sum + crashes, 0);
 
   beforeEach(async () => {
@@ -118,4 +127,53 @@
     await press('/once/poison', 2500, 'POST');
     expect(countEnded()).to.be.within(1, 2);
   });
+  it('is known to a daemon that starts, and to all after a loss of all power', async () => {
+    await press(POISON, 1000);
+    const ended = countEnded();
+    const newcomer = await site.addGateway([ips[0]]);
+    expect((await sendTo(newcomer, { path: POISON })).status).to.equal(503);
+    const isStored = () => site.store.get(KEYS.lessons)?.includes('"poison":[{') === true;
+    await waitUntil(isStored, 'the store keeps it');
+    for (const { gateway } of site.gateways) gateway.destroy();
+    const first = await site.addGateway();
+    ips = [first, await site.addGateway([first]), await site.addGateway([first])];
+    await press(POISON, 1500);
+    expect(countEnded()).to.equal(ended);
+  });
+  it('is served soon after a release that mends the targets', async () => {
+    await press(POISON, 1000);
+    const ended = countEnded();
+    await pause(2 * AWAY_TIME);
+    release('v2');
+    let isServed = false;
+    for (let turn = 0; turn < 30 && !isServed; turn += 1) {
+      const replies = await Promise.all(ips.map((ip) => sendTo(ip, { path: POISON })));
+      isServed = replies.some(({ status }) => status === 200);
+      await pause(50);
+    }
+    await pause(100);
+    for (const ip of ips) expect((await sendTo(ip, { path: POISON })).status).to.equal(200);
+    expect(countEnded()).to.equal(ended);
+  });
+  it('is not taken for one that loses its connection, whose targets live', async () => {
+    for (const target of site.targets) target.behaviour = (request) => request.socket.destroy();
+    const { replies } = await press(POISON, 1000);
+    expect(new Set(replies.map(({ status }) => status))).to.deep.equal(new Set([502]));
+    expect(site.events.some(({ event }) => event === 'poison.suspected')).to.equal(false);
+  });
+  it('is not taken for one that was lost with targets that end by themselves', async () => {
+    const flapping = site.targets.slice(0, TARGETS / 2);
+    const flap = (turn: number) => {
+      const target = flapping[turn % flapping.length];
+      if (target.isListening) crash(target);
+      later(130, () => flap(turn + 1));
+    };
+    flap(0);
+    const { innocents } = await press('/a/same', 5000);
+    const told = innocents.map((reply) => reply?.text ?? '');
+    expect(site.events.some(({ event }) => event === 'poison.suspected')).to.equal(true);
+    expect(told.filter((text) => text.includes('poison')).length / told.length).to.be.below(0.005);
+    const served = innocents.filter((reply) => reply?.status === 200);
+    expect(served.length / innocents.length).to.be.greaterThan(0.98);
+  });
 });
--- a/test/strange.test.ts
+++ b/test/strange.test.ts
@@ -241,6 +241,7 @@
         ...{ position: { targets: 5, configuration: 3 }, proofAge: 10, targetsRevision: 5 },
         ...{ members: 7, homes: 3, reading: { reader: '10.0.0.1', age: 5 } },
         presences: [{ ip: '10.0.0.2', state: 'ready', age: 5 }],
+        cases: [{ request: 'q', ended: [7], releases: ['v1'], age: 5 }],
       },
     });
     fc.assert(
