The clock counts the time for which the machine was suspended

Cause: ages, leases and grants are counted on the steady clock, which stands still while a machine is suspended. A daemon that had slept past its measuring grant spent it beside the next holder; the list, reports, counts of calls and resting connections of a gateway looked as fresh as before.

Change: where both leap by the same, and the time since boot has kept step before, that time counts. One place, so all ages follow.

--- a/src/kernel/clock.ts
+++ b/src/kernel/clock.ts
@@ -1,5 +1,7 @@
 /** Time as a kernel service, so that a test or a test bench can replace it. */
+import os from 'node:os';
 import { nameService } from './kernel.js';
+import { SuspensionMeter, type TimeSources } from './suspension.js';
 
 /** A pending timer. */
 export interface Timer {
@@ -9,7 +11,10 @@
 
 /** The time service. All times are in milliseconds. */
 export interface Clock {
-  /** Monotonic time, from an arbitrary origin. It never goes back. */
+  /**
+   * Monotonic time, from an arbitrary origin. It never goes back, and counts the time for which the machine was
+   * suspended, so that nothing that was learnt before looks fresh after it. Timers don't count that time.
+   */
   now(): number;
   /** Wall-clock time since 1970. It may jump, and differs between VMs. */
   wall(): number;
@@ -41,15 +46,25 @@
   });
 }
 
+const SYSTEM_TIME: TimeSources = {
+  steady: () => performance.now(),
+  wall: () => Date.now(),
+  sinceBoot: () => os.uptime() * 1000,
+};
+
 /** Creates the clock of the machine. */
-export function createSystemClock(): Clock {
+export function createSystemClock(sources = SYSTEM_TIME): Clock {
+  const meter = new SuspensionMeter(sources);
   const schedule = (delay: number, action: () => void): Timer => {
     const handle = setTimeout(action, delay);
     return { cancel: () => clearTimeout(handle) };
   };
   return {
-    now: () => performance.now(),
-    wall: () => Date.now(),
+    now: () => {
+      const steady = sources.steady();
+      return steady + meter.read(steady);
+    },
+    wall: () => sources.wall(),
     schedule,
     sleep: (delay, signal) => sleepOn(schedule, delay, signal),
   };
--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -1,6 +1,7 @@
 /** The kernel and the services that stand for the machine: time, randomness, sockets, logs, metrics. */
 export * from './kernel.js';
 export * from './clock.js';
+export * from './suspension.js';
 export * from './fair-timer.js';
 export * from './random.js';
 export * from './network.js';
