--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -382,8 +382,9 @@
 
   #takeAnswer(attempt: RunningAttempt, answer: TargetAnswer): void {
     const { target } = attempt;
-    if (answer.rest === undefined) this.context.poison.noteAnswer(this.request);
     const isFailure = answer.status >= SERVER_ERROR;
+    // A target that fails what it gets may have answered before it began.
+    if (!isFailure && answer.rest === undefined) this.context.poison.noteAnswer(this.request);
     if (isFailure) {
       target.noteFailure(1);
       this.#log.tellFailure(attempt, 'failed', `status ${answer.status}`);
--- a/src/gateway/poison-desk.ts
+++ b/src/gateway/poison-desk.ts
@@ -42,9 +42,15 @@
 /** News are told again with every answer for this long: some questions of each daemon, as datagrams get lost. */
 const FRESH_TIME = 1500;
 
-/** Words in one answer, so that it stays below what a network carries in one piece. */
-const MOST_HELD_TOLD = 12;
-const MOST_FRESH_TOLD = 12;
+/** Words in one answer, of some 80 bytes each, so that it stays below what a network carries in one piece. */
+const MOST_HELD_TOLD = 4;
+const MOST_FRESH_TOLD = 6;
+
+/** Words in one message of their own. */
+const MOST_TOLD = 12;
+
+/** What comes within this time goes in one message: a target that ends takes several requests with it. */
+const GATHER_TIME = 2;
 
 /** Requests in the store's record. */
 const MOST_STORED = 64;
@@ -56,6 +62,9 @@
   /** Until when a request is told of with every answer. */
   readonly #fresh = new Map<string, number>();
 
+  /** What the homes are about to be told. */
+  readonly #news = new Set<string>();
+
   /** Where the next answer goes on to name those that are held out. */
   #turn = 0;
 
@@ -176,11 +185,25 @@
     return { now: clock.now(), targets: targets.size, releases, isTrier: isTrier() };
   }
 
-  #tell(known: PoisonCase): void {
+  #tell({ request }: PoisonCase): void {
+    const { clock } = this.options;
+    this.#fresh.delete(request);
+    this.#fresh.set(request, clock.now() + FRESH_TIME);
+    if (this.#news.size === 0) clock.schedule(GATHER_TIME, () => this.#sendNews());
+    this.#news.add(request);
+  }
+
+  #sendNews(): void {
     const now = this.options.clock.now();
-    this.#fresh.delete(known.request);
-    this.#fresh.set(known.request, now + FRESH_TIME);
-    this.options.send([describeCase(known, now)]);
+    const words: CaseWord[] = [];
+    for (const request of this.#news) {
+      const known = this.#record.find(request);
+      if (known !== undefined) words.push(describeCase(known, now));
+    }
+    this.#news.clear();
+    for (let at = 0; at < words.length; at += MOST_TOLD) {
+      this.options.send(words.slice(at, at + MOST_TOLD));
+    }
   }
 
   /** Some of those that are held out, in turn. */
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -136,11 +136,37 @@
     return this.#pool;
   }
 
-  /** Advises a call that has tried some targets already. @param ahead calls that go first */
+  /**
+   * Advises a call that has tried some targets already. One under which a target has ended goes where no other such
+   * call runs, to a target that has run for long where there is one.
+   *
+   * @param ahead calls that go first
+   */
   choosePlace(wish: PlaceWish, ahead: number): Advice<GatewayTarget> {
+    const { tried, care } = wish;
+    const mayTake = (target: GatewayTarget) => target.isUsable && !tried.has(target);
+    if (care === undefined) return this.#chooseAmong(mayTake, wish, ahead);
+    const now = this.options.clock.wall();
+    const isAllowed = (target: GatewayTarget) =>
+      mayTake(target) && !care.avoided.includes(readRelease(target.record));
+    const isApart = (target: GatewayTarget) => isAllowed(target) && target.suspects === 0;
+    const isSteady = (target: GatewayTarget) =>
+      isApart(target) && now - target.record.born > STEADY_AGE;
+    for (const isFit of [isSteady, isApart]) {
+      const advice = this.#chooseAmong(isFit, wish, ahead);
+      // A suspect that waited for one of few targets would hold up who waits behind it.
+      if (advice.kind === 'now') return advice;
+    }
+    return this.#chooseAmong(isAllowed, wish, ahead);
+  }
+
+  #chooseAmong(
+    isUsable: (target: GatewayTarget) => boolean,
+    { bodyBytes }: PlaceWish,
+    ahead: number,
+  ): Advice<GatewayTarget> {
     const { random, domain } = this.options;
-    const { bodyBytes } = wish;
-    const drawn = this.#drawFor(wish);
+    const drawn = drawCandidates(this.#readPool(), { random, isUsable });
     const homes = this.options.countHomes();
     const tellers = this.options.countTellers();
     const terms = { pattern: this.readPattern(), domain, homes, tellers, knee: this.knee };
@@ -150,23 +176,6 @@
     });
   }
 
-  /** Draws targets for a call. A suspect goes where no other one runs, and to one that has run for long. */
-  #drawFor({ tried, care }: PlaceWish): readonly GatewayTarget[] {
-    const { random, clock } = this.options;
-    const mayTake = (target: GatewayTarget) => target.isUsable && !tried.has(target);
-    const draw = (isUsable: (target: GatewayTarget) => boolean) =>
-      drawCandidates(this.#readPool(), { random, isUsable });
-    if (care === undefined) return draw(mayTake);
-    const now = clock.wall();
-    const isAllowed = (target: GatewayTarget) =>
-      mayTake(target) && !care.avoided.includes(readRelease(target.record));
-    const isApart = (target: GatewayTarget) => isAllowed(target) && target.suspects === 0;
-    const steady = draw((target) => isApart(target) && now - target.record.born > STEADY_AGE);
-    if (steady.length > 0) return steady;
-    const apart = draw(isApart);
-    return apart.length > 0 ? apart : draw(isAllowed);
-  }
-
   /**
    * How many times this daemon's calls all daemons have at the targets: it gets that part of the slots.
    * After a restart callers meet at one home, whose part is nearly all.
--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -11,9 +11,14 @@
  * own and targets that end so; the count of ended targets grows with the tries.
  */
 import { expect } from 'chai';
+import { WindowBudget } from '../src/balance/index.js';
 import { pause } from '../src/demo/index.js';
-import { KEYS } from '../src/platform/index.js';
+import type { PlaceWish } from '../src/gateway/slot-queue.js';
+import { type TargetService, TargetSet } from '../src/gateway/target-set.js';
+import { ManualClock, createSeededRandom } from '../src/kernel/index.js';
+import { KEYS, type TargetRecord } from '../src/platform/index.js';
 import { type Behaviour, type SiteTarget, writeTarget } from '../src/standin/index.js';
+import { FleetView } from '../src/view/index.js';
 import { waitUntil } from './helpers/fleet.js';
 import { type CallerReply, Site, sendTo } from './helpers/gateways.js';
 
@@ -127,6 +132,17 @@
     await press('/once/poison', 2500, 'POST');
     expect(countEnded()).to.be.within(1, 2);
   });
+  it('ends two where other targets fail it before they begin', async () => {
+    for (const target of site.targets.slice(0, TARGETS / 2)) {
+      target.behaviour = (request, response) => {
+        const isPoison = request.url?.includes('poison') === true;
+        if (isPoison) response.writeHead(500, { 'Server-Signature': 'sig.1' }).end();
+        else later(RUN_TIME, () => target.answer(request, response));
+      };
+    }
+    await press(POISON, 2500);
+    expect(countEnded()).to.be.within(1, 2);
+  });
   it('is known to a daemon that starts, and to all after a loss of all power', async () => {
     await press(POISON, 1000);
     const ended = countEnded();
@@ -177,3 +193,61 @@
     expect(served.length / innocents.length).to.be.greaterThan(0.98);
   });
 });
+
+describe('where a request under which a target has ended goes', () => {
+  const NOW = 1_700_000_000_000;
+  const clock = new ManualClock(NOW);
+  const care = { avoided: [] };
+  let service: TargetService;
+  const add = (view: FleetView, name: string, record: Partial<TargetRecord>) => {
+    const address = { host: '127.0.0.1', port: 1 };
+    const usual = { service: 's', domain: 'd', slots: 2, state: 'ready' as const, coldLeft: 0 };
+    view.putTarget({ ...usual, incarnation: name, address, born: 1, ...record }, 1, 0);
+  };
+  beforeEach(() => {
+    const targets = new TargetSet({
+      ...{ clock, random: createSeededRandom(5), domain: 'd', countHomes: () => 1 },
+      countTellers: () => 0,
+      createBudget: () => new WindowBudget(clock, () => ({ ratio: 0, slack: 0, window: 1000 })),
+    });
+    const ignore = () => undefined;
+    const view = new FleetView({ onTable: ignore, onTarget: ignore, onFault: ignore });
+    add(view, 'old-1', { release: 'v1' });
+    add(view, 'old-2', { release: 'v1' });
+    add(view, 'young', { release: 'v2', born: NOW - 1000 });
+    targets.update(view);
+    service = targets.find('s');
+  });
+
+  const choose = (wish: Partial<PlaceWish> = {}) => {
+    const advice = service.choosePlace({ tried: new Set(), bodyBytes: 0, care, ...wish }, 0);
+    return advice.kind === 'now' ? advice.candidate.record.incarnation : advice.kind;
+  };
+  const find = (name: string) => service.targets.get(name) ?? expect.fail(name);
+  const fill = (name: string) => {
+    for (let slot = 0; slot < 2; slot += 1) find(name).belief.start(clock.now());
+  };
+
+  it('is a target that has run for long, where no other one runs', () => {
+    find('old-1').suspects = 1;
+    for (let turn = 0; turn < 20; turn += 1) expect(choose()).to.equal('old-2');
+  });
+  it('is any other rather than a place in the line', () => {
+    fill('old-1');
+    fill('old-2');
+    expect(choose()).to.equal('young');
+    // Then it waits for no other reason than any call would.
+    find('young').suspects = 1;
+    expect(choose()).to.equal('wait');
+    expect(choose({ care: undefined })).to.equal('wait');
+  });
+  it('is none of a release that it has ended', () => {
+    expect(choose({ care: { avoided: ['v1'] } })).to.equal('young');
+    expect(choose({ care: { avoided: ['v1', 'v2'] } })).to.equal('none');
+  });
+  it('is avoided by others while there is room elsewhere', () => {
+    find('old-1').suspects = 1;
+    fill('young');
+    for (let turn = 0; turn < 20; turn += 1) expect(choose({ care: undefined })).to.equal('old-2');
+  });
+});
