A request is known by wider names too: with other parameters, from other callers

Change: a chain of names, the exact one, with any parameters, by any caller. A wider one counts a narrower one once, counts only what was sent after the last end, and is cleared by any answer to whoever shares it.

Ruled out: leaving parameters and caller out of the one name (a poisoned search would lock out all searches of its caller, or a page for everybody).

--- a/src/balance/poison.ts
+++ b/src/balance/poison.ts
@@ -140,6 +140,12 @@
     return this.#heads.has(head);
   }
 
+  /** Finds a request under which a target ended since it was last answered. */
+  findBlamed(request: string): PoisonCase | undefined {
+    const known = this.#cases.get(request);
+    return known !== undefined && isBlamed(known) ? known : undefined;
+  }
+
   /** Finds what is known of a request. */
   find(request: string): PoisonCase | undefined {
     return this.#cases.get(request);
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -356,7 +356,8 @@
       case 'lost':
         target.noteFailure(1);
         this.#log.tellFailure(attempt, outcome.kind, outcome.reason, {
-          ...{ ended: outcome.isEnded, request: this.request.identity.whole },
+          ended: outcome.isEnded,
+          names: this.request.identity.names,
         });
         this.#noteLost(attempt, outcome.isEnded);
         this.#repeat('lost');
@@ -373,11 +374,11 @@
   #noteLost({ target, startedAt }: RunningAttempt, isEnded: boolean): void {
     const { poison, clock } = this.context;
     const { id, route, service, path, identity } = this.request;
-    const ran = clock.now() - startedAt;
     // What is kept for a while holds no body.
-    const watched = { id, route, service, path, identity: identity.settle() };
-    if (isEnded) poison.noteEnd(watched, target, ran);
-    else target.noteLoss(() => poison.noteEnd(watched, target, ran));
+    const lost = { id, route, service, path, names: identity.names };
+    const times = { startedAt, lostAt: clock.now() };
+    if (isEnded) poison.noteEnd(lost, target, times);
+    else target.noteLoss(() => poison.noteEnd(lost, target, times));
   }
 
   #takeAnswer(attempt: RunningAttempt, answer: TargetAnswer): void {
--- a/src/gateway/poison-desk.ts
+++ b/src/gateway/poison-desk.ts
@@ -15,7 +15,7 @@
 import type { Clock, Log, TextMetrics } from '../kernel/index.js';
 import type { CaseWord } from '../peering/index.js';
 import type { PoisonLesson } from './lessons.js';
-import type { Identified } from './request-identity.js';
+import type { RequestIdentity } from './request-identity.js';
 import { type GatewayTarget, readRelease } from './target.js';
 import type { TargetService } from './target-set.js';
 
@@ -32,11 +32,25 @@
 
 /** A request that this desk looks at. */
 export interface WatchedRequest {
+  readonly id: string;
+  readonly service: TargetService;
+  readonly identity: RequestIdentity;
+}
+
+/** A request that was lost with its target. */
+export interface LostRequest {
   readonly id: string;
   readonly route: { readonly name: string };
   readonly service: TargetService;
   readonly path: string;
-  readonly identity: Identified;
+  /** What it is known by, the narrowest first. */
+  readonly names: readonly string[];
+}
+
+/** When an attempt was lost, on the kernel's clock. */
+export interface LossTimes {
+  readonly startedAt: number;
+  readonly lostAt: number;
 }
 
 /** News are told again with every answer for this long: some questions of each daemon, as datagrams get lost. */
@@ -73,47 +87,73 @@
   /** Says what may be done with a request that is to be sent. */
   judge(request: WatchedRequest): PoisonVerdict {
     if (!this.#mayKnow(request)) return { kind: 'clear' };
-    return this.#record.judge(request.identity.whole, this.#readTerms(request.service));
+    const terms = this.#readTerms(request.service);
+    return request.identity.names
+      .map((name) => this.#record.judge(name, terms))
+      .reduce(joinVerdicts);
   }
 
   /** Notes that a suspect is sent to a target. */
   start({ id, identity }: WatchedRequest, target: GatewayTarget): void {
-    const { whole: request } = identity;
-    this.#record.start(request);
+    for (const name of identity.names) this.#record.start(name);
     const { incarnation, release } = target.record;
+    const [request] = identity.names;
     this.options.log.info('poison.tried', { id, request, target: incarnation, release });
   }
 
   /** Notes that what was sent of a suspect has come to an end. */
   finish({ identity }: WatchedRequest): void {
-    this.#record.finish(identity.whole);
+    for (const name of identity.names) this.#record.finish(name);
   }
 
-  /** Notes that a target ended while it ran a request. @param ran for how long it ran there, in milliseconds */
-  noteEnd(request: WatchedRequest, target: GatewayTarget, ran: number): void {
+  /**
+   * Notes that a target ended while it ran a request.
+   *
+   * A wider name counts each of the narrower ones once, so that one request does not blame all that share its path;
+   * and only a request that was sent after the last end tells anything new of it: of a path that is asked for all
+   * the time every target that a failure takes at one moment runs some request.
+   */
+  noteEnd(request: LostRequest, target: GatewayTarget, { startedAt, lostAt }: LossTimes): void {
     const { clock, log, metrics } = this.options;
-    const { id, route, service, path, identity } = request;
+    const { id, route, service, path, names } = request;
     const { record, hash } = target;
     const end = { target: hash, release: readRelease(record) };
-    const known = this.#record.noteEnd(identity.whole, end, clock.now());
+    const now = clock.now();
+    const blamed: PoisonCase[] = [];
+    for (const [width, name] of names.entries()) {
+      const before = this.#record.findBlamed(name);
+      if (width > 0 && before !== undefined && startedAt <= before.changedAt) break;
+      blamed.push(this.#record.noteEnd(name, end, now));
+      if (before !== undefined) break;
+    }
+    for (const known of blamed) this.#tell(known);
+    const most = Math.max(...blamed.map(({ ended }) => ended.length));
     metrics.count('target_ended_under', { service: service.name });
-    const tell = known.ended.length > 1 ? log.warn : log.info;
+    const tell = most > 1 ? log.warn : log.info;
     tell('poison.suspected', {
-      ...{ id, route: route.name, service: service.name, path, request: identity.whole },
+      ...{
+        id,
+        route: route.name,
+        service: service.name,
+        path,
+        request: names[0],
+        alike: names.at(-1),
+      },
       ...{ target: record.incarnation, born: record.born, release: record.release },
-      ...{ ran: Math.round(ran), ended: known.ended.length },
+      ...{ ran: Math.round(lostAt - startedAt), ended: most },
     });
-    this.#tell(known);
   }
 
   /** Notes that a target ran a request to its end. */
   noteAnswer(request: WatchedRequest): void {
     if (!this.#mayKnow(request)) return;
     const { clock, log } = this.options;
-    const cleared = this.#record.noteAnswer(request.identity.whole, clock.now());
-    if (cleared === undefined) return;
-    log.info('poison.cleared', { id: request.id, request: cleared.request });
-    this.#tell(cleared);
+    for (const name of request.identity.names) {
+      const cleared = this.#record.noteAnswer(name, clock.now());
+      if (cleared === undefined) continue;
+      log.info('poison.cleared', { id: request.id, request: name });
+      this.#tell(cleared);
+    }
   }
 
   /** Takes what another daemon tells. */
@@ -172,7 +212,8 @@
   }
 
   #mayKnow({ identity }: WatchedRequest): boolean {
-    return !this.#record.isEmpty && this.#record.mayKnow(identity.head);
+    if (this.#record.isEmpty) return false;
+    return identity.heads.some((head) => this.#record.mayKnow(head));
   }
 
   #readTerms(service: TargetService): PoisonTerms {
@@ -216,6 +257,14 @@
   }
 }
 
+/** What holds for a request by one name holds for it by any. */
+function joinVerdicts(a: PoisonVerdict, b: PoisonVerdict): PoisonVerdict {
+  if (a.kind === 'held' && b.kind === 'held') return a.wait > b.wait ? a : b;
+  if (a.kind === 'held' || b.kind === 'clear') return a;
+  if (b.kind === 'held' || a.kind === 'clear') return b;
+  return { kind: 'suspect', avoided: [...a.avoided, ...b.avoided] };
+}
+
 function describeCase({ request, ended, releases, changedAt }: PoisonCase, now: number): CaseWord {
   return { request, ended, releases, age: Math.max(0, now - changedAt) };
 }
--- a/src/gateway/request-identity.ts
+++ b/src/gateway/request-identity.ts
@@ -1,10 +1,11 @@
 /**
  * What makes two tries the same request: method, host, path with its parameters, caller and body; not the ids that
- * change with each try.
+ * change with each try. Requests may share less than all of it and still end targets for the same reason: a page that
+ * its callers ask for with other parameters, or a document that many of them read. So a request has wider names too.
  *
- * The digest is a cryptographic one, so that nobody can find another request with the same digest as someone
- * else's and have that one held out; the caller's address, which only the caller can connect from, is part of it.
- * It is worked out when it is asked for: on most days never.
+ * The digests are cryptographic ones, so that nobody can find another request with the same digest as someone
+ * else's and have that one held out; the caller's address, which only the caller can connect from, is part of them.
+ * They are worked out when they are asked for: on most days never.
  */
 import { createHash } from 'node:crypto';
 import { HEAD_LENGTH } from '../balance/index.js';
@@ -30,37 +31,32 @@
   return hash.digest('base64url').slice(0, HEAD_LENGTH);
 }
 
-/** A request that is told apart by its digests. */
-export interface Identified {
-  readonly head: string;
-  readonly whole: string;
-}
-
-/** The digests of one request. */
-export class RequestIdentity implements Identified {
-  #head: string | undefined;
+/** The names of one request. */
+export class RequestIdentity {
+  #heads: readonly string[] | undefined;
 
-  #whole: string | undefined;
+  #names: readonly string[] | undefined;
 
   constructor(private readonly traits: RequestTraits) {}
 
-  /** Stands for everything but the body. */
-  get head(): string {
+  /** The parts of the names that stand for everything but the body. */
+  get heads(): readonly string[] {
+    if (this.#heads !== undefined) return this.#heads;
     const { method, host, path, caller } = this.traits;
-    this.#head ??= hashParts([method, host, path, caller]);
-    return this.#head;
+    const [bare] = path.split('?', 1);
+    const exact = hashParts([method, host, path, caller]);
+    const anyParameters = hashParts([method, host, bare, caller]);
+    const anyCaller = hashParts([method, host, bare]);
+    this.#heads = [...new Set([exact, anyParameters, anyCaller])];
+    return this.#heads;
   }
 
-  /** Stands for the request; begins with {@link head}. A body that is not held counts by its length. */
-  get whole(): string {
+  /** From the one that tells most to the widest. A body that is not held counts by its length. */
+  get names(): readonly string[] {
+    if (this.#names !== undefined) return this.#names;
     const { body, bodyBytes } = this.traits;
-    const parts = Buffer.isBuffer(body) ? ['held', body] : ['streamed', `${bodyBytes}`];
-    this.#whole ??= this.head + hashParts(parts);
-    return this.#whole;
-  }
-
-  /** The digests alone, for whoever keeps them: a body may be long. */
-  settle(): Identified {
-    return { head: this.head, whole: this.whole };
+    const tail = hashParts(Buffer.isBuffer(body) ? ['held', body] : ['streamed', `${bodyBytes}`]);
+    this.#names = this.heads.map((head) => head + tail);
+    return this.#names;
   }
 }
--- a/src/gateway/request-log.ts
+++ b/src/gateway/request-log.ts
@@ -82,14 +82,14 @@
   /**
    * Tells of an attempt that brought no answer to pass on.
    *
-   * @param lost for one that was sent and lost: whether its target ended, and what its request is known by; tries
+   * @param lost for one that was sent and lost: whether its target ended, and what its request is known by, as tries
    *   of the same request have other ids
    */
   tellFailure(
     { target, startedAt, timing }: RunningAttempt,
     outcome: string,
     reason: string,
-    lost: { readonly ended?: boolean; readonly request?: string } = {},
+    lost?: { readonly ended: boolean; readonly names: readonly string[] },
   ): void {
     const { clock, log, metrics } = this.options;
     const { id, service } = this.request;
@@ -97,7 +97,7 @@
     metrics.count('attempt_failed', { service: service.name, outcome });
     log.info('attempt.failed', {
       ...{ id, service: service.name, target: target.record.incarnation, outcome, reason },
-      ...lost,
+      ...{ ended: lost?.ended, request: lost?.names[0], alike: lost?.names.at(-1) },
       ...{
         took: Math.round(now - startedAt),
         connect: Math.round(timing.connected),
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -41,6 +41,8 @@
   readonly id?: string;
   readonly deadline?: number;
   readonly body?: string | Buffer;
+  /** The caller's own address; 127.0.0.1 unless given. */
+  readonly from?: string;
   readonly agent?: http.Agent;
   readonly signal?: AbortSignal;
   readonly headers?: Readonly<Record<string, string>>;
@@ -189,7 +191,7 @@
   return sendRequest(
     {
       ...{ host: ip, port: PORTS.callers, path, method, agent: sending.agent ?? false },
-      signal: sending.signal,
+      ...{ signal: sending.signal, localAddress: sending.from },
       headers: {
         ...{ host: HOST, 'attempt-id': id, 'request-deadline-ms': String(deadline) },
         ...(sending.body === undefined || sending.headers?.['transfer-encoding'] !== undefined
--- a/test/poison-record.test.ts
+++ b/test/poison-record.test.ts
@@ -166,8 +166,9 @@
     ...{ method: 'POST', host: 'a.example', path: '/p?x=1', caller: '10.0.0.9' },
     ...{ body: Buffer.from('body'), bodyBytes: 4 },
   };
-  const name = (changes: Partial<RequestTraits> = {}) =>
-    new RequestIdentity({ ...traits, ...changes }).whole;
+  const list = (changes: Partial<RequestTraits> = {}) =>
+    new RequestIdentity({ ...traits, ...changes }).names;
+  const name = (changes: Partial<RequestTraits> = {}) => list(changes)[0];
   it('is nothing but method, host, path with its parameters, caller and body', () => {
     expect(name()).to.equal(name({ body: Buffer.from('body') }));
     const others = [
@@ -183,9 +184,24 @@
     expect(name({ body, bodyBytes: 9_000_000 })).to.equal(name({ body, bodyBytes: 9_000_000 }));
     expect(name({ body, bodyBytes: 9_000_000 })).to.not.equal(name({ body, bodyBytes: 9_000_001 }));
   });
+  it('may be less: any parameters, any caller; never another path or body', () => {
+    const [exact, anyParameters, anyCaller] = list();
+    expect(list({ path: '/p?y=2' }).slice(1)).to.deep.equal([anyParameters, anyCaller]);
+    expect(list({ caller: '10.0.0.8' })[2]).to.equal(anyCaller);
+    expect(list({ path: '/p' })).to.deep.equal([anyParameters, anyCaller]);
+    const others = [
+      ...list({ path: '/q?x=1' }),
+      ...list({ body: undefined }),
+      ...list({ host: 'b' }),
+    ];
+    expect(others).to.not.include.members([exact]);
+    expect(others).to.not.include.members([anyParameters]);
+    expect(others).to.not.include.members([anyCaller]);
+  });
   it('begins with what is known before the body', () => {
-    const identity = new RequestIdentity(traits);
-    expect(identity.whole.startsWith(identity.head)).to.equal(true);
-    expect(name({ body: Buffer.from('other') }).startsWith(identity.head)).to.equal(true);
+    const { heads, names } = new RequestIdentity(traits);
+    for (const [index, head] of heads.entries())
+      expect(names[index].startsWith(head)).to.equal(true);
+    expect(name({ body: Buffer.from('other') }).startsWith(heads[0])).to.equal(true);
   });
 });
--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -128,6 +128,51 @@
       expect(ran.has(id), `${id}: ${status}`).to.equal(status !== 503);
     }
   });
+  it('ends three where its caller changes the parameters each time', async () => {
+    const until = performance.now() + 3000;
+    for (let turn = 0; performance.now() < until; turn += 1) {
+      await sendTo(ips[turn % ips.length], { path: `/a/poison?page=${turn}` });
+      await pause(40);
+    }
+    expect(countEnded()).to.be.within(1, 3);
+  });
+  it('ends three where many callers send it', async () => {
+    const until = performance.now() + 3000;
+    for (let turn = 0; performance.now() < until; turn += 1) {
+      const from = `127.0.8.${1 + (turn % 200)}`;
+      await sendTo(ips[turn % ips.length], { path: `/a/poison?page=${turn % 3}`, from });
+      await pause(40);
+    }
+    expect(countEnded()).to.be.within(1, 3);
+  });
+  it('does not keep others from its path, whose requests targets run', async () => {
+    for (const target of site.targets) {
+      target.behaviour = (request, response) => {
+        if (request.headers['x-bad'] !== undefined) later(RUN_TIME, () => crash(target));
+        else later(RUN_TIME, () => target.answer(request, response));
+      };
+    }
+    const statuses: number[] = [];
+    for (let turn = 0; turn < 40; turn += 1) {
+      const ip = ips[turn % ips.length];
+      await sendTo(ip, { path: POISON, headers: { 'x-bad': '1' } });
+      statuses.push((await sendTo(ip, { path: `/a/poison?page=${100 + turn}` })).status);
+      statuses.push((await sendTo(ip, { path: POISON, from: '127.0.8.9' })).status);
+    }
+    expect(new Set(statuses)).to.deep.equal(new Set([200]));
+    expect(countEnded()).to.be.within(1, 2);
+  });
+  it('is not taken for a page that all read while several targets end at one moment', async () => {
+    const replies: Promise<CallerReply>[] = [];
+    for (let turn = 0; turn < 600; turn += 1) {
+      const from = `127.0.8.${1 + (turn % 50)}`;
+      replies.push(sendTo(ips[turn % ips.length], { path: '/a/home', from }));
+      if (turn % 200 === 100) for (const target of site.targets.slice(0, 3)) crash(target);
+      await pause(5);
+    }
+    const statuses = (await Promise.all(replies)).map(({ status }) => status);
+    expect(statuses.filter((status) => status !== 200).length).to.be.below(12);
+  });
   it('ends two where it may not be repeated by us, as its caller does that', async () => {
     await press('/once/poison', 2500, 'POST');
     expect(countEnded()).to.be.within(1, 2);
