--- a/src/cli/explain-command.ts
+++ b/src/cli/explain-command.ts
@@ -35,8 +35,20 @@
       return (
         `${vm} had sent it to target ${target}: ${outcome} (${reason}) after ${took} ms; ` +
         `the target had ${fields.calls} calls, worked ${fields.slowdown} times as long as usual, ` +
-        `and had reported that ${fields.report_age} ms before`
+        `and had reported that ${fields.report_age} ms before` +
+        `${fields.ended === 'true' ? ', and has ended' : ''}`
       );
+    case 'poison.suspected':
+      return (
+        `${vm}: target ${target} ended ${fields.ran} ms after it had begun to run it (${fields.path}), ` +
+        `${fields.ended} so far under what it is known by (${fields.alike} at its widest)`
+      );
+    case 'poison.heard':
+      return `${vm} heard from ${fields.from} that ${fields.ended} targets have ended under it`;
+    case 'poison.tried':
+      return `${vm} sent it to target ${target} (release ${fields.release}), apart from others like it`;
+    case 'poison.cleared':
+      return `${vm}: a target has run it to its end, so nothing is held against it`;
     case 'request.told':
       return (
         `${vm} answered by itself after ${held} ms and ${sendings} sendings to ${service}: ` +
@@ -67,10 +79,14 @@
     .filter((line) => line !== undefined);
 }
 
-/** Tells the story of a request from lines of any daemons, in the order of their times. */
+/**
+ * Tells the story of a request from lines of any daemons, in the order of their times.
+ *
+ * @param id that of one try, or a name of the request, by which all its tries are found
+ */
 export function explainRequest(id: string, lines: readonly LogLine[]): readonly string[] {
   return lines
-    .filter(({ fields }) => fields.id === id)
+    .filter(({ fields }) => [fields.id, fields.request, fields.alike].includes(id))
     .sort((a, b) => (a.time < b.time ? -1 : Number(a.time > b.time)))
     .map((line) => `${line.time}  ${explainLine(line)}`);
 }
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -32,6 +32,26 @@
     expect(lines[1]).to.include('target i-1: lost (the answer broke off) after 40 ms');
     expect(lines[2]).to.include('nobody knows whether it ran (lost)');
   });
+  it('finds all tries of a request that ends targets by its name', async () => {
+    const lines = [
+      'time=2026-12-02T10:00:00.300Z level=warn event=poison.suspected vm=b id=t8 path="/p?x=1" request=q1 alike=w1 target=i-2 ran=70 ended=2',
+      'time=2026-12-02T10:00:00.100Z level=info event=attempt.failed vm=a id=t7 target=i-1 outcome=lost reason=ECONNRESET ended=true request=q1 alike=w1 took=70 calls=5 report_age=3 slowdown=1',
+      'time=2026-12-02T10:00:00.200Z level=info event=poison.heard vm=b from=10.0.0.1 request=q1 ended=1',
+      'time=2026-12-02T10:00:00.400Z level=info event=poison.tried vm=a id=t9 request=q1 target=i-3 release=v2',
+      'time=2026-12-02T10:00:00.500Z level=info event=poison.cleared vm=a id=t9 request=q1',
+    ];
+    writeFileSync(join(folder, 'p.log'), lines.join('\n'));
+    const story = (await run('q1', 'p.log')).text.split('\n');
+    expect(story).to.have.length(5);
+    expect(story[0]).to.include('and has ended');
+    expect(story[1]).to.include('heard from 10.0.0.1 that 1 targets');
+    expect(story[2]).to.include(
+      'target i-2 ended 70 ms after it had begun to run it (/p?x=1), 2 so far',
+    );
+    expect(story[3]).to.include('target i-3 (release v2)');
+    expect(story[4]).to.include('nothing is held against it');
+    expect((await run('w1', 'p.log')).text.split('\n')).to.have.length(2);
+  });
   it('says so when no line names it', async () => {
     const { code, text } = await run('t2', 'a.log');
     expect(code).to.equal(1);
