--- a/src/cli/explain-command.ts
+++ b/src/cli/explain-command.ts
@@ -35,8 +35,8 @@
       return (
         `${vm} had sent it to target ${target}: ${outcome} (${reason}) after ${took} ms; ` +
         `the target had ${fields.calls} calls, worked ${fields.slowdown} times as long as usual, ` +
-        `and had reported that ${fields.report_age} ms before` +
-        `${fields.ended === 'true' ? ', and has ended' : ''}`
+        `and had reported that ${fields.report_age} ms before${ 
+        fields.ended === 'true' ? ', and has ended' : ''}`
       );
     case 'poison.suspected':
       return (
