After reading the change again: the time of a loss counts, not that of its discovery; one digest step a name

A loss that turned out to be an end seconds later blamed a request that had been answered meanwhile.

--- a/src/balance/poison.ts
+++ b/src/balance/poison.ts
@@ -3,9 +3,9 @@
  *
  * The pattern answered: one look-up that its caller, this daemon and the other daemons repeat, each time at a target
  * that ends some ten milliseconds later with all that it runs. Eight targets behind three daemons ended 58 to 66
- * times in four seconds of it; twice with this record. A target that ends takes some innocent requests with it for each guilty one, so
- * a single end blames nobody: whoever lost a target may run again, apart from others that did, and whoever is
- * answered is innocent. Under whom a second target ends, is held out.
+ * times in four seconds of it; twice with this record. A target that ends takes some innocent requests with it for
+ * each guilty one, so a single end blames nobody: whoever lost a target may run again, apart from others that did,
+ * and whoever is answered is innocent. A request under which a second target ends is held out.
  *
  * Only requests that lost a target are remembered. What daemons tell each other of one may come in any order and
  * more than once.
@@ -177,9 +177,9 @@
   }
 
   /** Notes that a target ended while it ran a request. Returns what is known of the request now. */
-  noteEnd(request: string, { target, release }: TargetEnd, now: number): PoisonCase {
-    const seen = { request, ended: [target], releases: [release], changedAt: now };
-    this.hear(seen, now);
+  noteEnd(request: string, { target, release }: TargetEnd, at: number): PoisonCase {
+    const seen = { request, ended: [target], releases: [release], changedAt: at };
+    this.hear(seen, at);
     return this.#cases.get(request) ?? seen;
   }
 
--- a/src/gateway/poison-desk.ts
+++ b/src/gateway/poison-desk.ts
@@ -114,16 +114,16 @@
    * the time every target that a failure takes at one moment runs some request.
    */
   noteEnd(request: LostRequest, target: GatewayTarget, { startedAt, lostAt }: LossTimes): void {
-    const { clock, log, metrics } = this.options;
+    const { log, metrics } = this.options;
     const { id, route, service, path, names } = request;
     const { record, hash } = target;
     const end = { target: hash, release: readRelease(record) };
-    const now = clock.now();
     const blamed: PoisonCase[] = [];
     for (const [width, name] of names.entries()) {
       const before = this.#record.findBlamed(name);
       if (width > 0 && before !== undefined && startedAt <= before.changedAt) break;
-      blamed.push(this.#record.noteEnd(name, end, now));
+      // What was answered since then is not blamed, however late the end is found out.
+      blamed.push(this.#record.noteEnd(name, end, lostAt));
       if (before !== undefined) break;
     }
     for (const known of blamed) this.#tell(known);
@@ -131,14 +131,8 @@
     metrics.count('target_ended_under', { service: service.name });
     const tell = most > 1 ? log.warn : log.info;
     tell('poison.suspected', {
-      ...{
-        id,
-        route: route.name,
-        service: service.name,
-        path,
-        request: names[0],
-        alike: names.at(-1),
-      },
+      ...{ id, route: route.name, service: service.name, path },
+      ...{ request: names[0], alike: names.at(-1) },
       ...{ target: record.incarnation, born: record.born, release: record.release },
       ...{ ran: Math.round(lostAt - startedAt), ended: most },
     });
--- a/src/gateway/request-identity.ts
+++ b/src/gateway/request-identity.ts
@@ -5,7 +5,7 @@
  *
  * The digests are cryptographic ones, so that nobody can find another request with the same digest as someone
  * else's and have that one held out; the caller's address, which only the caller can connect from, is part of them.
- * They are worked out when they are asked for: on most days never.
+ * They are worked out when they are asked for, on most days never; all three take some 10 us.
  */
 import { createHash } from 'node:crypto';
 import { HEAD_LENGTH } from '../balance/index.js';
@@ -24,10 +24,10 @@
   readonly bodyBytes: number;
 }
 
-function hashParts(parts: readonly (string | Buffer)[]): string {
-  const hash = createHash('sha256');
-  // Parts are told apart by their lengths, so that what ends one can't begin the next.
-  for (const part of parts) hash.update(`${part.length}:`).update(part);
+/** Parts are told apart by their lengths, so that what ends one can't begin the next. */
+function hashParts(parts: readonly string[], body?: Buffer): string {
+  const hash = createHash('sha256').update(parts.map((part) => `${part.length}:${part}`).join(''));
+  if (body !== undefined) hash.update(body);
   return hash.digest('base64url').slice(0, HEAD_LENGTH);
 }
 
@@ -55,7 +55,9 @@
   get names(): readonly string[] {
     if (this.#names !== undefined) return this.#names;
     const { body, bodyBytes } = this.traits;
-    const tail = hashParts(Buffer.isBuffer(body) ? ['held', body] : ['streamed', `${bodyBytes}`]);
+    const tail = Buffer.isBuffer(body)
+      ? hashParts(['held'], body)
+      : hashParts(['streamed', `${bodyBytes}`]);
     this.#names = this.heads.map((head) => head + tail);
     return this.#names;
   }
