--- a/src/balance/poison.ts
+++ b/src/balance/poison.ts
@@ -11,14 +11,18 @@
  * more than once.
  */
 
-/** What is known of one request. */
-export interface PoisonCase {
+/** A request and the targets that ended under it, wherever it is told of. */
+export interface BlamedRequest {
   /** Stands for the request; begins with its head. */
   readonly request: string;
   /** Stand for the lives of targets that ended while they ran it; none when it was answered since. */
   readonly ended: readonly number[];
   /** Releases of those targets. */
   readonly releases: readonly string[];
+}
+
+/** What is known of one request here. */
+export interface PoisonCase extends BlamedRequest {
   /** When the last of them ended, or when it was answered; in milliseconds on this daemon's clock. */
   readonly changedAt: number;
 }
--- a/src/gateway/lessons.ts
+++ b/src/gateway/lessons.ts
@@ -11,6 +11,7 @@
  * The lessons are a start and no decision: whatever a daemon sees itself replaces them, so old or missing
  * ones do no harm. One daemon writes, a few times a day, and only what has changed.
  */
+import type { BlamedRequest } from '../balance/index.js';
 import type { Clock, Log } from '../kernel/index.js';
 import { KEYS, type KvStore } from '../platform/index.js';
 
@@ -33,13 +34,7 @@
 }
 
 /** A request under which targets ended, and which is held out. */
-export interface PoisonLesson {
-  /** Stands for the request. */
-  readonly request: string;
-  /** Stand for the targets that ended. */
-  readonly ended: readonly number[];
-  /** Releases of those targets. */
-  readonly releases: readonly string[];
+export interface PoisonLesson extends BlamedRequest {
   /** When the last of them ended, in milliseconds since 1970. */
   readonly at: number;
 }
--- a/src/peering/datagram.ts
+++ b/src/peering/datagram.ts
@@ -1,5 +1,6 @@
 /** The datagrams between daemons, packed: their bytes between failure domains are paid for. */
 import { decode, encode } from '@msgpack/msgpack';
+import type { BlamedRequest } from '../balance/poison.js';
 import type { ViewPosition } from '../view/index.js';
 import type { MemberState, MemberWord, Presence } from './roster.js';
 
@@ -31,12 +32,7 @@
 }
 
 /** What a daemon tells of a request under which targets ended. */
-export interface CaseWord {
-  /** Stands for the request. */
-  readonly request: string;
-  /** Stand for the targets that ended; none when it was answered since. */
-  readonly ended: readonly number[];
-  readonly releases: readonly string[];
+export interface CaseWord extends BlamedRequest {
   /** How long ago the last of them ended, or it was answered, in milliseconds. */
   readonly age: number;
 }
