--- a/src/gateway/poison-desk.ts
+++ b/src/gateway/poison-desk.ts
@@ -183,7 +183,7 @@
     return this.#record.isEmpty ? 0 : this.#record.listHeld().length;
   }
 
-  /** Lists what the store is to keep, the last ones first. */
+  /** Lists what the store is to keep: of those that are held out, the ones that lost a target last. */
   listStored(): readonly PoisonLesson[] {
     if (this.#record.isEmpty) return [];
     const { clock } = this.options;
