--- a/src/standin/site.ts
+++ b/src/standin/site.ts
@@ -16,8 +16,18 @@
 
 export const HOST = 'test.example';
 
+/** What a configuration says of its services besides their names. */
+export interface ServiceDraft {
+  /** Requests a second that a cold target bears; none is named unless given. */
+  readonly coldRate?: unknown;
+}
+
 /** Writes a configuration as the operator would. */
-export function writeConfiguration(version: number, rules: readonly RuleDraft[]): string {
+export function writeConfiguration(
+  version: number,
+  rules: readonly RuleDraft[],
+  { coldRate }: ServiceDraft = {},
+): string {
   const services = ['alpha', 'beta'];
   return JSON.stringify({
     version,
@@ -44,18 +54,30 @@
     ],
     clusters: services.map((name) => ({
       ...{ name, health_path: '/health', max_connections: 100, protocol: 'h1', tls: false },
+      ...(coldRate === undefined ? {} : { warmup_s: 3, warmup_per_s: coldRate }),
     })),
   });
 }
 
+/** What a target's entry says. */
+export interface TargetDraft {
+  readonly service?: string;
+  readonly state?: string;
+  readonly domain?: string;
+  readonly version?: string;
+  readonly seq?: number;
+  /** For how long it is still cold, in milliseconds. */
+  readonly cold?: number;
+  readonly born?: number;
+}
+
 /** Writes a target's entry as the target would. */
-export function writeTarget(
-  address: Address,
-  { service = 'alpha', state = 'ready', seq = 1, cold = 0, born = 0, version = 'v1' } = {},
-): string {
+export function writeTarget(address: Address, draft: TargetDraft = {}): string {
+  const { service = 'alpha', state = 'ready', domain = 'd1', version = 'v1' } = draft;
+  const { seq = 1, cold = 0, born = 0 } = draft;
   return JSON.stringify({
     address: formatAddress(address),
-    info: { service, version, zone: 'd1', slots: 4 },
+    info: { service, version, zone: domain, slots: 4 },
     status: { state, seq, warmup_left_ms: cold },
     born,
   });
@@ -85,6 +107,9 @@
 
   slowdown = 100;
 
+  /** For how long it says in health answers that it is cold, in milliseconds; says nothing unless set. */
+  coldLeft: number | undefined;
+
   behaviour: Behaviour | undefined;
 
   /** How often its process has ended and taken all that it ran with it. */
@@ -153,6 +178,7 @@
       this.onProbe?.();
       response.writeHead(200, {
         ...{ 'Instance-Id': this.incarnation, 'Server-Load': `0,0,4,${this.slowdown}` },
+        ...(this.coldLeft === undefined ? {} : { 'Warmup-Ms': this.coldLeft }),
       });
       response.end();
       return;
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -17,7 +17,9 @@
 import {
   HOST,
   type RuleDraft,
+  type ServiceDraft,
   SiteTarget,
+  type TargetDraft,
   writeConfiguration,
   writeTarget,
 } from '../../src/standin/index.js';
@@ -79,18 +81,23 @@
     return this;
   }
 
-  configure(rules: readonly RuleDraft[]): void {
+  configure(rules: readonly RuleDraft[], services: ServiceDraft = {}): void {
     this.#version += 3;
-    this.store.put(KEYS.configuration, writeConfiguration(this.#version, rules));
+    this.store.put(KEYS.configuration, writeConfiguration(this.#version, rules, services));
   }
 
-  async addTarget(service = 'alpha'): Promise<SiteTarget> {
+  async addTarget(service = 'alpha', draft: TargetDraft = {}): Promise<SiteTarget> {
     const target = await new SiteTarget(`i-${this.targets.length + 1}`).start();
     this.targets.push(target);
-    this.store.put(KEYS.targets + target.incarnation, writeTarget(target.address, { service }));
+    this.describeTarget(target, { service, ...draft });
     return target;
   }
 
+  /** Writes a target's entry. */
+  describeTarget(target: SiteTarget, draft: TargetDraft = {}): void {
+    this.store.put(KEYS.targets + target.incarnation, writeTarget(target.address, draft));
+  }
+
   /** Cuts a gateway off from the store; calls that wait there bring nothing either. */
   cutStore(ip: string): void {
     this.#cut.add(ip);
