Failure domains that operators evacuate get no calls: followed in the store, told on, and held on every way

Ruled out: a special case in each place that chooses (there are five: first tries, repeats, second attempts, the queue, probes) - all ask whether a target is usable, so the domain's word is part of that; a watch of its own for these keys - one more call that waits at each reader. The operators' watch covers both kinds of key now, and a reading of both is one call as before. All domains that are evacuated are one value with one revision, so that word of what stood between two readings never revives; a daemon tells up to which revision it knows what operators keep, so one that begins to read goes on from there. Before: 7 of 8 tests of test/evacuation.test.ts fail. After: 8 of 8.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -198,6 +198,11 @@
           service: record?.service,
         });
       },
+      onEvacuations: (evacuations) => {
+        const { domains, revision } = evacuations;
+        log.warn('domains.evacuated', { domains: domains.join(',') || 'none', revision });
+        this.#refreshTargets();
+      },
       onFault: (what) => log.error('configuration.unreadable', { what }),
     });
     this.#duty = new ReaderDuty(clock, () => this.#isAppointedReader(), findPatience(gateway));
@@ -447,7 +452,7 @@
       position: this.#view.position,
       proofAge: this.#clock.now() - this.#view.provenAt,
       reading: this.#findReading(),
-      targetsRevision: this.#view.targetsRevision,
+      known: this.#view.known,
       members: this.#roster.readFingerprint(),
       homes: this.#roster.wanted,
       presences: this.#roster.listPresences(),
@@ -475,12 +480,16 @@
     const members = this.#roster.readFingerprint();
     const isBehind =
       knowledge.position.targets > position.targets ||
-      knowledge.position.configuration > position.configuration;
+      knowledge.position.configuration > position.configuration ||
+      knowledge.position.evacuations > position.evacuations;
     if (isBehind && !(await this.#feed.fetchNews(from.ip, { position, members }))) return;
     if (!isBehind && knowledge.members !== members) {
       await this.#feed.fetchMembers(from.ip, { position, members });
     }
-    if (this.#view.table !== undefined) this.#view.prove(provenAt, knowledge.targetsRevision);
+    if (this.#view.table !== undefined) {
+      this.#view.prove(provenAt);
+      this.#view.noteKnown(knowledge.known);
+    }
     // The echo of an own reading shows nothing.
     if (reading === undefined || reading.reader === this.#settings.gateway.ip) return;
     this.#duty.noteTold(reading.reader, now - reading.age);
@@ -560,6 +569,7 @@
       connections: this.#callers.countConnections(),
       backlog: this.#reception.waiting,
       unreadable: this.#reader.unreadable,
+      evacuated: this.#view.evacuations.domains,
       heldOut: this.#poison.heldOut,
       probes: this.#prober.sent,
       opened: this.#targets.opened,
--- a/src/gateway/status.ts
+++ b/src/gateway/status.ts
@@ -23,8 +23,10 @@
   readonly connections: number;
   /** Requests that were read and are not begun yet. */
   readonly backlog: number;
-  /** Entries of targets in the store that this daemon read and could not decode. */
+  /** Entries in the store that this daemon read and could not decode. */
   readonly unreadable: number;
+  /** Failure domains whose targets take no calls. */
+  readonly evacuated: readonly string[];
   /** Requests that are sent nowhere because targets ended under them. */
   readonly heldOut: number;
   readonly probes: number;
@@ -48,6 +50,7 @@
     ...{ lookups: status.lookups, connections: status.connections, busy: status.busy },
     backlog: status.backlog,
     ...{ targets_unreadable: status.unreadable, poison_held_out: status.heldOut },
+    domains_evacuated: status.evacuated.length,
     ...{ probes: status.probes, target_connections_opened: status.opened },
     rss_bytes: process.memoryUsage.rss(),
   };
@@ -73,6 +76,7 @@
       .map((service) => `${service.name}:${service.knee.readFactor().toFixed(2)}`)
       .join(','),
     proof_age: Math.round(status.proofAge),
+    evacuated: status.evacuated.join(','),
     ...{ accepted: status.accepted, connections: status.connections, backlog: status.backlog },
     ...{ lookups: status.lookups, probes: status.probes, opened: status.opened },
     store: Object.entries(storeCalls)
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -264,19 +264,22 @@
         target.leave(record !== undefined && record.born > target.record.born);
       }
     }
+    const evacuated = new Set(view.evacuations.domains);
     for (const [incarnation, entry] of listed) {
+      const isEvacuated = evacuated.has(entry.record.domain);
       const service = this.find(entry.record.service);
       const { targets, memory } = service;
       const known = targets.get(incarnation);
       if (known !== undefined) {
         if (known.record.domain !== entry.record.domain) service.noteChange();
-        known.update(entry);
+        known.update(entry, isEvacuated);
         continue;
       }
       const onOpened = () => {
         this.opened += 1;
       };
       const target = new GatewayTarget(entry, this.options.clock, { memory, onOpened });
+      target.update(entry, isEvacuated);
       targets.set(incarnation, target);
       service.noteChange();
       this.#byHash.set(target.hash, target);
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -94,6 +94,8 @@
 
   #isGone = false;
 
+  #isEvacuated = false;
+
   /** Calls that were lost here of late, and whom to tell if the target turns out to have ended then. */
   #losses: readonly Loss[] = [];
 
@@ -124,7 +126,7 @@
 
   /** Whether new calls may go there. */
   get isUsable(): boolean {
-    return this.record.state === 'ready' && !this.#misdirected;
+    return this.record.state === 'ready' && !this.#misdirected && !this.#isEvacuated;
   }
 
   /**
@@ -159,9 +161,10 @@
     return this.#isGone || this.record.state === 'draining';
   }
 
-  /** Takes a newer entry. */
-  update(listed: ListedTarget): void {
+  /** Takes a newer entry. @param isEvacuated whether its failure domain takes no calls */
+  update(listed: ListedTarget, isEvacuated: boolean): void {
     this.#listed = listed;
+    this.#isEvacuated = isEvacuated;
   }
 
   /** Views the target for the choice. */
--- a/src/peering/datagram.ts
+++ b/src/peering/datagram.ts
@@ -1,7 +1,7 @@
 /** The datagrams between daemons, packed: their bytes between failure domains are paid for. */
 import { decode, encode } from '@msgpack/msgpack';
 import type { BlamedRequest } from '../balance/poison.js';
-import type { ViewPosition } from '../view/index.js';
+import type { KnownRevisions, ViewPosition } from '../view/index.js';
 import type { MemberState, MemberWord, Presence } from './roster.js';
 
 /** What a daemon says of itself in each question and answer. */
@@ -19,8 +19,8 @@
   readonly proofAge: number;
   /** The last reading of the store by a daemon itself that it knows of; undefined when it knows of none. */
   readonly reading: Reading | undefined;
-  /** Up to which revision it knows all changes of targets. */
-  readonly targetsRevision: number;
+  /** Up to which revisions it knows all changes. */
+  readonly known: KnownRevisions;
   /** Differs when two daemons know other members. */
   readonly members: number;
   /** How many homes it takes to be wanted; the first home's word counts. */
@@ -123,13 +123,14 @@
     case 'ask':
       return encode([ASK, ...encodeSelf(datagram.self), datagram.asked]);
     case 'tell': {
-      const { position, proofAge, reading, targetsRevision, members, homes } = datagram.knowledge;
+      const { position, proofAge, reading, known, members, homes } = datagram.knowledge;
       return encode([
         ...[TELL, ...encodeSelf(datagram.self), position.targets, position.configuration],
-        ...[encodeAge(proofAge), targetsRevision, members, homes],
+        ...[encodeAge(proofAge), known.targets, members, homes],
         ...[reading === undefined ? null : [encodeIp(reading.reader), encodeAge(reading.age)]],
         encodePresences(datagram.knowledge.presences.slice(0, MOST_PRESENCES)),
         encodeCases(datagram.knowledge.cases),
+        ...[position.evacuations, known.operators],
       ]);
     }
     case 'load':
@@ -214,19 +215,24 @@
 function decodeTell(fields: readonly unknown[]): Datagram | undefined {
   const self = decodeSelf(fields);
   const [targets, configuration, proofAge, ...rest] = fields.slice(SELF_LENGTH);
-  const [targetsRevision, members, homes, told, heard, known] = rest;
-  const numbers = [targets, configuration, targetsRevision, members, homes];
+  const [knownTargets, members, homes, told, heard, blamed] = rest;
+  const [evacuations, knownOperators] = rest.slice(6);
+  const numbers = [
+    ...[targets, configuration, knownTargets, members, homes],
+    ...[evacuations, knownOperators],
+  ];
   if (self === undefined || !isNumbers(numbers) || !isAge(proofAge)) return undefined;
   const reading = decodeReading(told);
   const presences = decodePresences(heard);
-  const cases = decodeCases(known);
+  const cases = decodeCases(blamed);
   if (reading === undefined || presences === undefined || cases === undefined) return undefined;
   return {
     ...{ kind: 'tell', self },
     knowledge: {
-      position: { targets: numbers[0], configuration: numbers[1] },
+      position: { targets: numbers[0], configuration: numbers[1], evacuations: numbers[5] },
       ...{ proofAge: proofAge ?? Infinity, reading: reading ?? undefined, presences, cases },
-      ...{ targetsRevision: numbers[2], members: numbers[3], homes: numbers[4] },
+      known: { targets: numbers[2], operators: numbers[6] },
+      ...{ members: numbers[3], homes: numbers[4] },
     },
   };
 }
--- a/src/peering/feed.ts
+++ b/src/peering/feed.ts
@@ -10,7 +10,7 @@
   isJsonObject,
   parsePath,
 } from '../kernel/index.js';
-import type { LeftTarget, ViewDelta, ViewPosition } from '../view/index.js';
+import type { Evacuations, LeftTarget, ViewDelta, ViewPosition } from '../view/index.js';
 import type { TargetRecord } from '../platform/index.js';
 import type { MemberInfo } from './roster.js';
 
@@ -62,14 +62,21 @@
   return isJsonObject(value) && isText(value.text) && isNumber(value.revision);
 }
 
+function isEvacuations(value: unknown): value is Evacuations {
+  if (!isJsonObject(value) || !Array.isArray(value.domains)) return false;
+  return isNumber(value.revision) && value.domains.every(isText);
+}
+
 function isPosition(value: unknown): value is ViewPosition {
-  return isJsonObject(value) && isNumber(value.targets) && isNumber(value.configuration);
+  if (!isJsonObject(value)) return false;
+  return [value.targets, value.configuration, value.evacuations].every(isNumber);
 }
 
 function isDelta(value: unknown): value is ViewDelta {
   if (!isJsonObject(value) || !isPosition(value.position)) return false;
-  const { configuration, targets, left, isWhole } = value;
+  const { configuration, evacuations, targets, left, isWhole } = value;
   if (configuration !== undefined && !isConfiguration(configuration)) return false;
+  if (evacuations !== undefined && !isEvacuations(evacuations)) return false;
   if (!Array.isArray(targets) || !Array.isArray(left) || typeof isWhole !== 'boolean') return false;
   return targets.every(isListed) && left.every(isLeft);
 }
@@ -135,12 +142,13 @@
       return;
     }
     const read = (name: string) => Number(url.searchParams.get(name) ?? 0);
-    const position = { targets: read('targets'), configuration: read('configuration') };
+    const position = {
+      ...{ targets: read('targets'), configuration: read('configuration') },
+      evacuations: read('evacuations'),
+    };
     const members = read('members');
-    if (
-      url.pathname !== PATH ||
-      Number.isNaN(position.targets + position.configuration + members)
-    ) {
+    const isReadable = [...Object.values(position), members].every((it) => !Number.isNaN(it));
+    if (url.pathname !== PATH || !isReadable) {
       response.writeHead(404).end();
       return;
     }
@@ -192,11 +200,11 @@
   async #fetch(ip: string, { position, members }: FeedQuestion): Promise<boolean> {
     if (this.#fetching.has(ip)) return false;
     this.#fetching.add(ip);
-    const { targets, configuration } = position;
+    const query = Object.entries({ ...position, members }).map(([name, it]) => `${name}=${it}`);
     try {
       const reply = await exchangeHttp({
         ...{ agent: this.#agent, address: { host: ip, port: this.port }, method: 'GET' },
-        path: `${PATH}?targets=${targets}&configuration=${configuration}&members=${members}`,
+        path: `${PATH}?${query.join('&')}`,
         timeout: TIMEOUT,
       });
       if (reply.kind !== 'reply' || reply.status !== 200) return false;
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -8,6 +8,7 @@
   type ServiceSpec,
   type Share,
 } from '../routing/index.js';
+import { KEYS } from './wire.js';
 
 /** One start of a target, as it describes itself. */
 export interface TargetRecord {
@@ -169,6 +170,17 @@
   });
 }
 
+/** Reads which failure domain a key asks to evacuate; what stands under the key says nothing more. */
+export function decodeEvacuation(key: string): string | DecodeFault {
+  const domain = key.slice(KEYS.evacuations.length);
+  if (domain !== '') return domain;
+  return {
+    kind: 'fault',
+    what: key,
+    expected: `a failure domain's name after ${KEYS.evacuations}`,
+  };
+}
+
 /** Decodes what a target keeps under its own key; what anybody else wrote there may be anything. */
 export function decodeTarget(incarnation: string, text: string): TargetRecord | DecodeFault {
   return decode(text, (document) => {
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -15,6 +15,8 @@
   /** The incarnation that must serve the request; any other one answers {@link MISDIRECTED}. */
   expectedIncarnation: 'Expect-Instance',
   incarnation: 'Instance-Id',
+  /** In a target's health answer: milliseconds for which it is still cold. */
+  coldLeft: 'Warmup-Ms',
   load: 'Server-Load',
   /** Present only when the target did not run the request. */
   notRun: 'Not-Executed',
@@ -25,7 +27,11 @@
 
 /** Keys in the store. */
 export const KEYS = {
+  /** All that the operators keep there. */
+  operators: 'op/',
   configuration: 'op/config',
+  /** One for each failure domain whose targets are to get nothing; it ends with the domain's name. */
+  evacuations: 'op/evacuate/',
   targets: 'servers/',
   /** Ours: the VMs that run the system, for one that starts and reaches no seed. */
   members: 'orchidbeam/members',
--- a/src/view/fleet-view.ts
+++ b/src/view/fleet-view.ts
@@ -22,15 +22,32 @@
   readonly revision: number;
 }
 
+/** The failure domains whose targets take no calls, because the operators asked for that. */
+export interface Evacuations {
+  readonly domains: readonly string[];
+  /** The revision of the store at which these became all of them; 0 while none was ever heard of. */
+  readonly revision: number;
+}
+
 /**
- * How far a view has come. The two parts are read by watches of their own, so one may be ahead of
- * the other, and neither says anything about the other.
+ * How far a view has come. Its parts come from the store by ways of their own, so one may be ahead of
+ * another, and none says anything about the others.
  */
 export interface ViewPosition {
   /** The store's revision at the last change of a target. */
   readonly targets: number;
   /** The store's revision at the last change of the configuration. */
   readonly configuration: number;
+  /** The store's revision at the last change of the evacuated domains. */
+  readonly evacuations: number;
+}
+
+/** Up to which revisions of the store all changes are known. */
+export interface KnownRevisions {
+  /** Of targets. */
+  readonly targets: number;
+  /** Of what the operators keep there. */
+  readonly operators: number;
 }
 
 /** The changes after a position, to be sent to another daemon. */
@@ -40,6 +57,7 @@
   /** Whether targets that are not named here are to be forgotten. */
   readonly isWhole: boolean;
   readonly configuration?: { readonly text: string; readonly revision: number };
+  readonly evacuations?: Evacuations;
   readonly targets: readonly { readonly record: TargetRecord; readonly revision: number }[];
   readonly left: readonly LeftTarget[];
 }
@@ -49,6 +67,8 @@
   onTable(table: RouteTable): void;
   /** A target appeared, changed its state, or left; undefined stands for the record of one that left. */
   onTarget(incarnation: string, record: TargetRecord | undefined, revision: number): void;
+  /** Other failure domains are evacuated than before. */
+  onEvacuations(evacuations: Evacuations): void;
   /** A configuration could not be decoded; the one in force stays. */
   onFault(what: string): void;
 }
@@ -88,7 +108,9 @@
 
   #provenAt = -Infinity;
 
-  #targetsRevision = 0;
+  #evacuations: Evacuations = { domains: [], revision: 0 };
+
+  #known: KnownRevisions = { targets: 0, operators: 0 };
 
   constructor(private readonly listener: ViewListener) {}
 
@@ -99,7 +121,10 @@
 
   /** How far this view has come. */
   get position(): ViewPosition {
-    return { targets: this.#targetsAt, configuration: this.configurationRevision };
+    return {
+      ...{ targets: this.#targetsAt, configuration: this.configurationRevision },
+      evacuations: this.#evacuations.revision,
+    };
   }
 
   /** The last moment, on this daemon's clock, at which nothing newer was in the store. */
@@ -107,9 +132,14 @@
     return this.#provenAt;
   }
 
-  /** The revision of the store up to which all changes of targets are known. */
-  get targetsRevision(): number {
-    return this.#targetsRevision;
+  /** The revisions of the store up to which all changes are known. */
+  get known(): KnownRevisions {
+    return this.#known;
+  }
+
+  /** The failure domains that are evacuated. */
+  get evacuations(): Evacuations {
+    return this.#evacuations;
   }
 
   /** The revision of the newest configuration that is known; 0 when none is. */
@@ -122,10 +152,27 @@
     return [...this.#targets.values()];
   }
 
-  /** Notes that at time `at` the store held nothing newer, and up to which revision targets are known. */
-  prove(at: number, targetsRevision: number): void {
+  /** Notes that at time `at` the store held no newer change of a target. */
+  prove(at: number): void {
     this.#provenAt = Math.max(this.#provenAt, at);
-    this.#targetsRevision = Math.max(this.#targetsRevision, targetsRevision);
+  }
+
+  /** Notes up to which revisions all changes are known. */
+  noteKnown({ targets = 0, operators = 0 }: Partial<KnownRevisions>): void {
+    this.#known = {
+      targets: Math.max(this.#known.targets, targets),
+      operators: Math.max(this.#known.operators, operators),
+    };
+  }
+
+  /** Takes all the domains that are evacuated, as the store held them at a revision. */
+  setEvacuations({ domains, revision }: Evacuations): void {
+    const { domains: known, revision: knownAt } = this.#evacuations;
+    if (revision <= knownAt) return;
+    // What is the same at a later revision is taken as well: word of what stood between may still come.
+    this.#evacuations = { domains, revision };
+    const isSame = domains.length === known.length && domains.every((it) => known.includes(it));
+    if (!isSame) this.listener.onEvacuations(this.#evacuations);
   }
 
   /** Takes the configuration as the store held it at a revision. */
@@ -190,6 +237,7 @@
         configuration !== undefined && configuration.revision > after.configuration
           ? configuration
           : undefined,
+      evacuations: this.#evacuations.revision > after.evacuations ? this.#evacuations : undefined,
       left: this.#left.filter((left) => left.revision > after.targets),
     };
   }
@@ -200,6 +248,7 @@
     if (configuration !== undefined) {
       this.setConfiguration(configuration.text, configuration.revision);
     }
+    if (delta.evacuations !== undefined) this.setEvacuations(delta.evacuations);
     for (const { record, revision } of delta.targets) this.putTarget(record, revision, now);
     for (const { incarnation, revision } of delta.left) this.removeTarget(incarnation, revision);
     if (delta.isWhole) {
--- a/src/view/store-reader.ts
+++ b/src/view/store-reader.ts
@@ -6,7 +6,14 @@
  * the store still hears this daemon.
  */
 import type { Clock, Log, Random } from '../kernel/index.js';
-import { KEYS, type KvReader, type StoredItem, decodeTarget } from '../platform/index.js';
+import {
+  KEYS,
+  type KvReader,
+  type StoreEvent,
+  type StoredItem,
+  decodeEvacuation,
+  decodeTarget,
+} from '../platform/index.js';
 import type { FleetView } from './fleet-view.js';
 
 /** What a reader is made from. */
@@ -34,11 +41,11 @@
 /** The same for one that nobody has told anything yet, and which is not ready before. */
 const START_PACE = 20;
 
-/** Least time between two answers of the configuration's watch, for configurations in quick succession. */
-const CONFIGURATION_PACE = 150;
+/** Least time between two answers of the operators' watch, for configurations in quick succession. */
+const OPERATORS_PACE = 150;
 
-/** How long one watch of the configuration waits. A cut that nobody shows ends with it. */
-const CONFIGURATION_WAIT = 4000;
+/** How long one watch of the operators' keys waits. A cut that nobody shows ends with it. */
+const OPERATORS_WAIT = 4000;
 
 /** Pauses after a call that the store did not answer well; each next one is longer. */
 const FIRST_PAUSE = 200;
@@ -79,7 +86,8 @@
 
   #readAt = -Infinity;
 
-  #configurationAfter: number | undefined;
+  /** The revision after which changes of what the operators keep are asked for. */
+  #operatorsAfter: number | undefined;
 
   #failingSince: number | undefined;
 
@@ -87,9 +95,12 @@
 
   readonly #pending = new Map<string, PendingRemoval>();
 
-  /** Entries that could not be decoded. */
+  /** Entries of targets that could not be decoded. */
   readonly #unreadable = new Set<string>();
 
+  /** Keys of the operators that could not be decoded. */
+  readonly #unreadableKeys = new Set<string>();
+
   constructor(private readonly options: StoreReaderOptions) {}
 
   /** The last moment at which this daemon itself saw that the store held nothing newer. */
@@ -97,9 +108,9 @@
     return this.#readAt;
   }
 
-  /** Entries of targets that can't be decoded now. */
+  /** Entries of targets and keys of the operators that can't be decoded now. */
   get unreadable(): number {
-    return this.#unreadable.size;
+    return this.#unreadable.size + this.#unreadableKeys.size;
   }
 
   #readIdlePace(): number {
@@ -108,21 +119,18 @@
 
   #prove(at: number): void {
     this.#readAt = Math.max(this.#readAt, at);
-    this.options.view.prove(at, this.#targetsAfter ?? 0);
+    this.options.view.prove(at);
+    this.options.view.noteKnown({ targets: this.#targetsAfter ?? 0 });
   }
 
   /** Reads once, cheaply and perhaps seconds late, so that a starting daemon knows something. */
   async readStale(): Promise<void> {
-    const [configuration] = await Promise.all([
-      this.options.store.readItem(KEYS.configuration, true),
-      this.#readAllTargets(true),
-    ]);
-    if (configuration.kind === 'item') this.#takeConfiguration(configuration.item);
+    await Promise.all([this.#readAllOfOperators(true), this.#readAllTargets(true)]);
   }
 
   /** Reads until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([this.#followTargets(signal), this.#followConfiguration(signal)]);
+    await Promise.all([this.#followTargets(signal), this.#followOperators(signal)]);
   }
 
   async #followTargets(signal: AbortSignal): Promise<void> {
@@ -149,7 +157,7 @@
   /** One reading of the targets; false when the store did not answer. */
   async #readTargets(): Promise<boolean> {
     const { store, view, clock } = this.options;
-    const after = Math.max(this.#targetsAfter ?? 0, view.targetsRevision);
+    const after = Math.max(this.#targetsAfter ?? 0, view.known.targets);
     if (after === 0) return this.#readAllTargets(false);
     const startedAt = clock.now();
     // Before the first proof nothing is served, so that watch only asks what came after a stale reading.
@@ -258,10 +266,7 @@
       this.#pending.delete(incarnation);
       log.info('target.lapsed', { incarnation, revision });
       // Others have heard of a later revision meanwhile, so the removal is told as of now.
-      view.removeTarget(
-        incarnation,
-        Math.max(revision, view.position.targets, view.targetsRevision),
-      );
+      view.removeTarget(incarnation, Math.max(revision, view.position.targets, view.known.targets));
     }
   }
 
@@ -273,7 +278,7 @@
     log.info('store.regained', { outage: Math.round(outage) });
     if (outage >= LAPSE_OUTAGE) this.#lapseUntil = clock.now() + LAPSE_GRACE;
     // A watch that waited through the outage may have lost its answer.
-    this.#readWholeConfiguration().catch((error: Error) => {
+    this.#readAllOfOperators(false).catch((error: Error) => {
       log.error('store.broken', { error: error.message });
     });
   }
@@ -285,7 +290,7 @@
     log.warn('store.lost', { proven_age: Math.round(clock.now() - this.options.view.provenAt) });
   }
 
-  async #followConfiguration(signal: AbortSignal): Promise<void> {
+  async #followOperators(signal: AbortSignal): Promise<void> {
     const { clock, isReader, random } = this.options;
     const backoff = new Backoff(random);
     while (!signal.aborted) {
@@ -293,26 +298,25 @@
         await clock.sleep(this.#readIdlePace(), signal);
         continue;
       }
-      const read = await this.#readConfiguration();
+      const read = await this.#readOperators();
       if (read) backoff.clear();
-      await clock.sleep(read ? CONFIGURATION_PACE : backoff.next(), signal);
+      await clock.sleep(read ? OPERATORS_PACE : backoff.next(), signal);
     }
   }
 
-  async #readConfiguration(): Promise<boolean> {
+  /** One reading of what the operators keep; false when the store did not answer, or nothing is there. */
+  async #readOperators(): Promise<boolean> {
     const { store, view } = this.options;
-    const after = Math.max(this.#configurationAfter ?? 0, view.configurationRevision);
-    if (after === 0) return this.#readWholeConfiguration();
-    const answer = await store.watch(KEYS.configuration, after, CONFIGURATION_WAIT);
+    const after = Math.max(this.#operatorsAfter ?? 0, view.known.operators);
+    if (after === 0 || view.table === undefined) return this.#readAllOfOperators(false);
+    const answer = await store.watch(KEYS.operators, after, OPERATORS_WAIT);
     switch (answer.kind) {
       case 'events':
-        for (const event of answer.events) {
-          if (event.kind === 'written') this.#takeConfiguration(event.item);
-        }
-        this.#configurationAfter = Math.max(after, answer.storeRevision);
+        for (const event of answer.events) this.#takeOperatorsEvent(event);
+        this.#noteOperatorsKnown(Math.max(after, answer.storeRevision));
         return true;
       case 'history-gone':
-        return this.#readWholeConfiguration();
+        return this.#readAllOfOperators(false);
       case 'not-done':
       case 'unknown':
         return false;
@@ -321,22 +325,70 @@
     }
   }
 
-  async #readWholeConfiguration(): Promise<boolean> {
-    const answer = await this.options.store.readItem(KEYS.configuration, false);
-    switch (answer.kind) {
-      case 'item':
-        this.#takeConfiguration(answer.item);
-        this.#configurationAfter = answer.storeRevision;
-        return true;
-      case 'absent':
-        // There is none before the operators' first one; ask again soon.
-        return false;
-      case 'not-done':
-      case 'unknown':
-        return false;
-      default:
-        return answer satisfies never;
+  /** Reads all that the operators keep. They have a configuration before anybody calls; until then asks again soon. */
+  async #readAllOfOperators(stale: boolean): Promise<boolean> {
+    const { store, view } = this.options;
+    const keys: string[] = [];
+    let firstRevision = 0;
+    let hasConfiguration = false;
+    for (let after = ''; ;) {
+      const page = await store.readItems(KEYS.operators, after, stale);
+      if (page.kind !== 'items') return false;
+      if (firstRevision === 0) firstRevision = page.storeRevision;
+      for (const item of page.items) {
+        if (item.key === KEYS.configuration) hasConfiguration = true;
+        this.#takeConfiguration(item);
+        keys.push(item.key);
+      }
+      const last = page.items.at(-1);
+      if (!page.hasMore || last === undefined) break;
+      after = last.key;
     }
+    // Later pages may be newer than the first; what changed since then is heard of again, from there on.
+    view.setEvacuations({ domains: this.#listDomains(keys), revision: firstRevision });
+    if (!stale) this.#noteOperatorsKnown(firstRevision);
+    return hasConfiguration;
+  }
+
+  #noteOperatorsKnown(revision: number): void {
+    this.#operatorsAfter = Math.max(this.#operatorsAfter ?? 0, revision);
+    this.options.view.noteKnown({ operators: this.#operatorsAfter });
+  }
+
+  /** The domains that the keys ask to evacuate; one that can't be read is told of once. */
+  #listDomains(keys: readonly string[]): readonly string[] {
+    const domains: string[] = [];
+    for (const key of keys) {
+      const domain = this.#readDomain(key);
+      if (domain !== undefined) domains.push(domain);
+    }
+    return domains;
+  }
+
+  #readDomain(key: string): string | undefined {
+    if (!key.startsWith(KEYS.evacuations)) return undefined;
+    const domain = decodeEvacuation(key);
+    if (typeof domain === 'string') return domain;
+    if (!this.#unreadableKeys.has(key)) {
+      const { what, expected } = domain;
+      this.options.log.warn('evacuation.unreadable', { what, expected });
+    }
+    this.#unreadableKeys.add(key);
+    return undefined;
+  }
+
+  #takeOperatorsEvent(event: StoreEvent): void {
+    const { view } = this.options;
+    const isWritten = event.kind === 'written';
+    if (isWritten) this.#takeConfiguration(event.item);
+    const [key, revision] = isWritten
+      ? [event.item.key, event.item.revision]
+      : [event.key, event.revision];
+    if (!isWritten) this.#unreadableKeys.delete(key);
+    const domain = this.#readDomain(key);
+    if (domain === undefined) return;
+    const others = view.evacuations.domains.filter((known) => known !== domain);
+    view.setEvacuations({ domains: isWritten ? [...others, domain] : others, revision });
   }
 
   #takeConfiguration(item: StoredItem): void {
--- a/test/evacuation.test.ts
+++ b/test/evacuation.test.ts
@@ -9,7 +9,7 @@
 import { Site, sendTo } from './helpers/gateways.js';
 import type { SiteTarget } from '../src/standin/index.js';
 
-const RULES = [{ prefix: '/a/' }, { prefix: '/once/', kind: 'unsafe' }] as const;
+const RULES = [{ prefix: '/a/', timeout: 8000 }];
 
 const EVACUATE = 'op/evacuate/';
 
@@ -127,6 +127,8 @@
     site.store.put(EVACUATE, '{}');
     await pause(SOON);
     expect(await sendMany(ip)).to.deep.equal(Array(20).fill(200));
+    const told = site.events.filter(({ event }) => event === 'evacuation.unreadable');
+    expect(told.map(({ fields }) => fields.what)).to.deep.equal([EVACUATE]);
   }).timeout(10_000);
 
   it('stays known while the store is away, and its end is heard of afterwards', async () => {
--- a/test/feed.test.ts
+++ b/test/feed.test.ts
@@ -4,7 +4,7 @@
 import { ManualClock } from '../src/kernel/index.js';
 import { FeedClient, serveFeed } from '../src/peering/index.js';
 
-const QUESTION = { position: { targets: 1, configuration: 1 }, members: 0 };
+const QUESTION = { position: { targets: 1, configuration: 1, evacuations: 0 }, members: 0 };
 
 describe('news of another daemon', () => {
   const servers: http.Server[] = [];
@@ -21,7 +21,7 @@
     const server = http.createServer((_request, response) => {
       const left = [{ incarnation: host, revision: 2 }];
       const delta = {
-        position: { targets: 2, configuration: 1 },
+        position: { targets: 2, configuration: 1, evacuations: 0 },
         isWhole: false,
         targets: [],
         left,
@@ -64,7 +64,7 @@
       const server = await serveFeed(address, () => ({
         ...{ members: [] },
         delta: {
-          position: { targets: 2, configuration: 1 },
+          position: { targets: 2, configuration: 1, evacuations: 0 },
           ...{ isWhole: false, targets: [], left: makeLeft(count) },
         },
       }));
@@ -91,7 +91,7 @@
     port = 0;
     await startFeed('127.0.8.1', true);
     await startFeed('127.0.8.2', false);
-    const first = { ...QUESTION, position: { targets: 0, configuration: 0 } };
+    const first = { ...QUESTION, position: { targets: 0, configuration: 0, evacuations: 0 } };
     const clock = new ManualClock();
     const client = new FeedClient(clock, port, () => undefined);
     const silent = client.fetchNews('127.0.8.1', first);
--- a/test/helpers/targets.ts
+++ b/test/helpers/targets.ts
@@ -9,6 +9,7 @@
   return new FleetView({
     onTable: () => undefined,
     onTarget: () => undefined,
+    onEvacuations: () => undefined,
     onFault: () => undefined,
   });
 }
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -403,8 +403,9 @@
     {
       ...{ kind: 'tell', self },
       knowledge: {
-        position: { targets: 70_000, configuration: 12 },
-        ...{ proofAge: 250, targetsRevision: 80_000, members: 123_456, homes: 5 },
+        position: { targets: 70_000, configuration: 12, evacuations: 11 },
+        ...{ proofAge: 250, members: 123_456, homes: 5 },
+        known: { targets: 80_000, operators: 13 },
         reading: { reader: '10.4.0.18', age: 270 },
         presences: [
           { ip: '10.1.0.38', state: 'ready', age: 40 },
--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -256,7 +256,12 @@
       createBudget: () => new WindowBudget(clock, () => ({ ratio: 0, slack: 0, window: 1000 })),
     });
     const ignore = () => undefined;
-    const view = new FleetView({ onTable: ignore, onTarget: ignore, onFault: ignore });
+    const view = new FleetView({
+      onTable: ignore,
+      onTarget: ignore,
+      onFault: ignore,
+      onEvacuations: ignore,
+    });
     add(view, 'old-1', { release: 'v1' });
     add(view, 'old-2', { release: 'v1' });
     add(view, 'young', { release: 'v2', born: NOW - 1000 });
--- a/test/strange.test.ts
+++ b/test/strange.test.ts
@@ -162,7 +162,7 @@
     one.putTarget(record, 5, 0);
     other.applyDelta(one.diffSince(other.position, 0), 0);
     one.putTarget({ ...record, born: 2000 }, 9, 0);
-    const stale = other.diffSince({ targets: 0, configuration: 0 }, 0);
+    const stale = other.diffSince({ targets: 0, configuration: 0, evacuations: 0 }, 0);
     other.applyDelta(one.diffSince(other.position, 0), 0);
     expect(other.listTargets()[0].record.born).to.equal(2000);
     other.applyDelta(stale, 0);
@@ -212,7 +212,7 @@
     const record = decodeTarget('i-1', writeTarget(ADDRESS));
     if ('kind' in record) throw new Error('expected a record');
     view.putTarget(record, 5, 0);
-    const delta = view.diffSince({ targets: 0, configuration: 0 }, 0);
+    const delta = view.diffSince({ targets: 0, configuration: 0, evacuations: 0 }, 0);
     const good = JSON.parse(JSON.stringify({ delta, members: [] })) as {
       readonly delta: Readonly<Record<string, unknown>>;
     };
@@ -238,7 +238,8 @@
     const bytes = encodeDatagram({
       ...{ kind: 'tell', self: { ...self, busy: 0.1, askers: 3 } },
       knowledge: {
-        ...{ position: { targets: 5, configuration: 3 }, proofAge: 10, targetsRevision: 5 },
+        position: { targets: 5, configuration: 3, evacuations: 2 },
+        ...{ proofAge: 10, known: { targets: 5, operators: 6 } },
         ...{ members: 7, homes: 3, reading: { reader: '10.0.0.1', age: 5 } },
         presences: [{ ip: '10.0.0.2', state: 'ready', age: 5 }],
         cases: [{ request: 'q', ended: [7], releases: ['v1'], age: 5 }],
--- a/test/view.test.ts
+++ b/test/view.test.ts
@@ -34,12 +34,14 @@
     return { kind: 'item' as const, item, storeRevision: this.revision };
   }
 
-  async readItems() {
+  async readItems(prefix: string) {
     this.calls += 1;
     if (this.isDown) return { kind: 'unknown' as const, reason: 'down' };
-    const items = Object.entries(this.targets).map(([id, value]) => ({
-      ...{ key: KEYS.targets + id, ...value },
-    }));
+    const all = [
+      { key: KEYS.configuration, ...this.configuration },
+      ...Object.entries(this.targets).map(([id, value]) => ({ key: KEYS.targets + id, ...value })),
+    ];
+    const items = all.filter(({ key }) => key.startsWith(prefix));
     return { kind: 'items' as const, items, storeRevision: this.revision, hasMore: false };
   }
 
@@ -127,7 +129,7 @@
       for (let index = 0; index < 5; index += 1) {
         one.putTarget({ ...base, incarnation: `i${index}`, state: 'ready' }, 10 + index, 0);
       }
-      other.applyDelta(one.diffSince({ targets: 0, configuration: 0 }, 0), 0);
+      other.applyDelta(one.diffSince({ targets: 0, configuration: 0, evacuations: 0 }, 0), 0);
       one.removeTarget('i1', 30);
       one.putTarget({ ...base, incarnation: 'i2', state: 'draining' }, 31, 0);
       const delta = one.diffSince(other.position, 0);
@@ -156,7 +158,7 @@
     };
     const record = { ...base, incarnation: 'i' };
     one.putTarget({ ...record, state: 'ready' }, 10, 0);
-    other.applyDelta(one.diffSince({ targets: 0, configuration: 0 }, 0), 0);
+    other.applyDelta(one.diffSince({ targets: 0, configuration: 0, evacuations: 0 }, 0), 0);
     one.setConfiguration(writeConfiguration(2, [{ prefix: '/a/' }]), 62);
     other.applyDelta(one.diffSince(other.position, 0), 0);
     one.putTarget({ ...record, state: 'draining' }, 61, 0);
