--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -58,6 +58,12 @@
   retry_ratio: describeNumber('Repeats allowed for each request, over all daemons', [0, 100]),
   retry_window: describeInteger('Seconds over which repeats are counted', COUNT),
   retry_slack: describeNumber('Repeats allowed besides, over all daemons', COUNT),
+  cold_overshoot: describeNumber(
+    'What a cold target may get in a second, as a multiple of what its service says that one bears',
+    [0, 1000],
+    1,
+  ),
+  cold_slack: describeNumber('Requests that a cold target may get in a second besides', COUNT, 0),
   probes_per_second: describeNumber(
     'Most probes a second and target, over all daemons',
     [0.1, 1_000_000],
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -26,6 +26,10 @@
 
 const PORTS = { callers: 18_144, readiness: 18_140, directory: 18_143, peers: 18_160 };
 
+/** What daemons are told of cold targets. */
+export const COLD_OVERSHOOT = 1.5;
+export const COLD_SLACK = 2;
+
 /** An answer, as a caller reads it. */
 export interface CallerReply {
   readonly status: number;
@@ -135,7 +139,8 @@
       ...['[machine]', 'cpu_share = 0.5', '[platform]'],
       `address = ${this.#storeAddress.host}:${this.#storeAddress.port}`,
       ...['[promises]', 'grace = 6', 'answer_ttl = 5', 'retry_ratio = 0.2', 'retry_window = 10'],
-      ...['retry_slack = 64', `probes_per_second = ${this.probesPerSecond}`, '[tuning]', tuning],
+      ...['retry_slack = 64', `probes_per_second = ${this.probesPerSecond}`],
+      ...[`cold_overshoot = ${COLD_OVERSHOOT}`, `cold_slack = ${COLD_SLACK}`, '[tuning]', tuning],
     ].join('\n');
     const settings = checkGatewaySettings('test.ini', text).unsafeCoerce();
     const write = (event: string, fields: LogFields = {}) =>
