Cold targets get no more than they bear, from all daemons together

Cause: a cold target was weighed as twice as slow and nothing bounded what it got; one that turned cold again under its name was no news; a target that answers calls was asked nothing, and calls tell nothing of it. Ruled out: one owner of each cold target by rendezvous - daemons that are cut off from each other, or start together, each take themselves for it; a share by the number of homes - the same. Each daemon has the part that stands for those that look to it, as with probes, so the parts sum up however the fleet is split; counted for 1.25 s, as calls sent within that may arrive in one second. A daemon that has not heard of others has no part. The end of an evacuation makes every target of the domain suspect for the time for which one is cold.

--- a/src/balance/index.ts
+++ b/src/balance/index.ts
@@ -19,4 +19,5 @@
 export * from './probe-share.js';
 export * from './second-attempt.js';
 export * from './candidates.js';
+export * from './cold-limit.js';
 export * from './poison.js';
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -490,7 +490,7 @@
     if (!isQuicker(first, prospect.slowdown, times)) return;
     if (!this.#mayRepeat()) return;
     this.context.counts.hedges += 1;
-    target.belief.start(now);
+    target.start(now);
     this.#start(target, deadline - now);
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -33,7 +33,7 @@
 import { Reception } from './reception.js';
 import type { GatewaySettings } from './settings.js';
 import { type GatewayStatus, describeStatus, listGauges } from './status.js';
-import { TargetSet } from './target-set.js';
+import { type Coldness, TargetSet } from './target-set.js';
 import { TurnWatch, createTurnSource } from './turn-watch.js';
 
 /** Readers of the store: two, so that one may die without anybody noticing late. */
@@ -156,6 +156,9 @@
 
   #lookups = 0;
 
+  /** Daemons that the store's list named when this one looked; it may know fewer itself at first. */
+  #listedMembers = 0;
+
   constructor(
     private readonly kernel: Kernel,
     settings: GatewaySettings,
@@ -182,6 +185,7 @@
       ...{ clock, random, domain: gateway.domain },
       countHomes: () => this.#roster.listHomes().length,
       countTellers: () => this.#sharing.countTellers(),
+      readColdness: (service) => this.#readColdness(service),
       createBudget: () =>
         new WindowBudget(clock, () => {
           const { retry_ratio: ratio, retry_window, retry_slack } = this.#settings.promises;
@@ -196,6 +200,7 @@
         this.#changes.push({
           ...{ target: incarnation, state: record?.state ?? 'gone', revision },
           service: record?.service,
+          cold: record?.coldLeft,
         });
       },
       onEvacuations: (evacuations) => {
@@ -203,7 +208,10 @@
         log.warn('domains.evacuated', { domains: domains.join(',') || 'none', revision });
         this.#refreshTargets();
       },
-      onFault: (what) => log.error('configuration.unreadable', { what }),
+      onFault: (what) => {
+        log.error('configuration.unreadable', { what });
+        this.#metrics.count('configuration_unreadable', {});
+      },
     });
     this.#duty = new ReaderDuty(clock, () => this.#isAppointedReader(), findPatience(gateway));
     this.#reader = new StoreReader({
@@ -241,7 +249,10 @@
     this.#registry = new MemberRegistry({
       ...{ store, roster: this.#roster, clock, log, isFirstStart: isFirstStart(gateway) },
       isWriter: () => this.#isFirstHome(),
-      onFound: (ips) => this.#link.addSeeds(ips),
+      onFound: (ips) => {
+        this.#listedMembers = ips.length;
+        this.#link.addSeeds(ips);
+      },
     });
     this.#lessons = new LessonBook({
       ...{ store, clock, log, isHome: () => this.#isHome() },
@@ -415,6 +426,21 @@
     });
   }
 
+  #readColdness(service: string): Coldness {
+    const { cold_overshoot: overshoot, cold_slack: slack } = this.#settings.promises;
+    const spec = this.#view.table?.findService(service);
+    const { coldRate: rate = Infinity, coldTime: time = 0 } = spec ?? {};
+    return { rate, time, overshoot, slack, part: this.#measurePart() };
+  }
+
+  /** The part of the fleet that looks to this daemon; none before it can know the fleet. */
+  #measurePart(): number {
+    const isNew = this.#clock.now() - this.#startedAt < SETTLE_TIME;
+    if (isNew || !this.#link.isInCompany) return 0;
+    const members = Math.max(this.#roster.size, this.#listedMembers);
+    return Math.min(1, this.#link.countAskers() / members);
+  }
+
   #isHome(): boolean {
     const { ip } = this.#settings.gateway;
     return this.#roster.listHomes().some((home) => home.ip === ip);
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -3,7 +3,7 @@
 import { recallPair } from '../balance/home.js';
 import { computeProbeInterval } from '../balance/index.js';
 import { type Clock, scheduleFairly } from '../kernel/index.js';
-import { HEADERS, parseLoad } from '../platform/index.js';
+import { HEADERS, parseColdLeft, parseLoad } from '../platform/index.js';
 import type { RouteTable } from '../routing/index.js';
 import type { GatewayTarget } from './target.js';
 import type { TargetService, TargetSet } from './target-set.js';
@@ -79,6 +79,15 @@
 /** Another home's probe is this many intervals late before this one stands in. */
 const STAND_IN_FACTOR = 3;
 
+/**
+ * A target that gets calls from here all the time is asked this often, in milliseconds, whether it has turned cold:
+ * its answers to calls don't tell. What it gets meanwhile has to fit what it may get within one second.
+ */
+const WARMTH_AGE = 400;
+
+/** From this many calls of late on that is worth a probe. */
+const BUSY_CALLS = 2;
+
 /** How the targets of one service are probed in one turn; times in milliseconds. */
 interface ProbePlan {
   readonly homes: readonly ProbingHome[];
@@ -90,6 +99,8 @@
   readonly rest: number;
   /** Probes a second that the service's calls are worth here. */
   readonly worth: number;
+  /** Whether its targets may turn cold, and bear little then. */
+  readonly asksWarmth: boolean;
 }
 
 /** One turn of probing one service. */
@@ -172,9 +183,10 @@
     if (table === undefined) return;
     const homes = this.options.listHomes();
     for (const service of targets.list()) {
-      const path = table.findService(service.name)?.healthPath ?? '';
+      const { healthPath: path = '', coldRate = Infinity } = table.findService(service.name) ?? {};
       if (path === '' || !this.#isInUse(service, homes)) continue;
-      this.#probeService(service, { path, batch, plan: this.#planProbes(service, homes) });
+      const plan = { ...this.#planProbes(service, homes), asksWarmth: coldRate < Infinity };
+      this.#probeService(service, { path, batch, plan });
     }
   }
 
@@ -191,7 +203,10 @@
     }
   }
 
-  #planProbes(service: TargetService, homes: readonly ProbingHome[]): ProbePlan {
+  #planProbes(
+    service: TargetService,
+    homes: readonly ProbingHome[],
+  ): Omit<ProbePlan, 'asksWarmth'> {
     const { countDaemons, readLimit } = this.options;
     const isHome = this.#isHome(homes);
     const least = computeProbeInterval({ limit: readLimit(), ...countDaemons(), isHome });
@@ -235,16 +250,23 @@
    * Homes divide the targets among themselves; what a home has not heard of in time it asks itself.
    * Others hear from the homes, and ask only what their small part of the agreed number allows.
    */
-  #isDue(target: GatewayTarget, { homes, isHome, least, interval, rest }: ProbePlan): boolean {
+  #isDue(target: GatewayTarget, plan: ProbePlan): boolean {
+    const { homes, isHome, least, interval, rest } = plan;
     const now = this.options.clock.now();
     // A target that does not answer is due again no sooner than the others.
     if (now - target.probedAt < Math.max(least, rest)) return false;
+    if (plan.asksWarmth && this.#mayHaveTurnedCold(target)) return true;
     const age = now - target.belief.slowdownAt;
     if (age < rest) return false;
     const isMine = isHome && findProber(target, homes) === this.options.self;
     return isMine || age >= interval * STAND_IN_FACTOR;
   }
 
+  #mayHaveTurnedCold({ sent, warmth }: GatewayTarget): boolean {
+    const now = this.options.clock.now();
+    return sent.count(now) >= BUSY_CALLS && now - warmth.heardAt >= WARMTH_AGE;
+  }
+
   async #probe(service: TargetService, target: GatewayTarget, path: string): Promise<void> {
     const { clock } = this.options;
     const startedAt = clock.now();
@@ -266,6 +288,10 @@
         target.noteMisdirected();
         return;
       }
+      const cold = parseColdLeft(
+        answer?.headers[HEADERS.coldLeft.toLowerCase()] as string | undefined,
+      );
+      if (cold !== undefined) target.warmth.hear(cold, clock.now());
       const load = parseLoad(answer?.headers[HEADERS.load.toLowerCase()] as string | undefined);
       if (load === undefined) return;
       target.noteLoad(load, own);
--- a/src/gateway/slot-queue.ts
+++ b/src/gateway/slot-queue.ts
@@ -150,7 +150,7 @@
     if (call.mayBeRefused && call.isWorkKnown && now + duration > call.deadline) {
       return this.#refuse(duration);
     }
-    candidate.belief.start(now);
+    candidate.start(now);
     return { kind: 'target', target: candidate };
   }
 
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -2,6 +2,8 @@
 import type { Clock, Random } from '../kernel/index.js';
 import {
   type Advice,
+  COLD_WINDOW,
+  type ColdTerms,
   type DrawPool,
   MOST_LOOKED_AT,
   DecayingMean,
@@ -11,6 +13,7 @@
   type SlowdownPattern,
   WindowBudget,
   choosePlace,
+  computeColdShare,
   drawCandidates,
 } from '../balance/index.js';
 import type { FleetView } from '../view/index.js';
@@ -18,6 +21,15 @@
 import { type PlaceWish, SlotQueue } from './slot-queue.js';
 import { GatewayTarget, readRelease } from './target.js';
 
+/** What is known of the cold targets of a service. */
+export interface Coldness extends ColdTerms {
+  /** For how long a target is cold, in milliseconds. */
+  readonly time: number;
+}
+
+/** What a cold target may get from here is worked out this often, in milliseconds. */
+const COLD_SHARE_PACE = 100;
+
 /** What the set is made from. */
 export interface TargetSetOptions {
   readonly clock: Clock;
@@ -27,6 +39,8 @@
   readonly countHomes: () => number;
   /** Those of the others that have told of their calls of late. */
   readonly countTellers: () => number;
+  /** What cold targets of a service bear, and for how long one is cold. */
+  readonly readColdness: (service: string) => Coldness;
   /** Makes the budget for repeats of one service. */
   readonly createBudget: () => WindowBudget;
 }
@@ -75,6 +89,10 @@
 
   #pool: DrawPool<GatewayTarget> | undefined;
 
+  #coldShare = 0;
+
+  #coldShareAt = -Infinity;
+
   constructor(
     readonly name: string,
     private readonly options: TargetSetOptions,
@@ -144,8 +162,12 @@
    */
   choosePlace(wish: PlaceWish, ahead: number): Advice<GatewayTarget> {
     const { tried, care } = wish;
-    const mayTake = (target: GatewayTarget) => target.isUsable && !tried.has(target);
-    if (care === undefined) return this.#chooseAmong(mayTake, wish, ahead);
+    const mayTake = (target: GatewayTarget) =>
+      target.isUsable && !tried.has(target) && !this.#isSpent(target);
+    if (care === undefined) {
+      const advice = this.#chooseAmong(mayTake, wish, ahead);
+      return advice.kind === 'none' ? this.#adviseCold(wish) : advice;
+    }
     const now = this.options.clock.wall();
     const isAllowed = (target: GatewayTarget) =>
       mayTake(target) && !care.avoided.includes(readRelease(target.record));
@@ -160,6 +182,31 @@
     return this.#chooseAmong(isAllowed, wish, ahead);
   }
 
+  /** Whether a cold target has had of late what it may get from here. */
+  #isSpent(target: GatewayTarget): boolean {
+    const now = this.options.clock.now();
+    return target.warmth.isCold(now) && target.sent.count(now) >= this.#readColdShare(now);
+  }
+
+  #readColdShare(now: number): number {
+    if (now - this.#coldShareAt < COLD_SHARE_PACE) return this.#coldShare;
+    this.#coldShareAt = now;
+    this.#coldShare = computeColdShare(this.options.readColdness(this.name));
+    return this.#coldShare;
+  }
+
+  /** Advises a call where all that is left is cold and has had what it bears: to wait for that, if some falls to us. */
+  #adviseCold({ tried }: PlaceWish): Advice<GatewayTarget> {
+    const share = this.#readColdShare(this.options.clock.now());
+    let places = 0;
+    for (const target of this.targets.values()) {
+      if (target.isUsable && !tried.has(target)) places += share;
+    }
+    if (places === 0) return { kind: 'none' };
+    const pace = COLD_WINDOW / places / this.readTime(COLD_WINDOW);
+    return { kind: 'wait', pace, slowdown: 1 };
+  }
+
   #chooseAmong(
     isUsable: (target: GatewayTarget) => boolean,
     { bodyBytes }: PlaceWish,
@@ -272,6 +319,10 @@
       const known = targets.get(incarnation);
       if (known !== undefined) {
         if (known.record.domain !== entry.record.domain) service.noteChange();
+        // Nobody asked it meanwhile, and it may have turned cold.
+        if (known.isEvacuated && !isEvacuated) {
+          known.warmth.suspect(this.options.clock.now() + this.#readColdTime(service));
+        }
         known.update(entry, isEvacuated);
         continue;
       }
@@ -286,6 +337,12 @@
     }
   }
 
+  /** Where nothing limits what cold targets get, none is taken for cold on suspicion. */
+  #readColdTime({ name }: TargetService): number {
+    const { rate, time } = this.options.readColdness(name);
+    return rate === Infinity ? 0 : time;
+  }
+
   /** Whether calls come to this daemon, be it a few a second. */
   isServing(now: number): boolean {
     return this.list().some((service) => now - service.lastCallAt < SERVING_TIME);
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -4,8 +4,10 @@
   LoadBelief,
   type Prospect,
   ReportTrail,
+  SendMeter,
   type SlowdownMemory,
   type SlowdownPattern,
+  Warmth,
 } from '../balance/index.js';
 import type { Clock } from '../kernel/index.js';
 import type { LoadReport, TargetRecord } from '../platform/index.js';
@@ -75,6 +77,12 @@
   /** Its last reports of how slow it is. */
   readonly trail: ReportTrail;
 
+  /** Until when it is cold, as far as is known. */
+  readonly warmth = new Warmth();
+
+  /** Calls that were sent there of late. */
+  readonly sent = new SendMeter();
+
   /** Stands for the incarnation in datagrams between daemons. */
   readonly hash: number;
 
@@ -114,6 +122,7 @@
     { memory, onOpened }: GatewayTargetOptions,
   ) {
     this.#listed = listed;
+    this.warmth.suspect(listed.coldUntil);
     this.trail = new ReportTrail(memory);
     this.hash = hashIncarnation(listed.record.incarnation, listed.record.born);
     this.connections = new TargetConnections(listed.record.address, clock, onOpened);
@@ -161,12 +170,28 @@
     return this.#isGone || this.record.state === 'draining';
   }
 
-  /** Takes a newer entry. @param isEvacuated whether its failure domain takes no calls */
+  /**
+   * Takes a newer entry.
+   *
+   * @param isEvacuated whether its failure domain takes no calls
+   */
   update(listed: ListedTarget, isEvacuated: boolean): void {
+    if (listed.coldUntil !== this.#listed.coldUntil) this.warmth.suspect(listed.coldUntil);
     this.#listed = listed;
     this.#isEvacuated = isEvacuated;
   }
 
+  /** Whether its failure domain takes no calls. */
+  get isEvacuated(): boolean {
+    return this.#isEvacuated;
+  }
+
+  /** Counts a call that is sent there now. */
+  start(now: number): void {
+    this.belief.start(now);
+    this.sent.note(now);
+  }
+
   /** Views the target for the choice. */
   view({ pattern, domain, homes, tellers, knee }: ViewTerms): Prospect {
     const now = this.clock.now();
@@ -174,7 +199,7 @@
       slots: knee.findLimit(this.record.slots),
       calls: this.belief.countCalls(now, homes, tellers),
       slowdown: this.trail.read(now, pattern),
-      cold: now < this.#listed.coldUntil ? COLD_FACTOR : 1,
+      cold: this.warmth.isCold(now) ? COLD_FACTOR : 1,
       failures: this.readFailures(now),
       // What runs beside a suspect may end with it, so others go elsewhere while there is room.
       doubtful: this.#ill || now < this.#stuckUntil || this.suspects > 0,
--- a/src/peering/peer-link.ts
+++ b/src/peering/peer-link.ts
@@ -115,6 +115,11 @@
     this.#socket.close();
   }
 
+  /** Whether it has heard from another daemon, or knows of none. */
+  get isInCompany(): boolean {
+    return this.#isAnswered || this.#seeds.length === 0;
+  }
+
   /** Names daemons to ask until they answer. */
   addSeeds(ips: readonly string[]): void {
     const own = this.options.readSelf().ip;
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -101,15 +101,29 @@
   };
 }
 
-function readService(value: unknown): ServiceSpec {
+/** Reads a number that a service may state; what can't be read costs a remark, not the configuration. */
+function readStated(value: unknown, what: string, remarks: string[]): number | undefined {
+  if (value === undefined) return undefined;
+  if (typeof value === 'number' && Number.isFinite(value) && value >= 0) return value;
+  remarks.push(`${what}; expected a number from 0 on`);
+  return undefined;
+}
+
+function readService(value: unknown, remarks: string[]): ServiceSpec {
   const cluster = readObject(value, 'cluster');
+  const name = readText(cluster.name, 'cluster name');
+  const read = (key: string) => readStated(cluster[key], `${name}: ${key}`, remarks);
   return {
-    name: readText(cluster.name, 'cluster name'),
+    name,
+    coldRate: read('warmup_per_s') ?? Infinity,
+    coldTime: (read('warmup_s') ?? 0) * MILLISECONDS,
     healthPath: typeof cluster.health_path === 'string' ? cluster.health_path : '',
     maxConnections: Number(cluster.max_connections ?? 0),
   };
 }
 
+const MILLISECONDS = 1000;
+
 function readLimits(value: unknown): RequestLimits {
   const limits = readObject(value ?? {}, 'limits');
   const read = (key: string) => Number(limits[key] ?? Infinity) || Infinity;
@@ -161,11 +175,13 @@
       const rules = readList(listener.rule_set, `${host}: rule_set`).map(readRoute);
       routes.set(host, [...(routes.get(host) ?? []), ...rules]);
     }
+    const remarks: string[] = [];
     return new RouteTable(
       readNumber(document.version, 'version'),
       routes,
-      readList(document.clusters, 'clusters').map(readService),
+      readList(document.clusters, 'clusters').map((cluster) => readService(cluster, remarks)),
       readLimits(document.limits),
+      remarks,
     );
   });
 }
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -68,6 +68,12 @@
   return { running, waiting, slots, slowdown: percent / USUAL_PERCENT };
 }
 
+/** Reads for how long a target says that it is still cold, in milliseconds; undefined when it says nothing. */
+export function parseColdLeft(text: string | undefined): number | undefined {
+  const left = text === undefined || text === '' ? NaN : Number(text);
+  return left >= 0 && Number.isFinite(left) ? left : undefined;
+}
+
 /** The question of a client that wants to know which addresses to use. */
 export interface ResolveQuestion {
   readonly host: string;
--- a/src/routing/route.ts
+++ b/src/routing/route.ts
@@ -34,6 +34,10 @@
   readonly healthPath: string;
   /** Most connections that one target accepts from everybody together. */
   readonly maxConnections: number;
+  /** Requests a second that a cold target bears, from all daemons together; Infinity where nobody says. */
+  readonly coldRate: number;
+  /** For how long a target is cold after a start, in milliseconds. */
+  readonly coldTime: number;
 }
 
 /** What a caller may send and how long it may take; bytes and milliseconds. */
@@ -55,6 +59,8 @@
     routes: ReadonlyMap<string, readonly Route[]>,
     services: readonly ServiceSpec[],
     readonly limits: RequestLimits,
+    /** Parts that could not be read; what stands in for them is in force. */
+    readonly remarks: readonly string[] = [],
   ) {
     const byLength = (a: Route, b: Route) => b.pathPrefix.length - a.pathPrefix.length;
     this.#routes = new Map(
--- a/src/view/fleet-view.ts
+++ b/src/view/fleet-view.ts
@@ -69,13 +69,19 @@
   onTarget(incarnation: string, record: TargetRecord | undefined, revision: number): void;
   /** Other failure domains are evacuated than before. */
   onEvacuations(evacuations: Evacuations): void;
-  /** A configuration could not be decoded; the one in force stays. */
+  /** A configuration could not be decoded and the one in force stays, or a part of the new one could not. */
   onFault(what: string): void;
 }
 
 /** Departures remembered for daemons that ask what changed; the history of some minutes. */
 const MAX_LEFT = 2000;
 
+/**
+ * A target that is cold for this much longer than it was known to be has turned cold again, in milliseconds: what one
+ * entry says differs by its way here.
+ */
+const COLD_AGAIN = 1000;
+
 function matchRecords(a: TargetRecord, b: TargetRecord): boolean {
   return (
     a.service === b.service &&
@@ -186,6 +192,7 @@
     }
     if (this.#table !== undefined && table.version <= this.#table.version) return;
     this.#table = table;
+    for (const remark of table.remarks) this.listener.onFault(remark);
     this.listener.onTable(table);
   }
 
@@ -198,7 +205,8 @@
     // Of two starts under one name the later one holds, in whatever order news come.
     if (known !== undefined && record.born < known.record.born) return;
     const coldUntil = record.coldLeft > 0 ? now + record.coldLeft : -Infinity;
-    if (known !== undefined && matchRecords(known.record, record)) {
+    const isColder = coldUntil > (known?.coldUntil ?? -Infinity) + COLD_AGAIN;
+    if (known !== undefined && !isColder && matchRecords(known.record, record)) {
       this.#targets.set(incarnation, { ...known, coldUntil });
       return;
     }
