Daemons that hear the homes leave reading the store to them for longer

Ruled out: a list that each home asks one after another; fewer readers. Kept: homes and their successors at 1.5 s as before; those that hear them after 2.2 s (2.5 s is what a leaving target's bound gives), and then with pauses up to 2.5 s.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -213,10 +213,18 @@
         this.#metrics.count('configuration_unreadable', {});
       },
     });
-    this.#duty = new ReaderDuty(clock, () => this.#isAppointedReader(), findPatience(gateway));
+    this.#duty = new ReaderDuty(
+      clock,
+      {
+        isAppointed: () => this.#isAppointedReader(),
+        isNearHomes: () => this.#roster.isNearHomes(),
+      },
+      findPatience(gateway),
+    );
     this.#reader = new StoreReader({
       ...{ store, view: this.#view, clock, random, log },
       isReader: () => this.#duty.isReader(),
+      readLongestPause: () => this.#duty.readLongestPause(),
     });
     const [port = 0] = gateway.peer_ports;
     this.#planner = new HomePlanner({
@@ -498,6 +506,7 @@
 
   /** Takes what another daemon knows, and fetches it when it is more. */
   async #hear(from: MemberInfo, knowledge: Knowledge): Promise<void> {
+    this.#duty.noteHeard();
     if (this.#isPlanFrom(from.ip)) this.#roster.setWanted(knowledge.homes);
     const now = this.#clock.now();
     const provenAt = now - knowledge.proofAge;
--- a/src/view/store-reader.ts
+++ b/src/view/store-reader.ts
@@ -25,6 +25,8 @@
   readonly log: Log;
   /** Whether this daemon is to read now; others hear from readers. */
   readonly isReader: () => boolean;
+  /** The longest pause after a call that the store did not answer, in milliseconds. */
+  readonly readLongestPause: () => number;
 }
 
 /** How long one watch of the targets waits: news come at once, and its end shows that there were none. */
@@ -47,9 +49,8 @@
 /** How long one watch of the operators' keys waits. A cut that nobody shows ends with it. */
 const OPERATORS_WAIT = 4000;
 
-/** Pauses after a call that the store did not answer well; each next one is longer. */
+/** The pause after a call that the store did not answer well, in milliseconds; each next one is longer. */
 const FIRST_PAUSE = 200;
-const LONGEST_PAUSE = 1000;
 
 /** An outage longer than this may have made entries lapse. */
 const LAPSE_OUTAGE = 1000;
@@ -66,10 +67,13 @@
 class Backoff {
   #failures = 0;
 
-  constructor(private readonly random: Random) {}
+  constructor(
+    private readonly random: Random,
+    private readonly readLongest: () => number,
+  ) {}
 
   next(): number {
-    const pause = Math.min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** this.#failures);
+    const pause = Math.min(this.readLongest(), FIRST_PAUSE * 2 ** this.#failures);
     this.#failures += 1;
     return pause * (0.75 + this.random.next() / 2);
   }
@@ -134,8 +138,8 @@
   }
 
   async #followTargets(signal: AbortSignal): Promise<void> {
-    const { clock, isReader, random } = this.options;
-    const backoff = new Backoff(random);
+    const { clock, isReader, random, readLongestPause } = this.options;
+    const backoff = new Backoff(random, readLongestPause);
     while (!signal.aborted) {
       this.#settlePending();
       if (!isReader()) {
@@ -291,8 +295,8 @@
   }
 
   async #followOperators(signal: AbortSignal): Promise<void> {
-    const { clock, isReader, random } = this.options;
-    const backoff = new Backoff(random);
+    const { clock, isReader, random, readLongestPause } = this.options;
+    const backoff = new Backoff(random, readLongestPause);
     while (!signal.aborted) {
       if (!isReader()) {
         await clock.sleep(this.#readIdlePace(), signal);
--- a/test/view.test.ts
+++ b/test/view.test.ts
@@ -172,7 +172,7 @@
   it('falls to appointed homes, and to a daemon to which nobody tells anything', async () => {
     const clock = new ManualClock();
     let isAppointed = false;
-    const duty = new ReaderDuty(clock, () => isAppointed);
+    const duty = new ReaderDuty(clock, { isAppointed: () => isAppointed, isNearHomes: () => true });
     duty.noteServing();
     expect(duty.isReader()).to.equal(true);
     duty.noteTold('10.0.0.2', clock.now());
@@ -186,9 +186,32 @@
     isAppointed = true;
     expect(duty.isReader()).to.equal(true);
   });
+  // Seen on the users' platform: all watches were cut at once, and each of 121 daemons read all targets anew.
+  it('falls to the homes and those next to them before the daemons that hear them', async () => {
+    const clock = new ManualClock();
+    const createDuty = (isNear: boolean) => {
+      const duty = new ReaderDuty(clock, { isAppointed: () => false, isNearHomes: () => isNear });
+      duty.noteServing();
+      duty.noteTold('10.0.0.2', clock.now());
+      return duty;
+    };
+    const [near, remote, alone] = [createDuty(true), createDuty(false), createDuty(false)];
+    for (let turn = 0; turn < 16; turn += 1) {
+      remote.noteHeard();
+      await clock.advance(100);
+    }
+    expect([near, remote, alone].map((duty) => duty.isReader())).to.deep.equal([true, false, true]);
+    expect(remote.readLongestPause()).to.be.greaterThan(near.readLongestPause());
+    // A leaving target has to be known within 2.5 s of the last reading.
+    for (let turn = 0; turn < 7; turn += 1) {
+      remote.noteHeard();
+      await clock.advance(100);
+    }
+    expect(remote.isReader()).to.equal(true);
+  });
   it('is left to others for a moment by a daemon that starts', async () => {
     const clock = new ManualClock();
-    const duty = new ReaderDuty(clock, () => false, 60);
+    const duty = new ReaderDuty(clock, { isAppointed: () => false, isNearHomes: () => false }, 60);
     expect(duty.isReader()).to.equal(false);
     await clock.advance(60);
     expect(duty.isReader()).to.equal(true);
@@ -199,7 +222,11 @@
   it('does not read because it has not heard yet that others are homes before it', async () => {
     const clock = new ManualClock();
     let knowsOthers = false;
-    const duty = new ReaderDuty(clock, () => !knowsOthers, 3000);
+    const duty = new ReaderDuty(
+      clock,
+      { isAppointed: () => !knowsOthers, isNearHomes: () => true },
+      3000,
+    );
     duty.noteTold('10.0.0.2', clock.now());
     expect(duty.isReader()).to.equal(false);
     duty.noteServing();
@@ -212,7 +239,7 @@
   });
   it('reads as an appointed one soon, and at once where nobody tells it anything', async () => {
     const clock = new ManualClock();
-    const duty = new ReaderDuty(clock, () => true);
+    const duty = new ReaderDuty(clock, { isAppointed: () => true, isNearHomes: () => true });
     expect(duty.isReader()).to.equal(true);
     duty.noteServing();
     duty.noteTold('10.0.0.2', clock.now());
@@ -233,6 +260,7 @@
     const reader = new StoreReader({
       ...{ store, view, clock, random: createSeededRandom(1), log: createSilentLog() },
       isReader: () => isReader,
+      readLongestPause: () => 1000,
     });
     reader.run(running.signal).catch(() => undefined);
     return reader;
