--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -306,7 +306,7 @@
       interval: Math.max(tuning.probe_interval, (2 * 1000) / promises.probes_per_second),
       ...{ self: gateway.ip, listHomes: () => this.#roster.listHomes() },
       readTable: () => this.#view.table,
-      isBusy: () => this.#planner.isFull,
+      readBusy: () => this.#planner.busy,
       readLimit: () => this.#settings.promises.probes_per_second,
       countDaemons: () => this.#countDaemons(),
     });
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -4,6 +4,7 @@
 import { computeProbeInterval } from '../balance/index.js';
 import { type Clock, scheduleFairly } from '../kernel/index.js';
 import { HEADERS, parseColdLeft, parseLoad } from '../platform/index.js';
+import { BUSY } from '../peering/index.js';
 import type { RouteTable } from '../routing/index.js';
 import type { GatewayTarget } from './target.js';
 import type { TargetService, TargetSet } from './target-set.js';
@@ -22,8 +23,8 @@
   /** Time between two probes of a target, in milliseconds. */
   readonly interval: number;
   readonly self: string;
-  /** Whether this daemon's processor is what calls wait for. */
-  readonly isBusy: () => boolean;
+  /** The part of its time in which this daemon was at work of late, from 0 to 1. */
+  readonly readBusy: () => number;
   readonly listHomes: () => readonly ProbingHome[];
   /** Probes that the whole fleet may send to each target a second. */
   readonly readLimit: () => number;
@@ -56,6 +57,9 @@
 /** A service with few calls is measured this many times a second by each home all the same. */
 const LEAST_PROBES = 100;
 
+/** Up to this part of its time at work a daemon sends all the probes that its calls are worth. */
+const LEISURE_UP_TO = 0.5;
+
 /** Probes that were not needed may be sent later, as many as fit into this time, in milliseconds. */
 const SAVING_TIME = 250;
 
@@ -173,7 +177,7 @@
   }
 
   #isHurried(service: TargetService): boolean {
-    if (this.options.isBusy()) return false;
+    if (this.options.readBusy() >= BUSY) return false;
     return this.options.clock.now() - service.queue.waitedAt < HURRY_TIME;
   }
 
@@ -211,7 +215,8 @@
     const isHome = this.#isHome(homes);
     const least = computeProbeInterval({ limit: readLimit(), ...countDaemons(), isHome });
     const calls = service.rate.read(this.options.clock.now());
-    const worth = Math.max(isHome ? LEAST_PROBES : 0, PROBES_PER_CALL * calls);
+    const wantedProbes = Math.max(isHome ? LEAST_PROBES : 0, PROBES_PER_CALL * calls);
+    const worth = Math.max(1, wantedProbes * this.#measureLeisure());
     // At this interval a home's part of the targets takes no more probes than that.
     const affordable = (service.targets.size / Math.max(1, homes.length) / worth) * 1000;
     const wanted = this.#readInterval(service);
@@ -220,6 +225,14 @@
     return { homes, isHome, least, interval, rest: interval - wanted / 2, worth };
   }
 
+  /**
+   * The part of the wanted probes for which the processor has time: all of them up to half of its time at work, and
+   * fewer the less it leaves. Calls that wait for it lose more than a staler report costs them.
+   */
+  #measureLeisure(): number {
+    return Math.min(1, (1 - this.options.readBusy()) / (1 - LEISURE_UP_TO));
+  }
+
   /**
    * What may be sent now. A daemon that has heard nothing yet finds every target due at once: with three
    * calls in a second each of 312 daemons asked all of 503 targets over new connections.
--- a/test/large-fleet.test.ts
+++ b/test/large-fleet.test.ts
@@ -177,7 +177,7 @@
     const table = decodeConfiguration(writeConfiguration(1, [{ prefix: '/a/' }]));
     if ('kind' in table) throw new Error('expected a configuration');
     const prober = new Prober({
-      ...{ targets, clock, interval: 100, self, readTable: () => table, isBusy: () => false },
+      ...{ targets, clock, interval: 100, self, readTable: () => table, readBusy: () => 0 },
       listHomes: () => [{ ip: 'home', domain: 'd1' }],
       readLimit: () => 60,
       countDaemons: () => ({ members: 300, present: 300 }),
