Homes are named to callers by their strength, and planned by the cores that are at work

Ruled out: no weak homes at all - where all are strong the same, but a fleet may have no strong ones in a domain. Tests: test/homes.test.ts, test/load.test.ts.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -105,6 +105,8 @@
 
   readonly #clock;
 
+  readonly #random;
+
   readonly #log;
 
   readonly #view: FleetView;
@@ -170,6 +172,7 @@
     const store = kernel.find(kvStoreService);
     const { gateway, machine, promises, tuning } = settings;
     this.#clock = clock;
+    this.#random = random;
     this.#log = log;
     const capacity = machine.cpu_share * machine.core_speed;
     const readSelf = (): MemberInfo => ({
@@ -228,7 +231,7 @@
     });
     const [port = 0] = gateway.peer_ports;
     this.#planner = new HomePlanner({
-      ...{ clock, log, roster: this.#roster, self: gateway.ip },
+      ...{ clock, log, roster: this.#roster, self: gateway.ip, capacity },
       readLeast: () => this.#settings.tuning.homes,
     });
     this.#link = new PeerLink({
@@ -571,7 +574,7 @@
   #listAddresses(question: ResolveQuestion): readonly string[] {
     this.#lookups += 1;
     const { port } = this.#settings.gateway.callers;
-    const chosen = chooseHomes(this.#roster.listHomes(), question.domain);
+    const chosen = chooseHomes(this.#roster.listHomes(), question.domain, this.#random);
     if (chosen.length > 0) return chosen.map(({ ip }) => `${ip}:${port}`);
     return this.#state === 'ready' ? [formatAddress(this.#settings.gateway.callers)] : [];
   }
--- a/src/gateway/home-planner.ts
+++ b/src/gateway/home-planner.ts
@@ -8,8 +8,9 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly roster: Roster;
-  /** IP number of this daemon. */
+  /** IP number of this daemon, and its cores. */
   readonly self: string;
+  readonly capacity: number;
   /** Homes that the settings ask for at least. */
   readonly readLeast: () => number;
 }
@@ -50,14 +51,14 @@
   }
 
   #planHomes(): void {
-    const { clock, log, roster, readLeast } = this.options;
+    const { clock, log, roster, readLeast, capacity } = this.options;
     const before = Math.max(roster.wanted, roster.listHomes().length);
-    const busy = [this.#busy, ...roster.listBusy()];
+    const busy = [{ busy: this.#busy, capacity }, ...roster.listBusy()];
     const load = { homes: before, least: readLeast(), busy, now: clock.now() };
     const planned = Math.min(roster.size, this.#plan.plan(load));
     if (planned === before) return;
     roster.setWanted(planned);
-    const parts = busy.map((part) => part.toFixed(2)).join(',');
+    const parts = busy.map((home) => home.busy.toFixed(2)).join(',');
     log.info('homes.planned', { before, after: roster.wanted, busy: parts });
   }
 }
--- a/src/peering/home-plan.ts
+++ b/src/peering/home-plan.ts
@@ -10,14 +10,16 @@
  * The first home plans and tells; the others follow, so all name the same homes to callers.
  */
 
+import type { BusyHome } from './roster.js';
+
 /** What the plan follows from. */
 export interface HomeLoad {
   /** Homes until now. */
   readonly homes: number;
   /** Homes that the settings ask for at least. */
   readonly least: number;
-  /** For each home the part of its time in which it was busy of late, from 0 to 1. */
-  readonly busy: readonly number[];
+  /** How busy each home was of late. */
+  readonly busy: readonly BusyHome[];
   readonly now: number;
 }
 
@@ -36,6 +38,17 @@
 /** The load has to be low for this long before there are fewer homes, as callers must move again. */
 const IDLE_TIME = 15_000;
 
+/** The part of all cores that is at work: a weak home that is full says little of the others. */
+function measureMean(homes: readonly BusyHome[]): number {
+  let work = 0;
+  let cores = 0;
+  for (const { busy, capacity } of homes) {
+    work += busy * capacity;
+    cores += capacity;
+  }
+  return cores > 0 ? work / cores : 0;
+}
+
 /** The plan of the first home. */
 export class HomePlan {
   #changedAt = -Infinity;
@@ -44,7 +57,7 @@
 
   /** Returns how many homes there should be. */
   plan({ homes, least, busy, now }: HomeLoad): number {
-    const mean = busy.reduce((sum, part) => sum + part, 0) / Math.max(1, busy.length);
+    const mean = measureMean(busy);
     if (mean >= IDLE) this.#busyAt = now;
     if (mean >= BUSY && now - this.#changedAt >= SETTLE_TIME) {
       this.#changedAt = now;
--- a/src/peering/roster.ts
+++ b/src/peering/roster.ts
@@ -42,6 +42,14 @@
   readonly askers: number;
 }
 
+/** How busy one home is. */
+export interface BusyHome {
+  /** The part of its time in which it was at work of late, from 0 to 1. */
+  readonly busy: number;
+  /** Its cores. */
+  readonly capacity: number;
+}
+
 interface Member {
   info: MemberInfo;
   state: MemberState;
@@ -198,9 +206,9 @@
     this.#wanted = homes;
   }
 
-  /** How busy the other homes are. */
-  listBusy(): readonly number[] {
-    return this.#listOtherHomes().map(({ busy }) => busy);
+  /** How busy the other homes are, and of how many cores. */
+  listBusy(): readonly BusyHome[] {
+    return this.#listOtherHomes().map(({ busy, info }) => ({ busy, capacity: info.capacity }));
   }
 
   /** How many daemons look to the other homes that answer here. */
--- a/test/homes.test.ts
+++ b/test/homes.test.ts
@@ -1,7 +1,12 @@
 import { expect } from 'chai';
 import { BusyMeter } from '../src/gateway/busy-meter.js';
 import { ManualClock } from '../src/kernel/index.js';
-import { HomePlan, Roster } from '../src/peering/index.js';
+import { type BusyHome, HomePlan, Roster } from '../src/peering/index.js';
+
+/** Homes of half a core each. */
+function makeBusy(...parts: readonly number[]): readonly BusyHome[] {
+  return parts.map((busy) => ({ busy, capacity: 0.5 }));
+}
 
 describe('how many homes there are', () => {
   it('grows while they are busy, as fast as callers move', () => {
@@ -9,7 +14,7 @@
     let homes = 3;
     const counts: number[] = [];
     for (let now = 0; now < 12_500; now += 500) {
-      homes = plan.plan({ homes, least: 3, busy: [0.7, 0.6, 0.8], now });
+      homes = plan.plan({ homes, least: 3, busy: makeBusy(0.7, 0.6, 0.8), now });
       counts.push(homes);
     }
     expect(new Set(counts)).to.deep.equal(new Set([5, 8, 12]));
@@ -17,15 +22,27 @@
   it('stays where the load is moderate, and where one alone is busy for a moment', () => {
     const plan = new HomePlan();
     for (let now = 0; now < 60_000; now += 500) {
-      expect(plan.plan({ homes: 4, least: 3, busy: [0.3, 0.9, 0.2, 0.3], now })).to.equal(4);
+      expect(plan.plan({ homes: 4, least: 3, busy: makeBusy(0.3, 0.9, 0.2, 0.3), now })).to.equal(
+        4,
+      );
+    }
+  });
+  // Seen on the users' platform: machines of a fifth of a core became homes, were busy all the time, and the plan grew
+  // by more of them, from 3 to 27, while the strong ones had half of their time left.
+  it('does not grow for weak homes that are full while the strong ones have time', () => {
+    const plan = new HomePlan();
+    const strong = [0.3, 0.4, 0.35].map((busy) => ({ busy, capacity: 1.35 }));
+    const weak = [1, 0.98, 1].map((busy) => ({ busy, capacity: 0.27 }));
+    for (let now = 0; now < 30_000; now += 500) {
+      expect(plan.plan({ homes: 6, least: 3, busy: [...strong, ...weak], now })).to.equal(6);
     }
   });
   it('shrinks one by one after a long time of little load', () => {
     const plan = new HomePlan();
-    let homes = plan.plan({ homes: 6, least: 4, busy: [0.3], now: 0 });
+    let homes = plan.plan({ homes: 6, least: 4, busy: makeBusy(0.3), now: 0 });
     const shrunkAt: number[] = [];
     for (let now = 500; now < 50_000; now += 500) {
-      const next = plan.plan({ homes, least: 4, busy: [0.1, 0.05], now });
+      const next = plan.plan({ homes, least: 4, busy: makeBusy(0.1, 0.05), now });
       if (next < homes) shrunkAt.push(now);
       homes = next;
     }
@@ -48,7 +65,9 @@
     const homes = roster.listHomes();
     expect(homes).to.have.length(5);
     const others = homes.filter(({ ip }) => ip !== '10.0.0.1');
-    expect(roster.listBusy()).to.deep.equal(others.map(({ ip }) => Number(ip.slice(-1)) / 10));
+    expect(roster.listBusy()).to.deep.equal(
+      others.map(({ ip }) => ({ busy: Number(ip.slice(-1)) / 10, capacity: 0.5 })),
+    );
     roster.setWanted(1);
     expect(roster.listHomes()).to.have.length(3);
   });
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -352,19 +352,37 @@
   const makeHome = (ip: string, domain: string) => ({ ip, domain, capacity: 1, isSenior: true });
   const [a, b, c] = [makeHome('a', 'd1'), makeHome('b', 'd2'), makeHome('c', 'd3')];
   const second = makeHome('e', 'd1');
+  const random = createSeededRandom(3);
 
   it('are the near one and the next in order, so that each is the spare of one other', () => {
-    expect(chooseHomes([a, b, c], 'd1')).to.deep.equal([a, b]);
-    expect(chooseHomes([a, b, c], 'd2')).to.deep.equal([b, c]);
-    expect(chooseHomes([a, b, c], 'd3')).to.deep.equal([c, a]);
+    expect(chooseHomes([a, b, c], 'd1', random)).to.deep.equal([a, b]);
+    expect(chooseHomes([a, b, c], 'd2', random)).to.deep.equal([b, c]);
+    expect(chooseHomes([a, b, c], 'd3', random)).to.deep.equal([c, a]);
   });
   it('are all near ones and one spare', () => {
-    expect(chooseHomes([a, b, c, second], 'd1')).to.deep.equal([a, second, b]);
-    expect(chooseHomes([a, second], 'd1')).to.deep.equal([a, second]);
+    expect(chooseHomes([a, b, c, second], 'd1', random)).to.deep.equal([a, second, b]);
+    expect(chooseHomes([a, second], 'd1', random)).to.deep.equal([a, second]);
+  });
+  it('are weak ones the less often the weaker they are, and a strong spare', () => {
+    const strong = { ...makeHome('s', 'd1'), capacity: 1.35 };
+    const weak = [1, 2, 3].map((index) => ({ ...makeHome(`w${index}`, 'd1'), capacity: 0.27 }));
+    const elsewhere = [
+      { ...makeHome('x', 'd2'), capacity: 0.27 },
+      { ...b, capacity: 1.35 },
+    ];
+    const calls = new Map<string, number>();
+    for (let lookup = 0; lookup < 3000; lookup += 1) {
+      const named = chooseHomes([strong, ...weak, ...elsewhere], 'd1', random);
+      expect(named).to.include(strong);
+      expect(named.at(-1)?.ip).to.equal('b');
+      for (const { ip } of named) calls.set(ip, (calls.get(ip) ?? 0) + 1 / named.length);
+    }
+    const strongCalls = calls.get('s') ?? 0;
+    for (const { ip } of weak) expect((calls.get(ip) ?? 0) / strongCalls).to.be.within(0.1, 0.3);
   });
   it('are all of them for a caller from elsewhere', () => {
-    expect(chooseHomes([a, b], 'd9')).to.deep.equal([a, b]);
-    expect(chooseHomes([], 'd1')).to.deep.equal([]);
+    expect(chooseHomes([a, b], 'd9', random)).to.deep.equal([a, b]);
+    expect(chooseHomes([], 'd1', random)).to.deep.equal([]);
   });
 });
 
