Routes that name regions: requests run there only, and callers are told of daemons of their own region

A target whose failure domain lies in none of a route's regions is closed to its requests on every way (first try, repeat, second attempt, queue); look-ups name daemons of the caller's region while it has one that serves. No body goes from daemon to daemon, so none leaves a region that way. The settings name each domain's region.

--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -248,6 +248,7 @@
       mayBeRefused: this.#sendings === 0,
       tried: this.#tried,
       bodyBytes: request.bodyBytes,
+      regions: request.route.regions,
       care: this.#care,
     };
     if (request.deadline - clock.now() < LEAST_TIME) {
@@ -494,7 +495,10 @@
     // A second attempt takes a slot. While others wait for one it is worth it only if it frees one
     // that would be held for long.
     if (service.queue.size > 0 && need !== 'rescue') return;
-    const advice = service.choosePlace({ tried: this.#tried, bodyBytes }, 0);
+    const advice = service.choosePlace(
+      { tried: this.#tried, bodyBytes, regions: route.regions },
+      0,
+    );
     if (advice.kind !== 'now') return;
     const { candidate: target, prospect } = advice;
     if (!isQuicker(first, prospect.slowdown, times)) return;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -186,6 +186,7 @@
     });
     this.#targets = new TargetSet({
       ...{ clock, random, domain: gateway.domain },
+      findRegion: (domain) => this.#findRegion(domain),
       countHomes: () => this.#roster.listHomes().length,
       countTellers: () => this.#sharing.countTellers(),
       readColdness: (service) => this.#readColdness(service),
@@ -437,6 +438,12 @@
     });
   }
 
+  #findRegion(domain: string): string | undefined {
+    const { domains, domain: own, region } = this.#settings.gateway;
+    if (domain === own) return region;
+    return domains.find((placed) => placed.domain === domain)?.region;
+  }
+
   #readColdness(service: string): Coldness {
     const { cold_overshoot: overshoot, cold_slack: slack } = this.#settings.promises;
     const spec = this.#view.table?.findService(service);
@@ -574,7 +581,11 @@
   #listAddresses(question: ResolveQuestion): readonly string[] {
     this.#lookups += 1;
     const { port } = this.#settings.gateway.callers;
-    const chosen = chooseHomes(this.#roster.listHomes(), question.domain, this.#random);
+    const homes = this.#roster.listHomes();
+    // A caller is not sent to another region while its own has somebody.
+    const local = homes.filter(({ domain }) => this.#findRegion(domain) === question.region);
+    const { domain } = question;
+    const chosen = chooseHomes(local.length > 0 ? local : homes, domain, this.#random);
     if (chosen.length > 0) return chosen.map(({ ip }) => `${ip}:${port}`);
     return this.#state === 'ready' ? [formatAddress(this.#settings.gateway.callers)] : [];
   }
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -4,6 +4,7 @@
 import { type SectionValues, checkSettingsFile } from '../settings/file.js';
 import { type Mistake } from '../settings/ini.js';
 import {
+  type Field,
   type Fields,
   describeAddress,
   describeChoice,
@@ -19,11 +20,28 @@
 const YES_OR_NO = ['true', 'false'] as const;
 const COUNT: readonly [number, number] = [0, 1_000_000];
 
+/** A failure domain and the region that it lies in. */
+export interface PlacedDomain {
+  readonly domain: string;
+  readonly region: string;
+}
+
+const placedDomain: Field<PlacedDomain> = {
+  doc: 'Failure domains and their regions',
+  expected: 'domain:region',
+  fallback: undefined,
+  read: (text) => {
+    const [domain = '', region = '', more] = text.split(':');
+    return domain === '' || region === '' || more !== undefined ? undefined : { domain, region };
+  },
+};
+
 const gatewayFields = {
   name: describeName('Name of this VM, shown in logs'),
   ip: describeName('IP number of this VM'),
   domain: describeName('Failure domain of this VM'),
   region: describeName('Region of this VM'),
+  domains: describeList(placedDomain, []),
   callers: describeAddress('Where callers connect'),
   readiness: describeAddress('Where the platform asks whether this daemon is ready'),
   directory: describeAddress('Where callers ask which addresses to use'),
--- a/src/gateway/slot-queue.ts
+++ b/src/gateway/slot-queue.ts
@@ -9,6 +9,8 @@
   readonly tried: ReadonlySet<GatewayTarget>;
   /** Length of its body, as far as it is known. */
   readonly bodyBytes: number;
+  /** The regions in which it may run; undefined where it may run anywhere. */
+  readonly regions?: readonly string[];
   /** How carefully it has to be placed, because a target has ended under it; undefined when none has. */
   readonly care?: PlaceCare;
 }
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -35,6 +35,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly domain: string;
+  /** Finds the region of a failure domain; undefined for one that nobody placed. */
+  readonly findRegion: (domain: string) => string | undefined;
   /** Daemons that share the targets. */
   readonly countHomes: () => number;
   /** Those of the others that have told of their calls of late. */
@@ -161,9 +163,9 @@
    * @param ahead calls that go first
    */
   choosePlace(wish: PlaceWish, ahead: number): Advice<GatewayTarget> {
-    const { tried, care } = wish;
+    const { care } = wish;
     const mayTake = (target: GatewayTarget) =>
-      target.isUsable && !tried.has(target) && !this.#isSpent(target);
+      this.#isOpenTo(target, wish) && !this.#isSpent(target);
     if (care === undefined) {
       const advice = this.#chooseAmong(mayTake, wish, ahead);
       return advice.kind === 'none' ? this.#adviseCold(wish) : advice;
@@ -182,6 +184,17 @@
     return this.#chooseAmong(isAllowed, wish, ahead);
   }
 
+  /** Whether a call may go to a target that has room. */
+  #isOpenTo(target: GatewayTarget, { tried, regions }: PlaceWish): boolean {
+    if (!target.isUsable || tried.has(target)) return false;
+    return regions === undefined || this.#isWithin(target, regions);
+  }
+
+  #isWithin({ record }: GatewayTarget, regions: readonly string[]): boolean {
+    const region = this.options.findRegion(record.domain);
+    return region !== undefined && regions.includes(region);
+  }
+
   /** Whether a cold target has had of late what it may get from here. */
   #isSpent(target: GatewayTarget): boolean {
     const now = this.options.clock.now();
@@ -196,11 +209,11 @@
   }
 
   /** Advises a call where all that is left is cold and has had what it bears: to wait for that, if some falls to us. */
-  #adviseCold({ tried }: PlaceWish): Advice<GatewayTarget> {
+  #adviseCold(wish: PlaceWish): Advice<GatewayTarget> {
     const share = this.#readColdShare(this.options.clock.now());
     let places = 0;
     for (const target of this.targets.values()) {
-      if (target.isUsable && !tried.has(target)) places += share;
+      if (this.#isOpenTo(target, wish)) places += share;
     }
     if (places === 0) return { kind: 'none' };
     const pace = COLD_WINDOW / places / this.readTime(COLD_WINDOW);
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -83,7 +83,19 @@
   });
 }
 
-function readRoute(value: unknown): Route {
+/** Reads the regions in which a route's requests may run; what can't be read costs a remark. */
+function readRegions(
+  value: unknown,
+  name: string,
+  remarks: string[],
+): readonly string[] | undefined {
+  if (value === undefined) return undefined;
+  if (Array.isArray(value) && value.every((region) => typeof region === 'string')) return value;
+  remarks.push(`${name}: allowed_regions; expected a list of regions`);
+  return undefined;
+}
+
+function readRoute(value: unknown, remarks: string[]): Route {
   const rule = readObject(value, 'rule');
   const name = readText(rule.name, 'rule name');
   const match = readObject(rule.match, `${name}: match`);
@@ -98,6 +110,7 @@
     timeout: timeout === undefined ? Infinity : readNumber(timeout, `${name}: timeout_ms`),
     maxAttempts: readNumber(action.max_attempts ?? 1, `${name}: max_attempts`),
     shares: readShares(action, name),
+    regions: readRegions(rule.allowed_regions ?? action.allowed_regions, name, remarks),
   };
 }
 
@@ -168,14 +181,16 @@
 /** Decodes the operators' configuration. */
 export function decodeConfiguration(text: string): RouteTable | DecodeFault {
   return decode(text, (document) => {
+    const remarks: string[] = [];
     const routes = new Map<string, readonly Route[]>();
     for (const value of readList(document.listeners, 'listeners')) {
       const listener = readObject(value, 'listener');
       const host = readText(listener.host, 'host').toLowerCase();
-      const rules = readList(listener.rule_set, `${host}: rule_set`).map(readRoute);
+      const rules = readList(listener.rule_set, `${host}: rule_set`).map((rule) =>
+        readRoute(rule, remarks),
+      );
       routes.set(host, [...(routes.get(host) ?? []), ...rules]);
     }
-    const remarks: string[] = [];
     return new RouteTable(
       readNumber(document.version, 'version'),
       routes,
--- a/src/routing/route.ts
+++ b/src/routing/route.ts
@@ -26,6 +26,8 @@
   readonly maxAttempts: number;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** The regions in which its requests may run; undefined where they may run anywhere. */
+  readonly regions?: readonly string[];
 }
 
 /** What is known of a service besides its targets. */
--- a/src/standin/site.ts
+++ b/src/standin/site.ts
@@ -12,6 +12,8 @@
   readonly timeout?: number;
   readonly attempts?: number;
   readonly aim?: number;
+  /** Regions in which its requests may run. */
+  readonly regions?: unknown;
 }
 
 export const HOST = 'test.example';
@@ -42,6 +44,7 @@
         rule_set: rules.map((rule) => ({
           ...{ name: `r${rule.prefix}`, kind: rule.kind ?? 'safe', priority: 1 },
           target_latency_ms: rule.aim ?? 500,
+          allowed_regions: rule.regions,
           match: { path_prefix: rule.prefix },
           action: {
             ...(rule.split === undefined
--- a/test/gateway-settings.test.ts
+++ b/test/gateway-settings.test.ts
@@ -23,14 +23,26 @@
   'bounds.budget_window_s': '10',
   'bounds.budget_slack': '64',
   'bounds.probes_per_s': '60',
+  'bounds.warmup_overshoot': '1.5',
+  'bounds.warmup_slack': '8',
 };
 
+const ZONES = { 'bp-angyal': 'hu-central', 'vac-hall': 'hu-east' };
+
 function writeSettings(fields: Readonly<Record<string, string>>): string {
   const template = readFileSync('deploy/gateway.ini', 'utf8');
-  const chosen = template.replace(
-    /\{\{([#^])(\w+)\}\}(.*?)\{\{\/\2\}\}/g,
+  const listed = template.replace(/\{\{#zones\}\}(.*?)\{\{\/zones\}\}/s, (_part, text: string) =>
+    Object.entries(ZONES)
+      .map(([zone, region]) => text.replace('{{@}}', zone).replace('{{.}}', region))
+      .map((part, index, parts) => part.replace('{{,}}', index < parts.length - 1 ? ',' : ''))
+      .join(''),
+  );
+  const chosen = listed.replace(
+    /\{\{([#^])([\w.]+)\}\}(.*?)\{\{\/\2\}\}/gs,
     (_part, mark: string, name: string, text: string) =>
-      (fields[name] === 'true') === (mark === '#') ? text : '',
+      ((fields[name] ?? 'false') !== 'false') === (mark === '#')
+        ? text.replace('{{.}}', fields[name] ?? '')
+        : '',
   );
   return chosen.replace(/\{\{([\w.]+)\}\}/g, (_gap, name: string) => fields[name] ?? '');
 }
@@ -43,6 +55,11 @@
     expect(settings.gateway.seeds).to.have.length(2);
     expect(settings.gateway.first_start).to.equal('false');
     expect(settings.promises).to.include({ grace: 6, answer_ttl: 5, retry_slack: 64 });
+    expect(settings.promises).to.include({ cold_overshoot: 1.5, cold_slack: 8 });
+    expect(settings.gateway.domains).to.deep.equal([
+      { domain: 'bp-angyal', region: 'hu-central' },
+      { domain: 'vac-hall', region: 'hu-east' },
+    ]);
     expect(settings.machine.cpu_share).to.equal(0.54);
     expect(settings.tuning.probe_interval).to.equal(100);
   });
@@ -51,6 +68,12 @@
     const settings = checkGatewaySettings('gateway.ini', text).unsafeCoerce();
     expect(settings.gateway.first_start).to.equal('true');
   });
+  it('may lack what says how much cold targets bear', () => {
+    const { 'bounds.warmup_overshoot': overshoot, 'bounds.warmup_slack': slack, ...rest } = FIELDS;
+    expect([overshoot, slack]).to.deep.equal(['1.5', '8']);
+    const settings = checkGatewaySettings('gateway.ini', writeSettings(rest)).unsafeCoerce();
+    expect(settings.promises).to.include({ cold_overshoot: 1, cold_slack: 0 });
+  });
   it('may lack seeds', () => {
     const text = writeSettings({ ...FIELDS, seeds: '' });
     const settings = checkGatewaySettings('gateway.ini', text).unsafeCoerce();
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -125,12 +125,18 @@
   }
 
   /** Creates a gateway; it is started by the caller. */
-  createGateway(seeds: readonly string[] = [], tuning = ''): { ip: string; gateway: Gateway } {
+  createGateway(
+    seeds: readonly string[] = [],
+    tuning = '',
+    place: { readonly domain?: string; readonly region?: string; readonly domains?: string } = {},
+  ): { ip: string; gateway: Gateway } {
+    const { domain = 'd1', region = 'r1', domains = '' } = place;
     nextHost += 1;
     const ip = `127.0.7.${nextHost % 250}`;
     const text = [
       '[gateway]',
-      ...[`name = vm-${ip}`, `ip = ${ip}`, 'domain = d1', 'region = r1'],
+      ...[`name = vm-${ip}`, `ip = ${ip}`, `domain = ${domain}`, `region = ${region}`],
+      `domains = ${domains}`,
       ...[`callers = ${ip}:${PORTS.callers}`, `readiness = ${ip}:${PORTS.readiness}`],
       ...[`directory = ${ip}:${PORTS.directory}`, `peer_ports = ${PORTS.peers},${PORTS.peers + 9}`],
       // On the users' platform seeds name one of the daemons that start first, which may be this one.
@@ -224,8 +230,9 @@
 /** Asks a daemon which addresses to use and for how many seconds; nothing when it does not tell. */
 export async function askDirectory(
   ip: string,
+  { region = 'r1', domain = 'd1' } = {},
 ): Promise<{ readonly addresses: readonly string[]; readonly ttl: number }> {
-  const path = `/resolve?name=${HOST}&region=r1&zone=d1`;
+  const path = `/resolve?name=${HOST}&region=${region}&zone=${domain}`;
   const reply = await sendRequest({ host: ip, port: PORTS.directory, path, agent: false });
   if (reply.status !== 200) return { addresses: [], ttl: 0 };
   const { addresses, ttl_s: ttl } = JSON.parse(reply.text) as {
