Calls wait for full targets only as long as these take, and for failures only what they cost

A target that had failed looked several times as slow for seconds, and the wait for the others was reckoned as if all targets were full, so calls waited in the line while two thirds of the targets were idle. Test: test/failure-rate.test.ts.

--- a/src/balance/expected-time.ts
+++ b/src/balance/expected-time.ts
@@ -21,7 +21,10 @@
 /** A full target is slower even before calls wait there. */
 const CROWDING = 0.35;
 
-/** As many failures as successes count as much as a target that works this many times longer besides. */
+/**
+ * As many failures as successes keep calls away as much as a target that works this many times longer besides, as
+ * long as another one is free: a failure takes of the budget for repeats, or is the caller's.
+ */
 const FAILURE_WEIGHT = 3;
 
 const DOUBT = 3;
@@ -43,15 +46,22 @@
   const { slots, calls, slowdown, cold, failures } = prospect;
   const crowd = Math.min(1, calls / slots);
   const waits = Math.max(0, calls - slots + 1) / slots;
-  return slowdown * cold * (1 + CROWDING * crowd * crowd + waits) * (1 + FAILURE_WEIGHT * failures);
+  // For each success there are as many tries more as there were failures.
+  return slowdown * cold * (1 + CROWDING * crowd * crowd + waits) * (1 + failures);
 }
 
-/** The cost of a target: the estimated time, and what counts besides. */
-export function measureCost(prospect: Prospect): number {
+/** What going to a target costs against waiting for another one: the time, and what counts besides. */
+function measureDelay(prospect: Prospect): number {
   const doubt = prospect.doubtful ? DOUBT : 1;
   return estimateTime(prospect) * doubt * (prospect.isFar ? FAR : 1);
 }
 
+/** The cost of a target against others that are free. */
+export function measureCost(prospect: Prospect): number {
+  const { failures } = prospect;
+  return (measureDelay(prospect) * (1 + FAILURE_WEIGHT * failures)) / (1 + failures);
+}
+
 /** What is best for a call that asks for a target. */
 export type Advice<T> =
   | { readonly kind: 'now'; readonly candidate: T; readonly prospect: Prospect }
@@ -76,9 +86,9 @@
   readonly random: Random;
 }
 
-/** What an idle slot of the target costs, whether or not one is free now. */
-function measureIdleCost(prospect: Prospect): number {
-  return measureCost({ ...prospect, calls: 0 });
+/** What an idle slot of the target would cost a call that waits for it. */
+function measureIdleDelay(prospect: Prospect): number {
+  return measureDelay({ ...prospect, calls: 0 });
 }
 
 /**
@@ -87,7 +97,9 @@
  * Work that waits here can still go to whichever target is quick when its turn comes; work that
  * waits at a target that has turned slow is lost. Times are multiples of a call's usual time.
  *
- * The way of a body decides between targets that are free, and never makes a call wait.
+ * The way of a body decides between targets that are free, and never makes a call wait. Failures of late do so for no
+ * more than the tries that they cost: when a service's targets have failed for some seconds, calls that waited for the
+ * few that had not were seconds late while the others were well again and idle.
  *
  * @param terms.ahead calls that wait already and go first
  * @param terms.sharers how many times this daemon's calls all daemons have at the targets
@@ -103,24 +115,27 @@
   let bestFull = Infinity;
   let slots = 0;
   let slotsPerTime = 0;
+  let fullPerTime = 0;
   for (const candidate of candidates) {
     const prospect = view(candidate);
     slots += prospect.slots;
     slotsPerTime += prospect.slots / (prospect.slowdown * prospect.cold);
     if (prospect.calls >= prospect.slots) {
-      bestFull = Math.min(bestFull, measureIdleCost(prospect));
+      bestFull = Math.min(bestFull, measureIdleDelay(prospect));
+      fullPerTime += prospect.slots / (prospect.slowdown * prospect.cold);
       continue;
     }
-    const time = measureCost(prospect) * (1 + NOISE * random.next());
-    const cost = time * (prospect.isFar ? 1 + bodyBytes / FAR_BYTES : 1);
+    const noise = 1 + NOISE * random.next();
+    const cost = measureCost(prospect) * noise * (prospect.isFar ? 1 + bodyBytes / FAR_BYTES : 1);
     if (cost >= bestCost) continue;
     best = { candidate, prospect };
     bestCost = cost;
-    bestTime = time;
+    bestTime = measureDelay(prospect) * noise;
   }
   if (slotsPerTime === 0) return { kind: 'none' };
   const pace = Math.max(1, sharers) / (slotsPerTime * standsFor);
-  const wait = (ahead + 1) * pace;
+  // Whoever waits while some are free waits for those that are full.
+  const wait = ((ahead + 1) * Math.max(1, sharers)) / (fullPerTime * standsFor);
   if (best !== undefined && bestTime <= wait + bestFull) return { kind: 'now', ...best };
   return { kind: 'wait', pace, slowdown: slots / slotsPerTime };
 }
--- a/test/failure-rate.test.ts
+++ b/test/failure-rate.test.ts
@@ -71,6 +71,22 @@
     for (let seed = 1; seed <= 5; seed += 1)
       expect(playHome(seed), `seed ${seed}`).to.be.below(0.08);
   });
+  it('do not make calls wait for full targets once most of a service has failed', () => {
+    const random = createSeededRandom(1);
+    const usual = { slots: 4, slowdown: 1, cold: 1, doubtful: false, isFar: false };
+    const free = { ...usual, calls: 0, failures: 2 };
+    const full = { ...usual, calls: 4, failures: 0 };
+    const looked = [...Array(20).fill(free), ...Array(10).fill(full)] as (typeof free)[];
+    const terms = { ahead: 0, sharers: 3, standsFor: 4, random, bodyBytes: 0 };
+    const wait = choosePlace(looked, (prospect) => prospect, { ...terms, ahead: 0 });
+    // A target that fails two of three is worth a short wait, and no long one.
+    expect(wait.kind).to.equal('wait');
+    const behind = choosePlace(looked, (prospect) => prospect, { ...terms, ahead: 120 });
+    expect(behind.kind).to.equal('now');
+    const mended = looked.map((it) => (it === free ? { ...free, failures: 0.5 } : it));
+    const soon = choosePlace(mended, (prospect) => prospect, { ...terms, ahead: 30 });
+    expect(soon.kind).to.equal('now');
+  });
   it('are weighed by failures against successes', () => {
     const rate = new FailureRate();
     expect(rate.read(0)).to.equal(0);
