--- a/test/view.test.ts
+++ b/test/view.test.ts
@@ -328,6 +328,58 @@
     expect(view.table?.version).to.equal(5);
   });
 
+  // Whole lists come in pages that are no snapshot. What changed on an earlier page while a later one was read has an
+  // older revision than what that one brought, and daemons that had heard of the later one never asked for it.
+  it('passes on what changed on an earlier page while a later one was read', async () => {
+    const write = (id: string, revision: number, state: string) => ({
+      ...{ key: KEYS.targets + id, text: writeTarget(ADDRESS, { state }), revision },
+    });
+    const told: StoreEvent[] = [
+      { kind: 'written', item: write('i1', 105, 'draining') },
+      { kind: 'written', item: write('i2', 108, 'ready') },
+    ];
+    const paged: KvReader = {
+      readItem: () => Promise.resolve({ kind: 'absent' }),
+      readItems: (_prefix, after) =>
+        Promise.resolve(
+          after === ''
+            ? {
+                kind: 'items',
+                items: [write('i1', 10, 'ready')],
+                storeRevision: 100,
+                hasMore: true,
+              }
+            : {
+                kind: 'items',
+                items: [write('i2', 108, 'ready')],
+                storeRevision: 108,
+                hasMore: false,
+              },
+        ),
+      watch: async (_prefix, after) => {
+        await clock.sleep(50);
+        const isLater = (event: StoreEvent) =>
+          event.kind === 'written' && event.item.revision > after;
+        return { kind: 'events', events: told.filter(isLater), storeRevision: 108 };
+      },
+    };
+    const reader = new StoreReader({
+      ...{ store: paged, view, clock, random: createSeededRandom(1), log: createSilentLog() },
+      ...{ isReader: () => true, readLongestPause: () => 1000 },
+    });
+    reader.run(running.signal).catch(() => undefined);
+    await clock.advance(20);
+    const other = createView();
+    other.applyDelta(view.diffSince(other.position, clock.now()), clock.now());
+    await clock.advance(1000);
+    other.applyDelta(view.diffSince(other.position, clock.now()), clock.now());
+    const states = other.listTargets().map(({ record }) => [record.incarnation, record.state]);
+    expect(states).to.have.deep.members([
+      ['i1', 'draining'],
+      ['i2', 'ready'],
+    ]);
+  });
+
   describe('through an outage', () => {
     it('keeps entries that lapsed until two seconds after it, and drops those not back', async () => {
       startReader();
