A whole reading of the list takes nothing newer than its first page

Cause: see the test before. Ruled out: applying all pages at once (the position stays too high); asking page by page again. What is newer comes by the watch from the first page's revision, in its order; a written entry that says nothing new has no new revision on the users' platform (revision 242 after 14 s of 335 targets' heartbeats). Before: the test fails; after: it holds.

--- a/src/view/store-reader.ts
+++ b/src/view/store-reader.ts
@@ -214,7 +214,9 @@
       if (firstRevision === 0) firstRevision = page.storeRevision;
       for (const item of page.items) {
         seen.add(item.key.slice(KEYS.targets.length));
-        this.#takeTarget(item);
+        // Changes since the first page come by the watch, in their order: a view that is told of a later one first
+        // passes on a position that hides the earlier ones from other daemons.
+        if (item.revision <= firstRevision) this.#takeTarget(item);
       }
       const last = page.items.at(-1);
       if (!page.hasMore || last === undefined) break;
