Homes are planned among the machines that are strong enough

So more homes cost more than they carry: each tells all others of its calls, and probes. A machine of a fifth of the strongest one's cores is not planned as a home any more; where all are alike nothing changes.

--- a/src/gateway/home-planner.ts
+++ b/src/gateway/home-planner.ts
@@ -55,7 +55,7 @@
     const before = Math.max(roster.wanted, roster.listHomes().length);
     const busy = [{ busy: this.#busy, capacity }, ...roster.listBusy()];
     const load = { homes: before, least: readLeast(), busy, now: clock.now() };
-    const planned = Math.min(roster.size, this.#plan.plan(load));
+    const planned = Math.min(Math.max(before, roster.countStrong()), this.#plan.plan(load));
     if (planned === before) return;
     roster.setWanted(planned);
     const parts = busy.map((home) => home.busy.toFixed(2)).join(',');
--- a/src/peering/roster.ts
+++ b/src/peering/roster.ts
@@ -99,6 +99,12 @@
 /** Daemons that never answered are forgotten after this long. */
 const FORGET_AFTER = 120_000;
 
+/**
+ * A home with less than this part of the strongest machine's cores costs the others more, in what they tell each other
+ * and ask targets, than the calls that it takes from them.
+ */
+const STRONG_PART = 0.5;
+
 /** Capacities within one step of each other are alike, so that small differences move no home. */
 const CAPACITY_STEP = 0.5;
 
@@ -201,6 +207,13 @@
     return Math.max(this.options.homes, this.#wanted, this.#domains);
   }
 
+  /** How many machines are strong enough to be planned as homes. */
+  countStrong(): number {
+    const capacities = this.list().map(({ capacity }) => capacity);
+    const strongest = Math.max(...capacities);
+    return capacities.filter((capacity) => capacity >= STRONG_PART * strongest).length;
+  }
+
   /** Takes the plan of the first home. */
   setWanted(homes: number): void {
     this.#wanted = homes;
--- a/test/homes.test.ts
+++ b/test/homes.test.ts
@@ -71,6 +71,19 @@
     roster.setWanted(1);
     expect(roster.listHomes()).to.have.length(3);
   });
+  it('is bounded by the machines that are strong enough', () => {
+    const clock = new ManualClock();
+    const makeInfo = (index: number, capacity: number) => ({
+      ...{ ip: `10.0.0.${index}`, domain: `d${index % 3}`, capacity, isSenior: true },
+    });
+    const roster = new Roster({
+      ...{ clock, self: makeInfo(1, 1.35), selfState: () => 'ready' as const },
+      ...{ homes: 3, capacity: 1 },
+    });
+    for (let index = 2; index <= 6; index += 1) roster.note(makeInfo(index, 1.35));
+    for (let index = 7; index <= 60; index += 1) roster.note(makeInfo(index, 0.27));
+    expect(roster.countStrong()).to.equal(6);
+  });
 });
 
 /** Pattern: hundreds of daemons, whose questions must not grow with their number, nor with that of homes. */
