--- a/src/gateway/request-log.ts
+++ b/src/gateway/request-log.ts
@@ -54,6 +54,7 @@
       ...{ reason: 'reason' in told ? told.reason : undefined, sendings: this.#sendings },
       ...{ unread: this.#readUnread(), waited: Math.round((this.#sentAt ?? now) - arrivedAt) },
       held: Math.round(now - arrivedAt),
+      retry_after: 'retryAfter' in told ? Math.round(told.retryAfter) : undefined,
     });
   }
 
