--- a/test/homes.test.ts
+++ b/test/homes.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { BusyMeter } from '../src/gateway/busy-meter.js';
+import { HomePlanner } from '../src/gateway/home-planner.js';
 import { ManualClock } from '../src/kernel/index.js';
 import { type BusyHome, HomePlan, Roster } from '../src/peering/index.js';
 
@@ -71,6 +72,25 @@
     roster.setWanted(1);
     expect(roster.listHomes()).to.have.length(3);
   });
+  // A fleet with fewer daemons than the homes that its settings ask for told of a plan twice a second.
+  it('is told of when it changes, and never while there are fewer daemons than homes wanted', async () => {
+    const clock = new ManualClock();
+    const self = { ip: '10.0.0.1', domain: 'd1', capacity: 0.5, isSenior: true };
+    const roster = new Roster({
+      ...{ clock, self, selfState: () => 'ready' as const, homes: 3, capacity: 1 },
+    });
+    const told: string[] = [];
+    const note = (event: string) => told.push(event);
+    const planner = new HomePlanner({
+      ...{ clock, roster, self: self.ip, capacity: self.capacity, readLeast: () => 3 },
+      log: { debug: note, info: note, warn: note, error: note },
+    });
+    const running = new AbortController();
+    planner.run(running.signal).catch(() => undefined);
+    await clock.advance(10_000);
+    running.abort();
+    expect(told).to.deep.equal([]);
+  });
   it('is bounded by the machines that are strong enough', () => {
     const clock = new ManualClock();
     const makeInfo = (index: number, capacity: number) => ({
