--- a/test/failure-rate.test.ts
+++ b/test/failure-rate.test.ts
@@ -22,7 +22,7 @@
 }
 
 /** Sends the calls of one home for ten seconds; returns the part rejected in the last seven. */
-function playHome(seed: number): number {
+function runHome(seed: number): number {
   const random = createSeededRandom(seed);
   const targets: Sample[] = Array.from({ length: TARGETS }, (_, index) => ({
     ...{ isGrey: random.next() < GREY_PART, isFar: index % 3 > 0, rate: new FailureRate() },
@@ -69,7 +69,7 @@
 describe('grey targets', () => {
   it('get few of the calls once each has had some', () => {
     for (let seed = 1; seed <= 5; seed += 1)
-      expect(playHome(seed), `seed ${seed}`).to.be.below(0.08);
+      expect(runHome(seed), `seed ${seed}`).to.be.below(0.08);
   });
   it('do not make calls wait for full targets once most of a service has failed', () => {
     const random = createSeededRandom(1);
