--- a/src/balance/poison.ts
+++ b/src/balance/poison.ts
@@ -2,9 +2,9 @@
  * Which requests targets end under: a poison request (query of death) crashes whoever begins to run it.
  *
  * The pattern answered: one look-up that its caller, this daemon and the other daemons repeat, each time at a target
- * that ends some ten milliseconds later with all that it runs. A target that ends takes some innocent requests with it for
- * each guilty one, so a single end blames nobody: whoever lost a target may run again, apart from others that did,
- * and whoever is answered is innocent. A request under which a second target ends is held out.
+ * that ends some ten milliseconds later with all that it runs. A target that ends takes some innocent requests with
+ * it for each guilty one, so a single end blames nobody: whoever lost a target may run again, apart from others that
+ * did, and whoever is answered is innocent. A request under which a second target ends is held out.
  *
  * Only requests that lost a target are remembered. What daemons tell each other of one may come in any order and
  * more than once.
--- a/src/gateway/slot-queue.ts
+++ b/src/gateway/slot-queue.ts
@@ -140,8 +140,8 @@
 
   /**
    * Starts a call that is expected to be answered while its caller waits; one that would end too late
-   * takes a slot for nothing and is told so instead, with the time of a usual call. Counts the call at once, so that the next one that
-   * asks finds the slot taken.
+   * takes a slot for nothing and is told so instead, with the time of a usual call. Counts the call at once,
+   * so that the next one that asks finds the slot taken.
    */
   #start(
     call: SlotCall,
