--- a/src/balance/cold-limit.ts
+++ b/src/balance/cold-limit.ts
@@ -64,11 +64,6 @@
 
   #heardAt = -Infinity;
 
-  /** Until when the target is cold; in the past when it is warm. */
-  get coldUntil(): number {
-    return this.#coldUntil;
-  }
-
   /** When the target itself last said how warm it is. */
   get heardAt(): number {
     return this.#heardAt;
--- a/src/gateway/home-planner.ts
+++ b/src/gateway/home-planner.ts
@@ -1,6 +1,6 @@
 /** Measures how busy this daemon is and, while it is the first home, plans how many homes there are. */
 import type { Clock, Log } from '../kernel/index.js';
-import { BUSY, HomePlan, type Roster } from '../peering/index.js';
+import { HomePlan, type Roster } from '../peering/index.js';
 import { BusyMeter, createUtilizationReader } from './busy-meter.js';
 
 /** What the planner is made from. */
@@ -35,11 +35,6 @@
     return this.#busy;
   }
 
-  /** Whether its work waits for its processor for longer than the work takes. */
-  get isFull(): boolean {
-    return this.#busy >= BUSY;
-  }
-
   /** Measures and plans until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, roster, self } = this.options;
