A rate that a target names is heard, told and counted

No change of what is sent. Hypotheses of the incident could not be told apart: nothing showed whether a word was heard. target.limited tells a rate that is named, changed or ended; rate.unreadable one that is no number (warning and counter); the gauge targets_limited counts such targets, limited_calls the requests sent to them. The newest word holds by when the target said it: an answer without a rate counts from when its call was sent, so it ends none that was named since. Health answers and rejections end none.

--- a/src/balance/index.ts
+++ b/src/balance/index.ts
@@ -20,5 +20,6 @@
 export * from './second-attempt.js';
 export * from './candidates.js';
 export * from './cold-limit.js';
+export * from './named-rate.js';
 export * from './failure-rate.js';
 export * from './poison.js';
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -8,7 +8,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { Clock } from '../kernel/index.js';
-import { HEADERS, MISDIRECTED, parseLoad } from '../platform/index.js';
+import { HEADERS, MISDIRECTED, parseLoad, parseRate } from '../platform/index.js';
 import { type TargetConnection, readRestLimit } from './connections.js';
 import type { GatewayTarget } from './target.js';
 
@@ -178,7 +178,9 @@
     const own = target.belief.countArrived(this.clock.now()) - 1;
     target.noteLoad(parseLoad(readHeader(response, HEADERS.load)), own);
     connection.restLimit = readRestLimit(readHeader(response, 'keep-alive'));
-    if (readHeader(response, HEADERS.notRun) !== undefined || status === MISDIRECTED) {
+    const isRejected = readHeader(response, HEADERS.notRun) !== undefined;
+    if (status !== MISDIRECTED) this.#noteRate(response, isRejected);
+    if (isRejected || status === MISDIRECTED) {
       response.resume();
       if (status === MISDIRECTED) target.noteMisdirected();
       this.#settle({ kind: 'not-run', cause: status === MISDIRECTED ? 'misdirected' : 'shed' });
@@ -187,6 +189,13 @@
     this.#hold(response);
   }
 
+  /** A rejection need not say what an answer does: that it names no rate ends none. */
+  #noteRate(response: IncomingMessage, isRejected: boolean): void {
+    const word = parseRate(readHeader(response, HEADERS.rate));
+    if (isRejected && word.kind === 'silent') return;
+    this.target.noteRate(word, this.startedAt);
+  }
+
   #hold(response: IncomingMessage): void {
     const chunks: Buffer[] = [];
     let length = 0;
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -311,6 +311,9 @@
     this.#sendings += 1;
     this.#log.noteSent();
     this.#ledger.noteSent();
+    if (target.named.isLimited) {
+      this.context.metrics.count('limited_calls', { service: request.service.name });
+    }
     const attempt = startTargetAttempt(
       target,
       {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -34,6 +34,7 @@
 import type { GatewaySettings } from './settings.js';
 import { type GatewayStatus, describeStatus, listGauges } from './status.js';
 import { type Coldness, TargetSet } from './target-set.js';
+import type { RateNews } from './target.js';
 import { TurnWatch, createTurnSource } from './turn-watch.js';
 
 /** Readers of the store: two, so that one may die without anybody noticing late. */
@@ -190,6 +191,13 @@
       countHomes: () => this.#roster.listHomes().length,
       countTellers: () => this.#sharing.countTellers(),
       readColdness: (service) => this.#readColdness(service),
+      onRate: (news) => this.#tellRate(news),
+      onUnreadableRate: ({ record }, text) => {
+        log.warn('rate.unreadable', {
+          ...{ target: record.incarnation, what: text, expected: 'a decimal number' },
+        });
+        this.#metrics.count('rate_unreadable', { service: record.service });
+      },
       createBudget: () =>
         new WindowBudget(clock, () => {
           const { retry_ratio: ratio, retry_window, retry_slack } = this.#settings.promises;
@@ -578,6 +586,14 @@
     this.#log.info('targets.changed', { changed: changes.length, revision });
   }
 
+  #tellRate({ target, before, rate, age, from }: RateNews): void {
+    const { incarnation, service } = target.record;
+    this.#log.info('target.limited', {
+      ...{ target: incarnation, service, rate: rate ?? 'none', before: before ?? 'none' },
+      ...{ age: Math.round(age), from },
+    });
+  }
+
   #listAddresses(question: ResolveQuestion): readonly string[] {
     this.#lookups += 1;
     const { port } = this.#settings.gateway.callers;
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -3,7 +3,7 @@
 import { recallPair } from '../balance/home.js';
 import { computeProbeInterval } from '../balance/index.js';
 import { type Clock, scheduleFairly } from '../kernel/index.js';
-import { HEADERS, parseColdLeft, parseLoad } from '../platform/index.js';
+import { HEADERS, parseColdLeft, parseLoad, parseRate } from '../platform/index.js';
 import { BUSY } from '../peering/index.js';
 import type { RouteTable } from '../routing/index.js';
 import type { GatewayTarget } from './target.js';
@@ -305,6 +305,9 @@
         answer?.headers[HEADERS.coldLeft.toLowerCase()] as string | undefined,
       );
       if (cold !== undefined) target.warmth.hear(cold, clock.now());
+      const word = parseRate(answer?.headers[HEADERS.rate.toLowerCase()] as string | undefined);
+      // A health answer need not say what answers to calls do: that it names no rate ends none.
+      if (word.kind !== 'silent') target.noteRate(word, startedAt);
       const load = parseLoad(answer?.headers[HEADERS.load.toLowerCase()] as string | undefined);
       if (load === undefined) return;
       target.noteLoad(load, own);
--- a/src/gateway/status.ts
+++ b/src/gateway/status.ts
@@ -58,7 +58,9 @@
   for (const [kind, count] of Object.entries(status.storeCalls)) {
     gauges[`store_calls{kind="${kind}"}`] = count;
   }
-  for (const { name, queue, budget, targets } of status.services) {
+  for (const service of status.services) {
+    const { name, queue, budget, targets } = service;
+    gauges[`targets_limited{service="${name}"}`] = service.countLimited();
     gauges[`waiting{service="${name}"}`] = queue.size;
     gauges[`targets{service="${name}"}`] = targets.size;
     gauges[`repeats_denied{service="${name}"}`] = budget.counts.denied;
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -19,7 +19,7 @@
 import type { FleetView } from '../view/index.js';
 import type { Lessons, ServiceLesson } from './lessons.js';
 import { type PlaceWish, SlotQueue } from './slot-queue.js';
-import { GatewayTarget, readRelease } from './target.js';
+import { GatewayTarget, type RateNews, readRelease } from './target.js';
 
 /** What is known of the cold targets of a service. */
 export interface Coldness extends ColdTerms {
@@ -43,6 +43,9 @@
   readonly countTellers: () => number;
   /** What cold targets of a service bear, and for how long one is cold. */
   readonly readColdness: (service: string) => Coldness;
+  /** Called when a target names another rate than before, or none any more. */
+  readonly onRate: (news: RateNews) => void;
+  readonly onUnreadableRate: (target: GatewayTarget, text: string) => void;
   /** Makes the budget for repeats of one service. */
   readonly createBudget: () => WindowBudget;
 }
@@ -135,6 +138,13 @@
     this.knee.absorb(lesson.knee);
   }
 
+  /** Counts the targets that take no more than a rate that they name. */
+  countLimited(): number {
+    let count = 0;
+    for (const { named } of this.targets.values()) if (named.isLimited) count += 1;
+    return count;
+  }
+
   /** Learns from one call how long calls take at a usual target. */
   noteTime(time: number): void {
     this.#time.add(time, this.options.clock.now());
@@ -342,7 +352,10 @@
       const onOpened = () => {
         this.opened += 1;
       };
-      const target = new GatewayTarget(entry, this.options.clock, { memory, onOpened });
+      const { clock, onRate, onUnreadableRate } = this.options;
+      const target = new GatewayTarget(entry, clock, {
+        ...{ memory, onOpened, onRate, onUnreadableRate },
+      });
       target.update(entry, isEvacuated);
       targets.set(incarnation, target);
       service.noteChange();
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -3,6 +3,8 @@
   FailureRate,
   type KneeEstimate,
   LoadBelief,
+  NamedRate,
+  type NamedWord,
   type Prospect,
   ReportTrail,
   SendMeter,
@@ -11,7 +13,7 @@
   Warmth,
 } from '../balance/index.js';
 import type { Clock } from '../kernel/index.js';
-import type { LoadReport, TargetRecord } from '../platform/index.js';
+import type { LoadReport, RateWord, TargetRecord } from '../platform/index.js';
 import type { LoadShare } from '../peering/index.js';
 import type { ListedTarget } from '../view/index.js';
 import { TargetConnections } from './connections.js';
@@ -56,12 +58,27 @@
   readonly knee: KneeEstimate;
 }
 
+/** What has changed of the rate that a target names. */
+export interface RateNews {
+  readonly target: GatewayTarget;
+  /** Requests a second before and now; undefined where none is named. */
+  readonly before: number | undefined;
+  readonly rate: number | undefined;
+  /** How long ago the target said so, in milliseconds. */
+  readonly age: number;
+  /** The IP number of the daemon that told of it, or `target`. */
+  readonly from: string;
+}
+
 /** What a target tells of itself to others. */
 export interface GatewayTargetOptions {
   /** What its service learns from its reports. */
   readonly memory: SlowdownMemory;
   /** Called for each connection opened. */
   readonly onOpened: () => void;
+  readonly onRate: (news: RateNews) => void;
+  /** Called with a named rate that can't be read. */
+  readonly onUnreadableRate: (target: GatewayTarget, text: string) => void;
 }
 
 /** The release of a target; those that say none count as one. */
@@ -84,6 +101,9 @@
   /** What came of its calls of late. */
   readonly failures = new FailureRate();
 
+  /** The rate that it has said it takes. */
+  readonly named = new NamedRate();
+
   /** Calls that were sent there of late. */
   readonly sent = new SendMeter();
 
@@ -119,8 +139,9 @@
   constructor(
     listed: ListedTarget,
     private readonly clock: Clock,
-    { memory, onOpened }: GatewayTargetOptions,
+    private readonly options: GatewayTargetOptions,
   ) {
+    const { memory, onOpened } = options;
     this.#listed = listed;
     this.warmth.suspect(listed.coldUntil);
     this.trail = new ReportTrail(memory);
@@ -252,6 +273,35 @@
     this.#wakeIfSlow(before);
   }
 
+  /**
+   * Takes what an answer to a call says of the rate.
+   *
+   * @param askedAt when the call was sent: an answer that names no rate was made after that, and nothing else is known
+   *   of when, so it ends no rate that was named since
+   */
+  noteRate(word: RateWord, askedAt: number): void {
+    switch (word.kind) {
+      case 'named':
+        this.#hearRate({ rate: word.rate, at: this.clock.now() }, 'target');
+        return;
+      case 'unreadable':
+        this.options.onUnreadableRate(this, word.text);
+        this.#hearRate({ rate: undefined, at: askedAt }, 'target');
+        return;
+      case 'silent':
+        this.#hearRate({ rate: undefined, at: askedAt }, 'target');
+        return;
+      default:
+        word satisfies never;
+    }
+  }
+
+  #hearRate(word: NamedWord, from: string): void {
+    const change = this.named.hear(word);
+    if (change === undefined) return;
+    this.options.onRate({ target: this, ...change, age: this.clock.now() - word.at, from });
+  }
+
   /** Takes what another home knows of the target. */
   noteShare(home: string, { inFlight, slowdown, age }: LoadShare): void {
     const now = this.clock.now();
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -18,6 +18,8 @@
   /** In a target's health answer: milliseconds for which it is still cold. */
   coldLeft: 'Warmup-Ms',
   load: 'Server-Load',
+  /** In a target's answer: the requests a second that it takes from all daemons together. */
+  rate: 'Server-Limit',
   /** Present only when the target did not run the request. */
   notRun: 'Not-Executed',
 } as const;
@@ -74,6 +76,28 @@
   return left >= 0 && Number.isFinite(left) ? left : undefined;
 }
 
+/** What a target's answer says of the rate that it takes. */
+export type RateWord =
+  | { readonly kind: 'silent' }
+  /** `rate` is in requests a second, of all daemons together. */
+  | { readonly kind: 'named'; readonly rate: number }
+  | { readonly kind: 'unreadable'; readonly text: string };
+
+/** A plain decimal number: no sign, no exponent, no other base. */
+const DECIMAL = /^(\d+\.?\d*|\.\d+)$/;
+
+/** Digits beyond these say nothing of a rate. */
+const LONGEST_RATE = 20;
+
+/** Reads the rate that a target names; one that is named twice comes as two numbers and is unreadable. */
+export function parseRate(text: string | undefined): RateWord {
+  if (text === undefined) return { kind: 'silent' };
+  if (text.length > LONGEST_RATE || !DECIMAL.test(text)) {
+    return { kind: 'unreadable', text: text.slice(0, LONGEST_RATE) };
+  }
+  return { kind: 'named', rate: Number(text) };
+}
+
 /** The question of a client that wants to know which addresses to use. */
 export interface ResolveQuestion {
   readonly host: string;
--- a/src/standin/site.ts
+++ b/src/standin/site.ts
@@ -113,6 +113,9 @@
   /** For how long it says in health answers that it is cold, in milliseconds; says nothing unless set. */
   coldLeft: number | undefined;
 
+  /** What it says in answers of the rate that it takes; says nothing unless set. */
+  rate: string | string[] | undefined;
+
   behaviour: Behaviour | undefined;
 
   /** How often its process has ended and taken all that it ran with it. */
@@ -171,6 +174,7 @@
     response.writeHead(200, {
       ...{ 'Attempt-Id': request.headers['attempt-id'], 'Server-Signature': 'sig.1' },
       ...{ 'Server-Load': `0,0,4,${this.slowdown}`, 'Content-Length': Buffer.byteLength(body) },
+      ...(this.rate === undefined ? {} : { 'Server-Limit': this.rate }),
     });
     response.end(body);
   }
--- a/test/helpers/targets.ts
+++ b/test/helpers/targets.ts
@@ -19,6 +19,7 @@
   return new TargetSet({
     ...{ clock, random: createSeededRandom(1), domain: 'd1' },
     ...{ countHomes: () => 1, countTellers: () => 0, findRegion: () => undefined },
+    ...{ onRate: () => undefined, onUnreadableRate: () => undefined },
     readColdness: () => ({ rate: Infinity, overshoot: 1, slack: 0, part: 1, time: 0 }),
     createBudget: () => new WindowBudget(clock, () => ({ ratio: 0.2, window: 10_000, slack: 5 })),
   });
--- a/test/lessons.test.ts
+++ b/test/lessons.test.ts
@@ -138,6 +138,7 @@
     const targets = new TargetSet({
       ...{ clock, random, domain: 'd', countHomes: () => 1, countTellers: () => 0 },
       findRegion: () => undefined,
+      ...{ onRate: () => undefined, onUnreadableRate: () => undefined },
       readColdness: () => ({ rate: Infinity, overshoot: 1, slack: 0, part: 1, time: 0 }),
       createBudget: () => new WindowBudget(clock, () => ({ ratio: 0, slack: 0, window: 1000 })),
     });
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -260,7 +260,12 @@
     target = new GatewayTarget(
       { record: { ...record, address, state: 'ready' }, revision: 1, coldUntil: 0 },
       clock,
-      { memory: new SlowdownMemory(), onOpened: () => undefined },
+      {
+        memory: new SlowdownMemory(),
+        onOpened: () => undefined,
+        onRate: () => undefined,
+        onUnreadableRate: () => undefined,
+      },
     );
     queue = new SlotQueue(clock, createSeededRandom(7), () =>
       target.belief.inFlight < limit
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -45,7 +45,12 @@
       ...{ revision: 1, coldUntil: 0 },
     },
     clock,
-    { memory: new SlowdownMemory(), onOpened: () => undefined },
+    {
+      memory: new SlowdownMemory(),
+      onOpened: () => undefined,
+      onRate: () => undefined,
+      onUnreadableRate: () => undefined,
+    },
   );
   const queue = new SlotQueue(clock, random, () =>
     target.belief.inFlight < SLOTS
--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -253,6 +253,7 @@
     const targets = new TargetSet({
       ...{ clock, random: createSeededRandom(5), domain: 'd', countHomes: () => 1 },
       ...{ countTellers: () => 0, findRegion: () => undefined },
+      ...{ onRate: () => undefined, onUnreadableRate: () => undefined },
       readColdness: () => ({ rate: Infinity, overshoot: 1, slack: 0, part: 1, time: 0 }),
       createBudget: () => new WindowBudget(clock, () => ({ ratio: 0, slack: 0, window: 1000 })),
     });
