A rate that a target names holds for all daemons together

What was seen: a target in need named the requests a second that it takes from all, and got as many as before; where it was the only one or others rejected what they were sent, up to 774 in four seconds where 29 are allowed.

Cause: an answer was read for the target's load only. Nothing bounded what a target gets but its slots, and the one bound there was, for cold targets, was a whole number of calls in a window, zero for each of more than a few homes.

Mend: one notion of what a target takes, with two sources, a cold target's bound and a named rate; the stricter holds. Each home has the part of the rate that stands for the fleet that looks to it and saves up for one request at most, so the sum is the rate however the fleet is split; few homes share one target, so that what they have saved stays below the users' slack. All ways to a target ask the one choice. Homes tell each other the newest word, by when the target said it; an answer without one lets the share rise over two seconds. A rate of zero leaves one request in four seconds.

The property test of cold targets keeps its bound, 300 histories. Turned down: one owner for each target (two of them while the fleet is split), a whole number of calls a window (nothing for small parts). The look-ups of cold targets that were refused in fleets of many homes now have their part as well.

--- a/src/balance/cold-limit.ts
+++ b/src/balance/cold-limit.ts
@@ -1,15 +1,7 @@
-/**
- * How many calls a cold target gets from one daemon, so that all daemons together keep to what it bears.
- *
- * The pattern answered: targets that come back after a failure, or with their failure domain, are slow for some
- * seconds and fall over when they get more than a few requests a second. Daemons do not agree on who sends there:
- * homes change, are cut off from each other, or start all at once. So each daemon has the part of the calls that
- * stands for the part of the fleet that looks to it. Everybody looks to few daemons, as one in all, so the parts sum
- * up to one however the fleet is split; for a moment after a change one may be counted where it was and where it is.
- * A daemon whose part is less than one call sends none.
- */
-
-/** What a cold target bears and how much of it falls to one daemon. */
+/** How warm a target is, and the rate that a cold one bears from all daemons together. */
+import { MOST_SHARERS, type SharedRate } from './shared-rate.js';
+
+/** What a cold target bears. */
 export interface ColdTerms {
   /** Requests a second that one bears, of all daemons together; Infinity where its service does not say. */
   readonly rate: number;
@@ -17,43 +9,46 @@
   readonly overshoot: number;
   /** Requests in a second besides. */
   readonly slack: number;
-  /** The part of the fleet that looks to this daemon, from 0 to 1. */
-  readonly part: number;
 }
 
 /** Times that somebody who has just turned to another daemon is counted. */
 const COUNTED_TWICE = 2;
 
-/**
- * Calls count for this long, in milliseconds: those sent within it may arrive within one second, as opening a
- * connection takes up to a quarter of one.
- */
-export const COLD_WINDOW = 1250;
+/** What is sent within this time, in seconds, may arrive within one: opening a connection takes a quarter of one. */
+const ARRIVAL_SPREAD = 1.25;
 
-/** Calls remembered; more than any cold target is to get in a window. */
-const MOST_REMEMBERED = 64;
+/** The part of the most requests in a second that homes may have saved up. */
+const SAVED_PART = 0.25;
 
-/** Computes how many calls this daemon may send to a cold target in a window. */
-export function computeColdShare({ rate, overshoot, slack, part }: ColdTerms): number {
-  if (rate === Infinity) return Infinity;
+/** Computes the rate that all daemons share at a cold target; undefined where nothing limits it. */
+export function computeColdRate({ rate, overshoot, slack }: ColdTerms): SharedRate | undefined {
+  if (rate === Infinity) return undefined;
   const most = rate * overshoot + slack;
-  return Math.floor(part * Math.min(rate * overshoot, most / COUNTED_TWICE));
+  const sharers = Math.min(MOST_SHARERS, Math.max(1, Math.floor(most * SAVED_PART)));
+  const safe = Math.max(0, most - sharers) / (COUNTED_TWICE * ARRIVAL_SPREAD);
+  return { rate: Math.min(rate, safe), sharers };
 }
 
+/** Calls count as sent of late for this long, in milliseconds. */
+const LATE = 1250;
+
+/** Calls remembered. */
+const MOST_REMEMBERED = 64;
+
 /** Counts the calls sent to one target of late. */
 export class SendMeter {
   #sentAt: readonly number[] = [];
 
   /** Counts a call that is sent. */
   note(now: number): void {
-    const recent = this.#sentAt.filter((at) => now - at < COLD_WINDOW);
+    const recent = this.#sentAt.filter((at) => now - at < LATE);
     this.#sentAt = [...recent, now].slice(-MOST_REMEMBERED);
   }
 
-  /** Calls sent within a window. */
+  /** Calls sent of late. */
   count(now: number): number {
     let count = 0;
-    for (const at of this.#sentAt) if (now - at < COLD_WINDOW) count += 1;
+    for (const at of this.#sentAt) if (now - at < LATE) count += 1;
     return count;
   }
 }
--- a/src/balance/expected-time.ts
+++ b/src/balance/expected-time.ts
@@ -69,6 +69,8 @@
       readonly pace: number;
       /** The slowdown of all targets on the whole. */
       readonly slowdown: number;
+      /** Whether targets have slots but take no more for now. */
+      readonly isLimited?: boolean;
     }
   | { readonly kind: 'none' };
 
--- a/src/balance/index.ts
+++ b/src/balance/index.ts
@@ -19,6 +19,7 @@
 export * from './probe-share.js';
 export * from './second-attempt.js';
 export * from './candidates.js';
+export * from './shared-rate.js';
 export * from './cold-limit.js';
 export * from './named-rate.js';
 export * from './failure-rate.js';
--- a/src/balance/named-rate.ts
+++ b/src/balance/named-rate.ts
@@ -1,4 +1,10 @@
-/** The rate that a target has said it takes, of all daemons together, and since when that is known. */
+/**
+ * The rate that a target has said it takes, of all daemons together.
+ *
+ * The newest word holds, by when the target said it. When it names a rate no more, what it gets rises from that rate on,
+ * doubling every fraction of a second: what is sent elsewhere meanwhile does not come back all at once.
+ */
+import { MOST_SHARERS, type SharedRate } from './shared-rate.js';
 
 /** A word of a target on its rate. */
 export interface NamedWord {
@@ -14,10 +20,26 @@
   readonly rate: number | undefined;
 }
 
+/**
+ * Requests a second that a target gets whatever it names. One that takes none at all, or one in many seconds, would
+ * otherwise have nothing to answer when it takes more again.
+ */
+const LEAST_RATE = 0.25;
+
+/** Once a target names no rate any more, what it gets doubles in this time, in milliseconds. */
+const DOUBLING = 200;
+
+/** After this long it gets what it would have got without one. */
+const RISE_TIME = 2000;
+
 /** The newest word of one target. */
 export class NamedRate {
   #word: NamedWord = { rate: undefined, at: -Infinity };
 
+  #isOwn = false;
+
+  #ended: { readonly rate: number; readonly heardAt: number } | undefined;
+
   /** The newest word. */
   get word(): NamedWord {
     return this.#word;
@@ -28,11 +50,47 @@
     return this.#word.rate !== undefined;
   }
 
-  /** Takes a word unless a newer one is known; returns what it has changed. */
-  hear(word: NamedWord): NamedChange | undefined {
+  /**
+   * Takes a word unless a newer one is known; returns what it has changed.
+   *
+   * @param now when it is heard
+   * @param isOwn whether from the target itself
+   */
+  hear(word: NamedWord, now: number, isOwn: boolean): NamedChange | undefined {
     if (word.at <= this.#word.at) return undefined;
     const before = this.#word.rate;
     this.#word = word;
-    return before === word.rate ? undefined : { before, rate: word.rate };
+    this.#isOwn = isOwn || (this.#isOwn && before === word.rate);
+    if (before === word.rate) return undefined;
+    if (before !== undefined && word.rate === undefined) {
+      this.#ended = { rate: before, heardAt: now };
+    }
+    return { before, rate: word.rate };
   }
+
+  /** Reads the rate that all daemons keep to now; undefined when none. */
+  read(now: number): SharedRate | undefined {
+    const { rate } = this.#word;
+    if (rate !== undefined) return spreadRate(rate);
+    if (this.#ended === undefined) return undefined;
+    const elapsed = now - this.#ended.heardAt;
+    if (elapsed >= RISE_TIME) {
+      this.#ended = undefined;
+      return undefined;
+    }
+    const risen = Math.max(LEAST_RATE, this.#ended.rate) * 2 ** (elapsed / DOUBLING);
+    return { rate: risen, sharers: MOST_SHARERS };
+  }
+
+  /** The word to tell others: heard from the target itself, and that it takes less than it could or did so of late. */
+  readNews(now: number): NamedWord | undefined {
+    if (!this.#isOwn) return undefined;
+    return this.read(now) === undefined ? undefined : this.#word;
+  }
+}
+
+/** Of a small rate fewer homes have a part, so that none of them has to save up for long. */
+function spreadRate(named: number): SharedRate {
+  const rate = Math.max(LEAST_RATE, named);
+  return { rate, sharers: Math.min(MOST_SHARERS, Math.ceil(rate)) };
 }
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -28,7 +28,7 @@
 import { RequestLog } from './request-log.js';
 import type { PoisonDesk } from './poison-desk.js';
 import type { RequestIdentity } from './request-identity.js';
-import type { PlaceCare, SlotAnswer, SlotCall } from './slot-queue.js';
+import type { PlaceCare, Refusal, SlotAnswer, SlotCall } from './slot-queue.js';
 import type { GatewayTarget } from './target.js';
 import type { TargetService } from './target-set.js';
 
@@ -112,7 +112,7 @@
 const PROMISES = new Set([408, 421, 429, 503]);
 
 /** Why a request is ended without a target's answer. */
-type GivingUp = 'timeout' | 'no-target' | 'no-room' | 'lost' | 'poison';
+type GivingUp = Refusal | 'timeout' | 'lost' | 'poison';
 
 /** Gives back a slot that is not used after all. */
 function giveBack(answer: SlotAnswer): void {
@@ -499,7 +499,7 @@
     // that would be held for long.
     if (service.queue.size > 0 && need !== 'rescue') return;
     const advice = service.choosePlace(
-      { tried: this.#tried, bodyBytes, regions: route.regions },
+      { tried: this.#tried, work, bodyBytes, regions: route.regions },
       0,
     );
     if (advice.kind !== 'now') return;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,7 +10,7 @@
   logService,
   randomService,
 } from '../kernel/index.js';
-import { WindowBudget } from '../balance/index.js';
+import { type FleetShare, WindowBudget } from '../balance/index.js';
 import {
   type Knowledge,
   FeedClient,
@@ -191,6 +191,7 @@
       countHomes: () => this.#roster.listHomes().length,
       countTellers: () => this.#sharing.countTellers(),
       readColdness: (service) => this.#readColdness(service),
+      readShare: () => this.#readShare(),
       onRate: (news) => this.#tellRate(news),
       onUnreadableRate: ({ record }, text) => {
         log.warn('rate.unreadable', {
@@ -456,15 +457,17 @@
     const { cold_overshoot: overshoot, cold_slack: slack } = this.#settings.promises;
     const spec = this.#view.table?.findService(service);
     const { coldRate: rate = Infinity, coldTime: time = 0 } = spec ?? {};
-    return { rate, time, overshoot, slack, part: this.#measurePart() };
+    return { rate, time, overshoot, slack };
   }
 
-  /** The part of the fleet that looks to this daemon; none before it can know the fleet. */
-  #measurePart(): number {
+  /** What this daemon stands for in the fleet; it has no part of it before it can know the fleet. */
+  #readShare(): FleetShare {
+    const { ip: self } = this.#settings.gateway;
+    const homes = this.#roster.listHomes().map(({ ip }) => ip);
     const isNew = this.#clock.now() - this.#startedAt < SETTLE_TIME;
-    if (isNew || !this.#link.isInCompany) return 0;
+    if (isNew || !this.#link.isInCompany) return { part: 0, homes, self };
     const members = Math.max(this.#roster.size, this.#listedMembers);
-    return Math.min(1, this.#link.countAskers() / members);
+    return { part: Math.min(1, this.#link.countLookers() / members), homes, self };
   }
 
   #isHome(): boolean {
--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -56,6 +56,7 @@
 interface ToldShare {
   readonly inFlight: number;
   readonly slowdown: number;
+  readonly rate: number | undefined;
   readonly at: number;
 }
 
@@ -175,21 +176,27 @@
     const told = this.#told.get(target);
     // Only what this home heard from the target itself; what another home told, that one tells.
     const isHeard = belief.reportedAt === belief.slowdownAt;
+    // Told again and again, as whoever has just become a home has to keep to it as well.
+    const named = target.named.readNews(now);
     // Of hundreds of targets most have no calls from here and were last heard by another home.
-    const hasWord = inFlight > 0 || (isHeard && now - belief.slowdownAt < REPEAT);
+    const hasWord =
+      inFlight > 0 || named !== undefined || (isHeard && now - belief.slowdownAt < REPEAT);
     const isOld = hasWord && (told === undefined || now - told.at >= REPEAT);
     const isNews =
       (told?.inFlight ?? 0) !== inFlight ||
+      (named !== undefined && told?.rate !== named.rate) ||
       (isHeard && Math.abs((told?.slowdown ?? 0) - belief.lastSlowdown) > SLOWDOWN_CHANGED);
     if (!isNews && !isOld) return undefined;
     this.#told.set(target, {
       ...{ inFlight, at: now },
       slowdown: isHeard ? belief.lastSlowdown : (told?.slowdown ?? 0),
+      rate: named?.rate,
     });
     return {
       ...{ target: target.hash, inFlight },
       slowdown: isHeard ? belief.lastSlowdown : undefined,
       age: isHeard ? now - belief.slowdownAt : 0,
+      ...(named && { named: { rate: named.rate, age: now - named.at } }),
     };
   }
 }
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -89,6 +89,9 @@
  */
 const WARMTH_AGE = 400;
 
+/** A target in need, which names the rate that it takes, is asked no more often than this, in milliseconds. */
+const LIMITED_INTERVAL = 1000;
+
 /** From this many calls of late on that is worth a probe. */
 const BUSY_CALLS = 2;
 
@@ -264,8 +267,11 @@
    * Others hear from the homes, and ask only what their small part of the agreed number allows.
    */
   #isDue(target: GatewayTarget, plan: ProbePlan): boolean {
-    const { homes, isHome, least, interval, rest } = plan;
+    const { homes, isHome, least } = plan;
     const now = this.options.clock.now();
+    const floor = target.named.isLimited ? LIMITED_INTERVAL : 0;
+    const rest = Math.max(floor, plan.rest);
+    const interval = Math.max(floor, plan.interval);
     // A target that does not answer is due again no sooner than the others.
     if (now - target.probedAt < Math.max(least, rest)) return false;
     if (plan.asksWarmth && this.#mayHaveTurnedCold(target)) return true;
--- a/src/gateway/slot-queue.ts
+++ b/src/gateway/slot-queue.ts
@@ -7,6 +7,8 @@
 export interface PlaceWish {
   /** Targets that it has been sent to already. */
   readonly tried: ReadonlySet<GatewayTarget>;
+  /** How long the call takes at a usual, idle target, in milliseconds. */
+  readonly work: number;
   /** Length of its body, as far as it is known. */
   readonly bodyBytes: number;
   /** The regions in which it may run; undefined where it may run anywhere. */
@@ -29,7 +31,10 @@
   /** The call is counted there already; whoever does not send it gives the slot back. */
   | { readonly kind: 'target'; readonly target: GatewayTarget }
   /** `wait` is the time after which the caller may return, in milliseconds. */
-  | { readonly kind: 'refused'; readonly reason: 'no-target' | 'no-room'; readonly wait: number };
+  | { readonly kind: 'refused'; readonly reason: Refusal; readonly wait: number };
+
+/** Why no target is found: none is there, none has a slot in time, or those that have one take no more for now. */
+export type Refusal = 'no-target' | 'no-room' | 'rate-limit';
 
 /** What a queue asks for each call in turn. */
 export type SlotAdviser = (
@@ -42,7 +47,12 @@
       readonly prospect: { readonly slowdown: number };
     }
   /** `pace` lies between two starts here, `slowdown` is that of the targets on the whole. */
-  | { readonly kind: 'wait'; readonly pace: number; readonly slowdown: number }
+  | {
+      readonly kind: 'wait';
+      readonly pace: number;
+      readonly slowdown: number;
+      readonly isLimited?: boolean;
+    }
   | { readonly kind: 'none' };
 
 /** Reports and ends of calls wake the queue; this is for time that passes without any. */
@@ -59,6 +69,9 @@
 
   #timer: Timer | undefined;
 
+  /** Whether calls wait for what targets take, and not for slots. */
+  #isLimited = false;
+
   /** When a call last had to wait. */
   waitedAt = -Infinity;
 
@@ -86,7 +99,7 @@
       case 'now':
         return ahead === 0 ? this.#start(call, advice) : this.#wait(call, true);
       case 'wait': {
-        this.#line.notePace(advice.pace * call.work, advice.slowdown);
+        this.#noteWait(call, advice);
         const admission = this.#line.judge(call);
         return this.#follow(call, admission) ?? this.#wait(call, admission.kind === 'in-time');
       }
@@ -107,7 +120,7 @@
     for (const call of this.#line.list()) {
       const advice = this.adviser(call, 0);
       if (advice.kind === 'wait') {
-        this.#line.notePace(advice.pace * call.work, advice.slowdown);
+        this.#noteWait(call, advice);
         break;
       }
       if (advice.kind === 'now') this.#answer(call, this.#start(call, advice));
@@ -116,6 +129,14 @@
     this.#pumpLater();
   }
 
+  #noteWait(
+    { work }: SlotCall,
+    { pace, slowdown, isLimited = false }: Extract<ReturnType<SlotAdviser>, { kind: 'wait' }>,
+  ): void {
+    this.#isLimited = isLimited;
+    this.#line.notePace(pace * work, slowdown);
+  }
+
   #answer(call: SlotCall, answer: SlotAnswer): void {
     const resolve = this.#resolvers.get(call);
     this.leave(call);
@@ -130,7 +151,8 @@
   }
 
   #refuse(wait: number): SlotAnswer {
-    return { kind: 'refused', reason: 'no-room', wait: this.#line.chooseReturn(wait) };
+    const reason = this.#isLimited ? 'rate-limit' : 'no-room';
+    return { kind: 'refused', reason, wait: this.#line.chooseReturn(wait) };
   }
 
   #follow(call: SlotCall, admission: Admission): SlotAnswer | undefined {
--- a/src/gateway/status.ts
+++ b/src/gateway/status.ts
@@ -61,6 +61,7 @@
   for (const service of status.services) {
     const { name, queue, budget, targets } = service;
     gauges[`targets_limited{service="${name}"}`] = service.countLimited();
+    gauges[`limited_away{service="${name}"}`] = service.limitedAway;
     gauges[`waiting{service="${name}"}`] = queue.size;
     gauges[`targets{service="${name}"}`] = targets.size;
     gauges[`repeats_denied{service="${name}"}`] = budget.counts.denied;
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -2,9 +2,9 @@
 import type { Clock, Random } from '../kernel/index.js';
 import {
   type Advice,
-  COLD_WINDOW,
   type ColdTerms,
   type DrawPool,
+  type FleetShare,
   MOST_LOOKED_AT,
   DecayingMean,
   KneeEstimate,
@@ -13,7 +13,8 @@
   type SlowdownPattern,
   WindowBudget,
   choosePlace,
-  computeColdShare,
+  computeColdRate,
+  computeOwnRate,
   drawCandidates,
 } from '../balance/index.js';
 import type { FleetView } from '../view/index.js';
@@ -27,8 +28,10 @@
   readonly time: number;
 }
 
-/** What a cold target may get from here is worked out this often, in milliseconds. */
-const COLD_SHARE_PACE = 100;
+/** What this daemon stands for in the fleet is worked out this often, in milliseconds. */
+const SHARE_PACE = 100;
+
+const SECOND = 1000;
 
 /** What the set is made from. */
 export interface TargetSetOptions {
@@ -43,6 +46,8 @@
   readonly countTellers: () => number;
   /** What cold targets of a service bear, and for how long one is cold. */
   readonly readColdness: (service: string) => Coldness;
+  /** What this daemon stands for in the fleet, where all keep to a rate together. */
+  readonly readShare: () => FleetShare;
   /** Called when a target names another rate than before, or none any more. */
   readonly onRate: (news: RateNews) => void;
   readonly onUnreadableRate: (target: GatewayTarget, text: string) => void;
@@ -94,9 +99,12 @@
 
   #pool: DrawPool<GatewayTarget> | undefined;
 
-  #coldShare = 0;
+  #share: FleetShare = { part: 0, homes: [], self: '' };
+
+  #shareAt = -Infinity;
 
-  #coldShareAt = -Infinity;
+  /** Calls that went elsewhere because a target had had what it takes. */
+  limitedAway = 0;
 
   constructor(
     readonly name: string,
@@ -174,11 +182,17 @@
    */
   choosePlace(wish: PlaceWish, ahead: number): Advice<GatewayTarget> {
     const { care } = wish;
-    const mayTake = (target: GatewayTarget) =>
-      this.#isOpenTo(target, wish) && !this.#isSpent(target);
+    let isLimited = false;
+    const mayTake = (target: GatewayTarget) => {
+      if (!this.#isOpenTo(target, wish)) return false;
+      const isSpent = this.#isSpent(target);
+      isLimited ||= isSpent;
+      return !isSpent;
+    };
     if (care === undefined) {
       const advice = this.#chooseAmong(mayTake, wish, ahead);
-      return advice.kind === 'none' ? this.#adviseCold(wish) : advice;
+      if (isLimited && advice.kind === 'now') this.limitedAway += 1;
+      return advice.kind === 'none' ? this.#adviseLimited(wish) : advice;
     }
     const now = this.options.clock.wall();
     const isAllowed = (target: GatewayTarget) =>
@@ -205,29 +219,43 @@
     return region !== undefined && regions.includes(region);
   }
 
-  /** Whether a cold target has had of late what it may get from here. */
+  /** Whether a target has had what it takes from here, because it is cold or has named a rate. */
   #isSpent(target: GatewayTarget): boolean {
     const now = this.options.clock.now();
-    return target.warmth.isCold(now) && target.sent.count(now) >= this.#readColdShare(now);
+    const rate = this.#readRate(target, now);
+    return rate < Infinity && !target.bucket.has(now, rate);
+  }
+
+  /** Calls a second that a target may get from here: the strictest of what holds; Infinity where nothing does. */
+  #readRate(target: GatewayTarget, now: number): number {
+    const named = target.named.read(now);
+    const cold = target.warmth.isCold(now)
+      ? computeColdRate(this.options.readColdness(this.name))
+      : undefined;
+    let least = Infinity;
+    for (const shared of [named, cold]) {
+      if (shared === undefined) continue;
+      least = Math.min(least, computeOwnRate(shared, this.#readShare(now), target.hash));
+    }
+    return least;
   }
 
-  #readColdShare(now: number): number {
-    if (now - this.#coldShareAt < COLD_SHARE_PACE) return this.#coldShare;
-    this.#coldShareAt = now;
-    this.#coldShare = computeColdShare(this.options.readColdness(this.name));
-    return this.#coldShare;
+  #readShare(now: number): FleetShare {
+    if (now - this.#shareAt < SHARE_PACE) return this.#share;
+    this.#shareAt = now;
+    this.#share = this.options.readShare();
+    return this.#share;
   }
 
-  /** Advises a call where all that is left is cold and has had what it bears: to wait for that, if some falls to us. */
-  #adviseCold(wish: PlaceWish): Advice<GatewayTarget> {
-    const share = this.#readColdShare(this.options.clock.now());
-    let places = 0;
+  /** Advises a call where all that is left has had what it takes: to wait for more of that, if some falls to us. */
+  #adviseLimited(wish: PlaceWish): Advice<GatewayTarget> {
+    const now = this.options.clock.now();
+    let rate = 0;
     for (const target of this.targets.values()) {
-      if (this.#isOpenTo(target, wish)) places += share;
+      if (this.#isOpenTo(target, wish)) rate += this.#readRate(target, now);
     }
-    if (places === 0) return { kind: 'none' };
-    const pace = COLD_WINDOW / places / this.readTime(COLD_WINDOW);
-    return { kind: 'wait', pace, slowdown: 1 };
+    if (rate === 0) return { kind: 'none' };
+    return { kind: 'wait', pace: SECOND / rate / wish.work, slowdown: 1, isLimited: true };
   }
 
   #chooseAmong(
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -6,6 +6,7 @@
   NamedRate,
   type NamedWord,
   type Prospect,
+  RateBucket,
   ReportTrail,
   SendMeter,
   type SlowdownMemory,
@@ -104,6 +105,9 @@
   /** The rate that it has said it takes. */
   readonly named = new NamedRate();
 
+  /** What this daemon may send there while all of them keep to a rate. */
+  readonly bucket = new RateBucket();
+
   /** Calls that were sent there of late. */
   readonly sent = new SendMeter();
 
@@ -211,6 +215,7 @@
   start(now: number): void {
     this.belief.start(now);
     this.sent.note(now);
+    this.bucket.take();
   }
 
   /** Views the target for the choice. */
@@ -282,29 +287,32 @@
   noteRate(word: RateWord, askedAt: number): void {
     switch (word.kind) {
       case 'named':
-        this.#hearRate({ rate: word.rate, at: this.clock.now() }, 'target');
+        this.#hearRate({ rate: word.rate, at: this.clock.now() });
         return;
       case 'unreadable':
         this.options.onUnreadableRate(this, word.text);
-        this.#hearRate({ rate: undefined, at: askedAt }, 'target');
+        this.#hearRate({ rate: undefined, at: askedAt });
         return;
       case 'silent':
-        this.#hearRate({ rate: undefined, at: askedAt }, 'target');
+        this.#hearRate({ rate: undefined, at: askedAt });
         return;
       default:
         word satisfies never;
     }
   }
 
-  #hearRate(word: NamedWord, from: string): void {
-    const change = this.named.hear(word);
+  /** @param home the daemon that told of it, when the target itself did not */
+  #hearRate(word: NamedWord, home?: string): void {
+    const now = this.clock.now();
+    const change = this.named.hear(word, now, home === undefined);
     if (change === undefined) return;
-    this.options.onRate({ target: this, ...change, age: this.clock.now() - word.at, from });
+    this.options.onRate({ target: this, ...change, age: now - word.at, from: home ?? 'target' });
   }
 
   /** Takes what another home knows of the target. */
-  noteShare(home: string, { inFlight, slowdown, age }: LoadShare): void {
+  noteShare(home: string, { inFlight, slowdown, age, named }: LoadShare): void {
     const now = this.clock.now();
+    if (named !== undefined) this.#hearRate({ rate: named.rate, at: now - named.age }, home);
     const before = this.belief.lastSlowdown;
     this.belief.hearHome(home, inFlight, now);
     const isNews = slowdown !== undefined && this.belief.hearSlowdown(slowdown, now - age);
--- a/src/peering/datagram.ts
+++ b/src/peering/datagram.ts
@@ -53,6 +53,16 @@
   /** How slow the target is, as the home last heard, and how many milliseconds ago; none if it has not. */
   readonly slowdown: number | undefined;
   readonly age: number;
+  /** What the target told the home of the rate that it takes; undefined where that is no news. */
+  readonly named?: NamedShare;
+}
+
+/** The rate that a target takes from all daemons together, as it told one of them. */
+export interface NamedShare {
+  /** Requests a second; undefined when it names none any more. */
+  readonly rate: number | undefined;
+  /** How long ago it said so, in milliseconds. */
+  readonly age: number;
 }
 
 /** A datagram. */
@@ -117,6 +127,16 @@
   ]);
 }
 
+/** Few shares name a rate, so those that do stand behind all, each with its place. */
+function encodeNamed(shares: readonly LoadShare[]): readonly unknown[] {
+  const named = shares.flatMap((share, index) =>
+    share.named === undefined
+      ? []
+      : [index, share.named.rate ?? null, Math.max(0, Math.round(share.named.age))],
+  );
+  return named.length === 0 ? [] : [named];
+}
+
 /** Packs a datagram. */
 export function encodeDatagram(datagram: Datagram): Uint8Array {
   switch (datagram.kind) {
@@ -139,6 +159,7 @@
         ...datagram.shares.flatMap(({ target, inFlight, slowdown, age }) => [
           ...[target, inFlight, Math.round((slowdown ?? 0) * SLOWDOWN_STEPS), Math.round(age)],
         ]),
+        ...encodeNamed(datagram.shares),
       ]);
     case 'cases':
       return encode([CASES, ...encodeCases(datagram.cases)]);
@@ -237,13 +258,33 @@
   };
 }
 
+const NAMED_LENGTH = 3;
+
+/** Reads the rates that shares name, by the place of the share; undefined when one makes no sense. */
+function decodeNamed(fields: readonly unknown[]): ReadonlyMap<number, NamedShare> | undefined {
+  const named = new Map<number, NamedShare>();
+  if (fields.length % NAMED_LENGTH !== 0) return undefined;
+  for (let at = 0; at < fields.length; at += NAMED_LENGTH) {
+    const [index, rate, age] = fields.slice(at, at + NAMED_LENGTH);
+    if (typeof index !== 'number' || typeof age !== 'number' || !(age >= 0)) return undefined;
+    if (rate !== null && (typeof rate !== 'number' || !(rate >= 0))) return undefined;
+    named.set(index, { rate: rate ?? undefined, age });
+  }
+  return named;
+}
+
 function decodeLoad(fields: readonly unknown[]): Datagram | undefined {
-  if (fields.length % SHARE_LENGTH !== 0 || !isNumbers(fields)) return undefined;
+  const last = fields.at(-1);
+  const numbers = Array.isArray(last) ? fields.slice(0, -1) : fields;
+  const named = decodeNamed(Array.isArray(last) ? last : []);
+  if (numbers.length % SHARE_LENGTH !== 0 || !isNumbers(numbers)) return undefined;
+  if (named === undefined) return undefined;
   const shares: LoadShare[] = [];
-  for (let at = 0; at < fields.length; at += SHARE_LENGTH) {
-    const [target, inFlight, steps, age] = fields.slice(at, at + SHARE_LENGTH);
+  for (let at = 0; at < numbers.length; at += SHARE_LENGTH) {
+    const [target, inFlight, steps, age] = numbers.slice(at, at + SHARE_LENGTH);
     const slowdown = steps === 0 ? undefined : steps / SLOWDOWN_STEPS;
-    shares.push({ target, inFlight, slowdown, age });
+    const told = named.get(shares.length);
+    shares.push({ target, inFlight, slowdown, age, ...(told && { named: told }) });
   }
   return { kind: 'load', shares };
 }
--- a/src/peering/peer-link.ts
+++ b/src/peering/peer-link.ts
@@ -147,6 +147,20 @@
     return askers;
   }
 
+  /**
+   * Counts the daemons that look to this one as a home. A daemon that is no home sends nothing where homes share a
+   * rate, so what it asks itself counts for those that it asks; over all homes the counts sum up to the fleet.
+   */
+  countLookers(): number {
+    const now = this.options.clock.now();
+    const homes = new Set(this.options.roster.listHomes().map(({ ip }) => ip));
+    let lookers = homes.has(this.options.readSelf().ip) ? 1 / this.#asked : 0;
+    for (const [ip, { at, asked }] of this.#askers) {
+      if (now - at < ASKING) lookers += 1 / (homes.has(ip) ? asked : Math.max(1, asked - 1));
+    }
+    return lookers;
+  }
+
   /** Tells everybody who asked of late how things are now, without being asked. */
   tellAll(): void {
     const now = this.options.clock.now();
--- a/test/cold-targets.test.ts
+++ b/test/cold-targets.test.ts
@@ -4,7 +4,7 @@
  * others, and nothing bounded what it was sent; one that turned cold again was learnt of after its heartbeat.
  */
 import { expect } from 'chai';
-import { SendMeter, Warmth, computeColdShare } from '../src/balance/index.js';
+import { RateBucket, Warmth, computeColdRate, computeOwnRate } from '../src/balance/index.js';
 import { pause } from '../src/demo/index.js';
 import { type Random, createSeededRandom } from '../src/kernel/index.js';
 import { COLD_OVERSHOOT, COLD_SLACK, Site, sendTo } from './helpers/gateways.js';
@@ -182,14 +182,17 @@
     for (let history = 0; history < 300; history += 1) {
       const random = createSeededRandom(history);
       const fleet = new LookingFleet(random);
-      const meters = Array.from({ length: DAEMONS }, () => new SendMeter());
+      const buckets = Array.from({ length: DAEMONS }, () => new RateBucket());
+      const shared = computeColdRate(bound);
+      if (shared === undefined) throw new Error('a stated rate is one that is shared');
       const arrivals: number[] = [];
       for (let now = 0; now < 8000; now += 50) {
         fleet.step(now);
-        for (const [daemon, meter] of meters.entries()) {
-          const share = computeColdShare({ ...bound, part: fleet.measurePart(daemon, now) });
-          while (meter.count(now) < share) {
-            meter.note(now);
+        for (const [daemon, bucket] of buckets.entries()) {
+          // Whatever others say, each takes itself for the only home.
+          const share = { part: fleet.measurePart(daemon, now), homes: ['self'], self: 'self' };
+          while (bucket.has(now, computeOwnRate(shared, share, 1))) {
+            bucket.take();
             arrivals.push(now + random.next() * 250);
           }
         }
@@ -198,12 +201,23 @@
     }
   });
 
-  it('is none of it for a daemon that few look to, and all that it bears for the only one', () => {
-    const bound = { rate: 4.5, overshoot: 1.5, slack: 8 };
-    expect(computeColdShare({ ...bound, part: 1 / 121 })).to.equal(0);
-    expect(computeColdShare({ ...bound, part: 1 / 3 })).to.equal(2);
-    expect(computeColdShare({ ...bound, part: 1 })).to.equal(6);
-    expect(computeColdShare({ ...bound, rate: Infinity, part: 0 })).to.equal(Infinity);
+  it('leaves room for daemons that are counted twice and for what is saved up', () => {
+    const shared = computeColdRate({ rate: 4.5, overshoot: 1.5, slack: 8 });
+    expect(shared?.sharers).to.equal(3);
+    expect(shared?.rate).to.be.within(4, 4.5);
+    // What is sent in 1.25 s may arrive in one.
+    expect(2 * 1.25 * (shared?.rate ?? 0) + 3).to.be.at.most(4.5 * 1.5 + 8);
+    expect(computeColdRate({ rate: 100, overshoot: 1, slack: 1000 })?.rate).to.equal(100);
+    expect(computeColdRate({ rate: Infinity, overshoot: 1.5, slack: 8 })).to.equal(undefined);
+  });
+
+  it('is none of it for a daemon that is no home or that nobody looks to, and all for the only one', () => {
+    const shared = { rate: 6, sharers: 4 };
+    const homes = ['a', 'b', 'c'];
+    expect(computeOwnRate(shared, { part: 1 / 3, homes, self: 'd' }, 1)).to.equal(0);
+    expect(computeOwnRate(shared, { part: 0, homes, self: 'a' }, 1)).to.equal(0);
+    expect(computeOwnRate(shared, { part: 1 / 3, homes, self: 'a' }, 1)).to.equal(2);
+    expect(computeOwnRate(shared, { part: 1, homes: ['a'], self: 'a' }, 1)).to.equal(6);
   });
 });
 
--- a/test/helpers/targets.ts
+++ b/test/helpers/targets.ts
@@ -20,7 +20,8 @@
     ...{ clock, random: createSeededRandom(1), domain: 'd1' },
     ...{ countHomes: () => 1, countTellers: () => 0, findRegion: () => undefined },
     ...{ onRate: () => undefined, onUnreadableRate: () => undefined },
-    readColdness: () => ({ rate: Infinity, overshoot: 1, slack: 0, part: 1, time: 0 }),
+    readColdness: () => ({ rate: Infinity, overshoot: 1, slack: 0, time: 0 }),
+    readShare: () => ({ part: 1, homes: ['127.0.0.1'], self: '127.0.0.1' }),
     createBudget: () => new WindowBudget(clock, () => ({ ratio: 0.2, window: 10_000, slack: 5 })),
   });
 }
--- a/test/lessons.test.ts
+++ b/test/lessons.test.ts
@@ -139,7 +139,8 @@
       ...{ clock, random, domain: 'd', countHomes: () => 1, countTellers: () => 0 },
       findRegion: () => undefined,
       ...{ onRate: () => undefined, onUnreadableRate: () => undefined },
-      readColdness: () => ({ rate: Infinity, overshoot: 1, slack: 0, part: 1, time: 0 }),
+      readColdness: () => ({ rate: Infinity, overshoot: 1, slack: 0, time: 0 }),
+      readShare: () => ({ part: 1, homes: ['127.0.0.1'], self: '127.0.0.1' }),
       createBudget: () => new WindowBudget(clock, () => ({ ratio: 0, slack: 0, window: 1000 })),
     });
     targets.find('alpha');
--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -254,7 +254,8 @@
       ...{ clock, random: createSeededRandom(5), domain: 'd', countHomes: () => 1 },
       ...{ countTellers: () => 0, findRegion: () => undefined },
       ...{ onRate: () => undefined, onUnreadableRate: () => undefined },
-      readColdness: () => ({ rate: Infinity, overshoot: 1, slack: 0, part: 1, time: 0 }),
+      readColdness: () => ({ rate: Infinity, overshoot: 1, slack: 0, time: 0 }),
+      readShare: () => ({ part: 1, homes: ['127.0.0.1'], self: '127.0.0.1' }),
       createBudget: () => new WindowBudget(clock, () => ({ ratio: 0, slack: 0, window: 1000 })),
     });
     const ignore = () => undefined;
@@ -272,7 +273,10 @@
   });
 
   const choose = (wish: Partial<PlaceWish> = {}) => {
-    const advice = service.choosePlace({ tried: new Set(), bodyBytes: 0, care, ...wish }, 0);
+    const advice = service.choosePlace(
+      { tried: new Set(), work: 10, bodyBytes: 0, care, ...wish },
+      0,
+    );
     return advice.kind === 'now' ? advice.candidate.record.incarnation : advice.kind;
   };
   const find = (name: string) => service.targets.get(name) ?? expect.fail(name);
--- a/test/rate-limit.test.ts
+++ b/test/rate-limit.test.ts
@@ -52,7 +52,7 @@
 }
 
 /** Sends requests to each daemon, some at a time, for a while. */
-async function press(
+async function sendFor(
   ips: readonly string[],
   time: number,
   { path = '/a/1', method = 'GET', rest = 15 } = {},
@@ -102,9 +102,9 @@
     for (const rate of [0.5, 3.9, 10]) {
       it(`gets ${rate} a second from all daemons together`, async () => {
         target.rate = String(rate);
-        await press(ips, SECOND);
+        await sendFor(ips, SECOND);
         const since = performance.now();
-        const replies = await press(ips, SPAN + 2 * SECOND);
+        const replies = await sendFor(ips, SPAN + 2 * SECOND);
         expect(countBusiest(arrivals, since)).to.be.at.most(computeMost(rate));
         const got = arrivals.filter((at) => at >= since).length;
         expect(got, 'requests in six seconds').to.be.within(0.5 * rate * 6 - 1, rate * 6 + 3);
@@ -119,9 +119,9 @@
         };
       }
       target.rate = '4';
-      await press(ips, SECOND);
+      await sendFor(ips, SECOND);
       const since = performance.now();
-      await press(ips, SPAN + SECOND);
+      await sendFor(ips, SPAN + SECOND);
       expect(countBusiest(arrivals, since)).to.be.within(2, computeMost(4));
     }).timeout(20_000);
 
@@ -132,32 +132,32 @@
         };
       }
       target.rate = '2';
-      await press(ips, SECOND);
+      await sendFor(ips, SECOND);
       const since = performance.now();
-      await press(ips, SPAN + SECOND);
+      await sendFor(ips, SPAN + SECOND);
       expect(countBusiest(arrivals, since)).to.be.within(2, computeMost(2));
     }).timeout(20_000);
 
     it('gets no more from a daemon that has just started', async () => {
       target.rate = '3';
-      await press(ips, SECOND);
+      await sendFor(ips, SECOND);
       const started = await site.addGateway([ips[0]]);
-      const pressing = press([started], SPAN + SECOND);
-      await press(ips, HEARD);
+      const sending = sendFor([started], SPAN + SECOND);
+      await sendFor(ips, HEARD);
       const since = performance.now();
-      await pressing;
+      await sending;
       expect(countBusiest(arrivals, since)).to.be.at.most(computeMost(3));
     }).timeout(20_000);
 
     it('gets its share again within two seconds once it names none, and not all at once', async () => {
       target.rate = '2';
-      await press(ips, 2 * SECOND);
+      await sendFor(ips, 2 * SECOND);
       const limited = arrivals.length;
-      await press(ips, SECOND);
+      await sendFor(ips, SECOND);
       expect(arrivals.length - limited, 'while it is limited').to.be.at.most(5);
       target.rate = undefined;
       const until = performance.now();
-      await press(ips, 4 * SECOND);
+      await sendFor(ips, 4 * SECOND);
       const count = (from: number, to: number) =>
         arrivals.filter((at) => at >= until + from && at < until + to).length;
       // A third of what is sent, as before.
@@ -173,9 +173,9 @@
 
     it('gets what it takes, and other callers are told so at once', async () => {
       target.rate = '5';
-      await press(ips, SECOND);
+      await sendFor(ips, SECOND);
       const since = performance.now();
-      const replies = await press(ips, SPAN + SECOND);
+      const replies = await sendFor(ips, SPAN + SECOND);
       const got = arrivals.filter((at) => at >= since).length;
       expect(countBusiest(arrivals, since)).to.be.at.most(computeMost(5));
       expect(got).to.be.within(10, 5 * 5 + 3);
@@ -194,12 +194,12 @@
 
     it('of nothing is still asked now and then, so that its end is heard', async () => {
       target.rate = '0';
-      await press(ips, SECOND);
+      await sendFor(ips, SECOND);
       const since = performance.now();
-      await press(ips, SPAN);
+      await sendFor(ips, SPAN);
       expect(countBusiest(arrivals, since)).to.be.at.most(computeMost(0));
       target.rate = undefined;
-      await press(ips, 3 * SPAN);
+      await sendFor(ips, 3 * SPAN);
       expect((await sendTo(ips[0])).status).to.equal(200);
     }).timeout(30_000);
   });
@@ -212,7 +212,7 @@
       it(`takes any number: ${JSON.stringify(word)}`, async () => {
         target.rate = word;
         const before = arrivals.length;
-        const replies = await press(ips, SECOND);
+        const replies = await sendFor(ips, SECOND);
         expect(arrivals.length - before).to.be.greaterThan(20);
         expect(replies.every(({ status }) => status === 200)).to.equal(true);
         expect(site.events.some(({ event }) => event === 'rate.unreadable')).to.equal(true);
--- /dev/null
+++ b/test/shared-rate.test.ts
@@ -0,0 +1,278 @@
+/**
+ * Pattern: the rate that one target takes is below one request a second for each daemon, and daemons disagree on who
+ * is a home: homes come and go, the fleet is split, callers pause and come all at once.
+ */
+import { expect } from 'chai';
+import { NamedRate, RateBucket, computeOwnRate } from '../src/balance/index.js';
+import { type Random, createSeededRandom } from '../src/kernel/index.js';
+import { decodeDatagram, encodeDatagram } from '../src/peering/datagram.js';
+import { parseRate } from '../src/platform/index.js';
+
+const SECOND = 1000;
+
+/** The users' bound. */
+const SPAN = 4 * SECOND;
+const computeMost = (rate: number) => 1.5 * rate * 4 + 5;
+
+/** Time between two steps of a history, in milliseconds. */
+const STEP = 25;
+
+/** Opening a connection takes this long at most, in milliseconds. */
+const CONNECTING = 250;
+
+/** A daemon works out what it stands for this often. */
+const SHARE_PACE = 100;
+
+const ASK_PACE = 250;
+const ASKING = 1200;
+const INFORMANTS = 2;
+
+interface Question {
+  readonly at: number;
+  readonly among: number;
+}
+
+/**
+ * A fleet in which everybody asks the homes that it takes for such. What anybody takes for homes follows what is so
+ * with a lag; a side that is cut off has homes of its own.
+ */
+class Fleet {
+  readonly names: readonly string[];
+
+  readonly #views: (readonly string[])[];
+
+  #changes: readonly { readonly daemon: number; readonly at: number }[] = [];
+
+  readonly #indexes: ReadonlyMap<string, number>;
+
+  readonly #askers: Map<number, Question>[];
+
+  #homes: readonly string[];
+
+  /** Who is on the lesser side of a cut. */
+  #isApart: (daemon: number) => boolean = () => false;
+
+  #changeAt: number;
+
+  constructor(
+    private readonly random: Random,
+    size: number,
+    private readonly homes: number,
+  ) {
+    this.names = Array.from({ length: size }, (_, index) => `vm-${index}`);
+    this.#indexes = new Map(this.names.map((name, index) => [name, index] as const));
+    this.#homes = this.names.slice(0, homes);
+    this.#views = this.names.map((_, daemon) => this.#listHomes(daemon));
+    this.#askers = this.names.map(() => new Map<number, Question>());
+    this.#changeAt = 5 * SECOND * random.next();
+  }
+
+  step(now: number): void {
+    if (now >= this.#changeAt) this.#change(now);
+    const due = this.#changes.filter(({ at }) => at <= now);
+    if (due.length > 0) this.#changes = this.#changes.filter(({ at }) => at > now);
+    for (const { daemon } of due) this.#views[daemon] = this.#listHomes(daemon);
+    for (let daemon = 0; daemon < this.names.length; daemon += 1) {
+      if ((now + daemon * STEP) % ASK_PACE === 0) this.#ask(daemon, now);
+    }
+  }
+
+  readShare(daemon: number, now: number) {
+    const homes = this.#views[daemon];
+    const self = this.names[daemon];
+    const asked = this.#listAsked(daemon).length + 1;
+    let lookers = homes.includes(self) ? 1 / asked : 0;
+    for (const [asker, { at, among }] of this.#askers[daemon]) {
+      const isHome = homes.includes(this.names[asker]);
+      if (now - at < ASKING) lookers += 1 / (isHome ? among : Math.max(1, among - 1));
+    }
+    return { part: Math.min(1, lookers / this.names.length), homes, self };
+  }
+
+  /** One home is replaced, or a cut begins or ends. */
+  #change(now: number): void {
+    const { random, names } = this;
+    this.#changeAt = now + (2 + 4 * random.next()) * SECOND;
+    if (random.next() < 0.3) {
+      const border = random.next() < 0.5 ? 0 : Math.floor(names.length * random.next() * 0.5);
+      this.#isApart = (daemon) => daemon < border;
+    } else {
+      const next = names[Math.floor(random.next() * names.length)];
+      const gone = Math.floor(random.next() * this.#homes.length);
+      if (this.#homes.includes(next)) return;
+      this.#homes = this.#homes.map((home, index) => (index === gone ? next : home));
+    }
+    const seen = names.map((_, daemon) => ({ daemon, at: now + SECOND * random.next() }));
+    this.#changes = [...this.#changes, ...seen];
+  }
+
+  #listHomes(daemon: number): readonly string[] {
+    const isNear = (name: string) => this.#isApart(this.#findIndex(name)) === this.#isApart(daemon);
+    const successors = this.names.filter((name) => !this.#homes.includes(name));
+    return [...this.#homes, ...successors].filter(isNear).slice(0, this.homes);
+  }
+
+  #findIndex(name: string): number {
+    return this.#indexes.get(name) ?? expect.fail(name);
+  }
+
+  #listAsked(daemon: number): readonly string[] {
+    const homes = this.#views[daemon];
+    const self = this.names[daemon];
+    if (homes.includes(self)) return homes.filter((name) => name !== self);
+    const start = daemon % Math.max(1, homes.length);
+    return [...homes.slice(start), ...homes.slice(0, start)].slice(0, INFORMANTS);
+  }
+
+  #ask(daemon: number, now: number): void {
+    const asked = this.#listAsked(daemon);
+    for (const name of asked) {
+      const to = this.#findIndex(name);
+      if (this.#isApart(to) !== this.#isApart(daemon)) continue;
+      this.#askers[to].set(daemon, { at: now, among: asked.length + 1 });
+    }
+  }
+}
+
+/** Counts the most arrivals in any span. */
+function countBusiest(arrivals: readonly number[]): number {
+  const times = [...arrivals].sort((a, b) => a - b);
+  let most = 0;
+  let first = 0;
+  for (const [index, at] of times.entries()) {
+    while (at - times[first] >= SPAN) first += 1;
+    most = Math.max(most, index - first + 1);
+  }
+  return most;
+}
+
+describe('a rate that daemons share', () => {
+  const TIME = 30 * SECOND;
+
+  for (const rate of [0.5, 1, 2.9, 4.6, 10]) {
+    it(`of ${rate} a second holds in any four seconds, whoever takes whom for a home`, () => {
+      for (let history = 0; history < 120; history += 1) {
+        const random = createSeededRandom(history);
+        const homes = 1 + Math.floor(random.next() * 8);
+        const fleet = new Fleet(random, 9 + Math.floor(random.next() * 30), homes);
+        const named = new NamedRate();
+        named.hear({ rate, at: 0 }, 0, true);
+        const shared = named.read(0) ?? expect.fail('the rate is named');
+        const buckets = fleet.names.map(() => new RateBucket());
+        const arrivals: number[] = [];
+        let rates: readonly number[] = [];
+        let isPaused = false;
+        for (let now = 0; now < TIME; now += STEP) {
+          fleet.step(now);
+          if (now % SHARE_PACE === 0) {
+            rates = buckets.map((_, daemon) =>
+              computeOwnRate(shared, fleet.readShare(daemon, now), 7),
+            );
+          }
+          if (random.next() < 0.01) isPaused = !isPaused;
+          for (const [daemon, bucket] of buckets.entries()) {
+            if (!bucket.has(now, rates[daemon]) || isPaused) continue;
+            bucket.take();
+            arrivals.push(now + CONNECTING * random.next());
+          }
+        }
+        expect(countBusiest(arrivals), `history ${history}`).to.be.at.most(computeMost(rate));
+      }
+    }).timeout(60_000);
+
+    it(`of ${rate} a second is used while nothing changes`, () => {
+      const named = new NamedRate();
+      named.hear({ rate, at: 0 }, 0, true);
+      const shared = named.read(0) ?? expect.fail('the rate is named');
+      for (let homes = 1; homes <= 8; homes += 1) {
+        // Until its first change, which comes after the time looked at.
+        const fleet = new Fleet({ ...createSeededRandom(1), next: () => 1 }, 20, homes);
+        const buckets = fleet.names.map(() => new RateBucket());
+        let sent = 0;
+        for (let now = 0; now < 40 * SECOND; now += STEP) {
+          if (now < 2 * SECOND) fleet.step(now);
+          // Nobody forgets its askers, as all of them ask on.
+          const at = Math.min(now, 2 * SECOND);
+          for (const [daemon, bucket] of buckets.entries()) {
+            if (!bucket.has(now, computeOwnRate(shared, fleet.readShare(daemon, at), 7))) continue;
+            bucket.take();
+            sent += 1;
+          }
+        }
+        expect(sent, `${homes} homes`).to.be.within(rate * 40 * 0.75 - homes, rate * 40 + homes);
+      }
+    });
+  }
+});
+
+describe('the word of a target on its rate', () => {
+  it('is the newest by when the target said it, whoever tells of it', () => {
+    const named = new NamedRate();
+    expect(named.hear({ rate: 3, at: 1000 }, 1000, true)).to.deep.equal({
+      ...{ before: undefined, rate: 3 },
+    });
+    // Another daemon's word that is older, and an answer whose call was sent before.
+    expect(named.hear({ rate: 8, at: 900 }, 1100, false)).to.equal(undefined);
+    expect(named.hear({ rate: undefined, at: 950 }, 1200, true)).to.equal(undefined);
+    expect(named.read(1200)?.rate).to.equal(3);
+    expect(named.hear({ rate: 5, at: 1300 }, 1400, false)?.rate).to.equal(5);
+    expect(named.read(1400)?.rate).to.equal(5);
+  });
+
+  it('that ends lets what it gets rise over two seconds', () => {
+    const named = new NamedRate();
+    named.hear({ rate: 2, at: 0 }, 0, true);
+    named.hear({ rate: undefined, at: 900 }, 1000, true);
+    const rates = [1000, 1200, 1400, 2000, 2999].map((now) => named.read(now)?.rate);
+    expect(rates.slice(0, 3)).to.deep.equal([2, 4, 8]);
+    expect(rates[3]).to.be.within(60, 70);
+    expect(named.read(3000)).to.equal(undefined);
+  });
+
+  it('of nothing at all leaves one request in four seconds, at one home', () => {
+    const named = new NamedRate();
+    named.hear({ rate: 0, at: 0 }, 0, true);
+    expect(named.read(10)).to.deep.equal({ rate: 0.25, sharers: 1 });
+  });
+
+  it('is told on by whoever heard it from the target, and for a while after its end', () => {
+    const named = new NamedRate();
+    expect(named.readNews(0)).to.equal(undefined);
+    named.hear({ rate: 3, at: 10 }, 10, false);
+    expect(named.readNews(10)).to.equal(undefined);
+    named.hear({ rate: 3, at: 20 }, 20, true);
+    named.hear({ rate: 3, at: 25 }, 30, false);
+    expect(named.readNews(30)?.rate).to.equal(3);
+    named.hear({ rate: undefined, at: 40 }, 50, true);
+    expect(named.readNews(60)).to.deep.equal({ rate: undefined, at: 40 });
+    expect(named.readNews(2050)).to.equal(undefined);
+  });
+
+  it('is a plain decimal number', () => {
+    expect(parseRate(undefined)).to.deep.equal({ kind: 'silent' });
+    for (const [text, rate] of [
+      ...([['0', 0] as const, ['3.9', 3.9] as const] as const),
+      ...([['10', 10] as const, ['.5', 0.5] as const, ['7.', 7] as const] as const),
+    ]) {
+      expect(parseRate(text), text).to.deep.equal({ kind: 'named', rate });
+    }
+    for (const text of ['', '-1', '+1', 'NaN', 'Infinity', '0x10', '1e3', '3, 4', '٣', '.']) {
+      expect(parseRate(text).kind, text).to.equal('unreadable');
+    }
+    expect(parseRate('9'.repeat(400))).to.deep.equal({ kind: 'unreadable', text: '9'.repeat(20) });
+  });
+
+  it('travels between daemons, beside shares that name none', () => {
+    const share = { target: 1, inFlight: 2, slowdown: 1, age: 3 };
+    const shares = [
+      share,
+      { ...share, target: 2, named: { rate: 3.9, age: 40 } },
+      { ...share, target: 3, named: { rate: undefined, age: 0 } },
+    ];
+    expect(decodeDatagram(encodeDatagram({ kind: 'load', shares }))).to.deep.equal({
+      ...{ kind: 'load', shares },
+    });
+    const bad = { ...share, named: { rate: -1, age: 0 } };
+    expect(decodeDatagram(encodeDatagram({ kind: 'load', shares: [bad] }))).to.equal(undefined);
+  });
+});
