What a target gets from here is worked out ten times a second, and told with its rate

With all targets of a large service cold each look at 64 of them sorted the homes for each; now a pass over the homes, kept for 100 ms. target.limited tells the part that falls to this daemon (own).

--- a/src/balance/shared-rate.ts
+++ b/src/balance/shared-rate.ts
@@ -32,11 +32,13 @@
 /** More homes than these never share one target, so that what they have saved is little beside any bound. */
 export const MOST_SHARERS = 4;
 
-/** Finds the homes that share a target: as long as homes stay, so do they. */
-function listSharers(homes: readonly string[], target: number, count: number): readonly string[] {
-  if (homes.length <= count) return homes;
+/** Whether a home is one of those that share a target: as long as homes stay, so do they. */
+function isSharer({ homes, self }: FleetShare, target: number, sharers: number): boolean {
+  if (!homes.includes(self)) return false;
+  if (homes.length <= sharers) return true;
   const key = String(target);
-  return [...homes].sort((a, b) => recallPair(b, key) - recallPair(a, key)).slice(0, count);
+  const own = recallPair(self, key);
+  return homes.filter((home) => recallPair(home, key) > own).length < sharers;
 }
 
 /**
@@ -46,12 +48,12 @@
  */
 export function computeOwnRate(
   { rate, sharers }: SharedRate,
-  { part, homes, self }: FleetShare,
+  share: FleetShare,
   target: number,
 ): number {
-  const sharing = listSharers(homes, target, sharers);
-  if (!sharing.includes(self)) return 0;
-  return rate * Math.min(1, (part * homes.length) / sharing.length);
+  if (!isSharer(share, target, sharers)) return 0;
+  const homes = share.homes.length;
+  return rate * Math.min(1, (share.part * homes) / Math.min(homes, sharers));
 }
 
 const SECOND = 1000;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -192,7 +192,7 @@
       countTellers: () => this.#sharing.countTellers(),
       readColdness: (service) => this.#readColdness(service),
       readShare: () => this.#readShare(),
-      onRate: (news) => this.#tellRate(news),
+      onRate: (news, own) => this.#tellRate(news, own),
       onUnreadableRate: ({ record }, text) => {
         log.warn('rate.unreadable', {
           ...{ target: record.incarnation, what: text, expected: 'a decimal number' },
@@ -589,11 +589,11 @@
     this.#log.info('targets.changed', { changed: changes.length, revision });
   }
 
-  #tellRate({ target, before, rate, age, from }: RateNews): void {
+  #tellRate({ target, before, rate, age, from }: RateNews, own: number): void {
     const { incarnation, service } = target.record;
     this.#log.info('target.limited', {
       ...{ target: incarnation, service, rate: rate ?? 'none', before: before ?? 'none' },
-      ...{ age: Math.round(age), from },
+      ...{ own: own === Infinity ? 'any' : own.toFixed(2), age: Math.round(age), from },
     });
   }
 
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -28,7 +28,7 @@
   readonly time: number;
 }
 
-/** What this daemon stands for in the fleet is worked out this often, in milliseconds. */
+/** What this daemon stands for in the fleet, and so what targets get from it, is worked out this often, in milliseconds. */
 const SHARE_PACE = 100;
 
 const SECOND = 1000;
@@ -48,8 +48,8 @@
   readonly readColdness: (service: string) => Coldness;
   /** What this daemon stands for in the fleet, where all keep to a rate together. */
   readonly readShare: () => FleetShare;
-  /** Called when a target names another rate than before, or none any more. */
-  readonly onRate: (news: RateNews) => void;
+  /** Called when a target names another rate than before, or none any more, with what it may get from here now. */
+  readonly onRate: (news: RateNews, own: number) => void;
   readonly onUnreadableRate: (target: GatewayTarget, text: string) => void;
   /** Makes the budget for repeats of one service. */
   readonly createBudget: () => WindowBudget;
@@ -103,6 +103,9 @@
 
   #shareAt = -Infinity;
 
+  /** What targets may get from here, as worked out since. */
+  readonly #rates = new Map<GatewayTarget, number>();
+
   /** Calls that went elsewhere because a target had had what it takes. */
   limitedAway = 0;
 
@@ -153,6 +156,12 @@
     return count;
   }
 
+  /** Works out anew what a target may get from here, in calls a second; Infinity where nothing limits it. */
+  refreshRate(target: GatewayTarget): number {
+    this.#rates.delete(target);
+    return this.#readRate(target, this.options.clock.now());
+  }
+
   /** Learns from one call how long calls take at a usual target. */
   noteTime(time: number): void {
     this.#time.add(time, this.options.clock.now());
@@ -229,20 +238,25 @@
   /** Calls a second that a target may get from here: the strictest of what holds; Infinity where nothing does. */
   #readRate(target: GatewayTarget, now: number): number {
     const named = target.named.read(now);
-    const cold = target.warmth.isCold(now)
-      ? computeColdRate(this.options.readColdness(this.name))
-      : undefined;
+    const isCold = target.warmth.isCold(now);
+    if (named === undefined && !isCold) return Infinity;
+    const share = this.#readShare(now);
+    const known = this.#rates.get(target);
+    if (known !== undefined) return known;
+    const cold = isCold ? computeColdRate(this.options.readColdness(this.name)) : undefined;
     let least = Infinity;
     for (const shared of [named, cold]) {
       if (shared === undefined) continue;
-      least = Math.min(least, computeOwnRate(shared, this.#readShare(now), target.hash));
+      least = Math.min(least, computeOwnRate(shared, share, target.hash));
     }
+    this.#rates.set(target, least);
     return least;
   }
 
   #readShare(now: number): FleetShare {
     if (now - this.#shareAt < SHARE_PACE) return this.#share;
     this.#shareAt = now;
+    this.#rates.clear();
     this.#share = this.options.readShare();
     return this.#share;
   }
@@ -380,7 +394,9 @@
       const onOpened = () => {
         this.opened += 1;
       };
-      const { clock, onRate, onUnreadableRate } = this.options;
+      const { clock, onUnreadableRate } = this.options;
+      const onRate = (news: RateNews) =>
+        this.options.onRate(news, service.refreshRate(news.target));
       const target = new GatewayTarget(entry, clock, {
         ...{ memory, onOpened, onRate, onUnreadableRate },
       });
