--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -30,7 +30,7 @@
 import type { RequestIdentity } from './request-identity.js';
 import type { PlaceCare, Refusal, SlotAnswer, SlotCall } from './slot-queue.js';
 import type { GatewayTarget } from './target.js';
-import type { TargetService } from './target-set.js';
+import type { TargetService } from './target-service.js';
 
 /** A request that was read and found its route. */
 export interface RoutedRequest {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,13 +12,15 @@
 } from '../kernel/index.js';
 import { type FleetShare, WindowBudget } from '../balance/index.js';
 import {
-  type Knowledge,
   FeedClient,
   type MemberInfo,
+  MemberRegistry,
   type MemberState,
-  type Reading,
+  PeerLink,
+  ReaderDuty,
+  Roster,
+  serveFeed,
 } from '../peering/index.js';
-import { MemberRegistry, PeerLink, ReaderDuty, Roster, serveFeed } from '../peering/index.js';
 import { type ResolveQuestion, kvStoreService } from '../platform/index.js';
 import type { RouteTable } from '../routing/index.js';
 import { FleetView, StoreReader } from '../view/index.js';
@@ -27,13 +29,15 @@
 import { serveDirectory, serveMetrics, serveReadiness } from './directory.js';
 import { LoadSharing } from './load-sharing.js';
 import { HomePlanner } from './home-planner.js';
+import { KnowledgeExchange } from './knowledge-exchange.js';
 import { PoisonDesk } from './poison-desk.js';
 import { LessonBook } from './lessons.js';
 import { Prober } from './prober.js';
 import { Reception } from './reception.js';
 import type { GatewaySettings } from './settings.js';
 import { type GatewayStatus, describeStatus, listGauges } from './status.js';
-import { type Coldness, TargetSet } from './target-set.js';
+import type { Coldness } from './own-rates.js';
+import { TargetSet } from './target-set.js';
 import type { RateNews } from './target.js';
 import { TurnWatch, createTurnSource } from './turn-watch.js';
 
@@ -122,6 +126,8 @@
 
   readonly #feed: FeedClient;
 
+  readonly #exchange: KnowledgeExchange;
+
   readonly #registry: MemberRegistry;
 
   readonly #lessons: LessonBook;
@@ -247,9 +253,9 @@
     this.#link = new PeerLink({
       ...{ address: { host: gateway.ip, port }, readSelf, selfState, roster: this.#roster },
       ...{ clock, log, readBusy: () => this.#planner.busy },
-      readKnowledge: () => this.#readKnowledge(),
+      readKnowledge: () => this.#exchange.read(),
       onKnowledge: (from, knowledge) => {
-        this.#hear(from, knowledge).catch(() => undefined);
+        this.#exchange.hear(from, knowledge).catch(() => undefined);
       },
       onShares: (from, shares) => this.#sharing.hear(from, shares),
       onCases: (from, cases) => this.#poison.hear(from, cases),
@@ -267,6 +273,10 @@
       this.#view.applyDelta(delta, clock.now());
       for (const member of members) this.#roster.note(member);
     });
+    this.#exchange = new KnowledgeExchange({
+      ...{ clock, self: gateway.ip, view: this.#view, roster: this.#roster, reader: this.#reader },
+      ...{ duty: this.#duty, feed: this.#feed, listCases: () => this.#poison.listToTell() },
+    });
     this.#registry = new MemberRegistry({
       ...{ store, roster: this.#roster, clock, log, isFirstStart: isFirstStart(gateway) },
       isWriter: () => this.#isFirstHome(),
@@ -502,62 +512,6 @@
       .some((reader) => reader.ip === ip);
   }
 
-  #readKnowledge(): Knowledge {
-    return {
-      position: this.#view.position,
-      proofAge: this.#clock.now() - this.#view.provenAt,
-      reading: this.#findReading(),
-      known: this.#view.known,
-      members: this.#roster.readFingerprint(),
-      homes: this.#roster.wanted,
-      presences: this.#roster.listPresences(),
-      cases: this.#poison.listToTell(),
-    };
-  }
-
-  /** The last reading of the store by a daemon itself, be it this one or another. */
-  #findReading(): Reading | undefined {
-    const { ip } = this.#settings.gateway;
-    const { told } = this.#duty;
-    const now = this.#clock.now();
-    const { readAt } = this.#reader;
-    if (told !== undefined && told.at > readAt) return { reader: told.reader, age: now - told.at };
-    return readAt === -Infinity ? undefined : { reader: ip, age: now - readAt };
-  }
-
-  /** Takes what another daemon knows, and fetches it when it is more. */
-  async #hear(from: MemberInfo, knowledge: Knowledge): Promise<void> {
-    this.#duty.noteHeard();
-    if (this.#isPlanFrom(from.ip)) this.#roster.setWanted(knowledge.homes);
-    const now = this.#clock.now();
-    const provenAt = now - knowledge.proofAge;
-    const { reading } = knowledge;
-    const { position } = this.#view;
-    const members = this.#roster.readFingerprint();
-    const isBehind =
-      knowledge.position.targets > position.targets ||
-      knowledge.position.configuration > position.configuration ||
-      knowledge.position.evacuations > position.evacuations;
-    if (isBehind && !(await this.#feed.fetchNews(from.ip, { position, members }))) return;
-    if (!isBehind && knowledge.members !== members) {
-      await this.#feed.fetchMembers(from.ip, { position, members });
-    }
-    if (this.#view.table !== undefined) {
-      this.#view.prove(provenAt);
-      this.#view.noteKnown(knowledge.known);
-    }
-    // The echo of an own reading shows nothing.
-    if (reading === undefined || reading.reader === this.#settings.gateway.ip) return;
-    this.#duty.noteTold(reading.reader, now - reading.age);
-  }
-
-  /** Homes and their successors take the plan of homes from the first home, the others from any home. */
-  #isPlanFrom(ip: string): boolean {
-    const homes = this.#roster.listHomes();
-    if (this.#roster.isNearHomes()) return homes[0]?.ip === ip;
-    return homes.some((home) => home.ip === ip);
-  }
-
   #adopt(table: RouteTable): void {
     this.#callers.setLimits(table.limits);
     this.#log.info('configuration.adopted', {
--- /dev/null
+++ b/src/gateway/knowledge-exchange.ts
@@ -0,0 +1,90 @@
+/** What this daemon answers when another one asks what it knows, and what it takes from the answers of others. */
+import type { Clock } from '../kernel/index.js';
+import type {
+  CaseWord,
+  FeedClient,
+  Knowledge,
+  MemberInfo,
+  Reading,
+  ReaderDuty,
+  Roster,
+} from '../peering/index.js';
+import type { FleetView, StoreReader } from '../view/index.js';
+
+/** What the exchange is made from. */
+export interface KnowledgeExchangeOptions {
+  readonly clock: Clock;
+  readonly self: string;
+  readonly view: FleetView;
+  readonly roster: Roster;
+  readonly reader: Pick<StoreReader, 'readAt'>;
+  readonly duty: ReaderDuty;
+  readonly feed: FeedClient;
+  /** Requests under which targets ended, as far as others are to know of them. */
+  readonly listCases: () => readonly CaseWord[];
+}
+
+/** The exchange of one daemon. */
+export class KnowledgeExchange {
+  constructor(private readonly options: KnowledgeExchangeOptions) {}
+
+  /** What this daemon knows now. */
+  read(): Knowledge {
+    const { clock, view, roster, listCases } = this.options;
+    return {
+      position: view.position,
+      proofAge: clock.now() - view.provenAt,
+      reading: this.#findReading(),
+      known: view.known,
+      members: roster.readFingerprint(),
+      homes: roster.wanted,
+      presences: roster.listPresences(),
+      cases: listCases(),
+    };
+  }
+
+  /** Takes what another daemon knows, and fetches it when it is more. */
+  async hear(from: MemberInfo, knowledge: Knowledge): Promise<void> {
+    const { clock, self, view, roster, duty, feed } = this.options;
+    duty.noteHeard();
+    if (this.#isPlanFrom(from.ip)) roster.setWanted(knowledge.homes);
+    const now = clock.now();
+    const provenAt = now - knowledge.proofAge;
+    const { reading } = knowledge;
+    const { position } = view;
+    const members = roster.readFingerprint();
+    const isBehind =
+      knowledge.position.targets > position.targets ||
+      knowledge.position.configuration > position.configuration ||
+      knowledge.position.evacuations > position.evacuations;
+    if (isBehind && !(await feed.fetchNews(from.ip, { position, members }))) return;
+    if (!isBehind && knowledge.members !== members) {
+      await feed.fetchMembers(from.ip, { position, members });
+    }
+    if (view.table !== undefined) {
+      view.prove(provenAt);
+      view.noteKnown(knowledge.known);
+    }
+    // The echo of an own reading shows nothing.
+    if (reading === undefined || reading.reader === self) return;
+    duty.noteTold(reading.reader, now - reading.age);
+  }
+
+  /** The last reading of the store by a daemon itself, be it this one or another. */
+  #findReading(): Reading | undefined {
+    const { clock, self, reader, duty } = this.options;
+    const { told } = duty;
+    const now = clock.now();
+    const { readAt } = reader;
+    if (told !== undefined && told.at > readAt) return { reader: told.reader, age: now - told.at };
+    return readAt === -Infinity ? undefined : { reader: self, age: now - readAt };
+  }
+
+  /** Homes and their successors take the plan of homes from the first home, the others from any home. */
+  #isPlanFrom(ip: string): boolean {
+    const { roster } = this.options;
+    const homes = roster.listHomes();
+    if (roster.isNearHomes()) return homes[0]?.ip === ip;
+    return homes.some((home) => home.ip === ip);
+  }
+}
--- a/src/gateway/poison-desk.ts
+++ b/src/gateway/poison-desk.ts
@@ -17,7 +17,7 @@
 import type { PoisonLesson } from './lessons.js';
 import type { RequestIdentity } from './request-identity.js';
 import { type GatewayTarget, readRelease } from './target.js';
-import type { TargetService } from './target-set.js';
+import type { TargetService } from './target-service.js';
 
 /** What the desk is made from. */
 export interface PoisonDeskOptions {
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -7,7 +7,8 @@
 import { BUSY } from '../peering/index.js';
 import type { RouteTable } from '../routing/index.js';
 import type { GatewayTarget } from './target.js';
-import type { TargetService, TargetSet } from './target-set.js';
+import type { TargetService } from './target-service.js';
+import type { TargetSet } from './target-set.js';
 
 /** A home, as far as it matters for who probes what. */
 export interface ProbingHome {
--- a/src/gateway/status.ts
+++ b/src/gateway/status.ts
@@ -2,7 +2,7 @@
 import type { LogFields } from '../kernel/index.js';
 import type { MemberState } from '../peering/index.js';
 import type { ForwardingCounts } from './forwarding.js';
-import type { TargetService } from './target-set.js';
+import type { TargetService } from './target-service.js';
 
 /** The state of a daemon at one moment. */
 export interface GatewayStatus {
--- /dev/null
+++ b/src/gateway/target-service.ts
@@ -0,0 +1,255 @@
+/** One service as this daemon uses it: its targets, and which of them a call goes to. */
+import type { Clock, Random } from '../kernel/index.js';
+import {
+  type Advice,
+  type DrawPool,
+  type FleetShare,
+  MOST_LOOKED_AT,
+  DecayingMean,
+  KneeEstimate,
+  RateMeter,
+  SlowdownMemory,
+  type SlowdownPattern,
+  WindowBudget,
+  choosePlace,
+  drawCandidates,
+} from '../balance/index.js';
+import type { ServiceLesson } from './lessons.js';
+import { type Coldness, OwnRates } from './own-rates.js';
+import { type PlaceWish, SlotQueue } from './slot-queue.js';
+import { type GatewayTarget, readRelease } from './target.js';
+
+const SECOND = 1000;
+
+/** What a service is made from. */
+export interface TargetServiceOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly domain: string;
+  /** Finds the region of a failure domain; undefined for one that nobody placed. */
+  readonly findRegion: (domain: string) => string | undefined;
+  /** Daemons that share the targets. */
+  readonly countHomes: () => number;
+  /** Those of the others that have told of their calls of late. */
+  readonly countTellers: () => number;
+  /** What cold targets of a service bear, and for how long one is cold. */
+  readonly readColdness: (service: string) => Coldness;
+  /** What this daemon stands for in the fleet, where all keep to a rate together. */
+  readonly readShare: () => FleetShare;
+  /** Makes the budget for repeats of one service. */
+  readonly createBudget: () => WindowBudget;
+}
+
+/** How this daemon's calls compare with all is followed for a few calls' time. */
+const SHARERS_HALF_LIFE = 300;
+
+/** The others tell of their calls this often, in milliseconds. */
+const SHARERS_PACE = 20;
+
+/** Calls of a service change little; this follows some hundreds of them. */
+const TIME_HALF_LIFE = 3000;
+
+/**
+ * A target that has run for this long, in milliseconds, is not one of those that end every few seconds: what is lost
+ * there was not lost by chance.
+ */
+const STEADY_AGE = 20_000;
+
+/** One service as this daemon uses it. */
+export class TargetService {
+  readonly targets = new Map<string, GatewayTarget>();
+
+  readonly rate: RateMeter;
+
+  lastCallAt = -Infinity;
+
+  readonly budget: WindowBudget;
+
+  /** Calls that wait for a target. */
+  readonly queue: SlotQueue;
+
+  readonly knee = new KneeEstimate();
+
+  /** What its targets may get from here. */
+  readonly rates: OwnRates;
+
+  /** What the targets' reports have taught of how slow they are. */
+  readonly memory = new SlowdownMemory();
+
+  readonly #time = new DecayingMean(TIME_HALF_LIFE);
+
+  readonly #sharers = new DecayingMean(SHARERS_HALF_LIFE);
+
+  #sharersAt = -Infinity;
+
+  #pool: DrawPool<GatewayTarget> | undefined;
+
+  /** Calls that went elsewhere because a target had had what it takes. */
+  limitedAway = 0;
+
+  constructor(
+    readonly name: string,
+    private readonly options: TargetServiceOptions,
+  ) {
+    this.rate = new RateMeter(options.clock.now());
+    this.budget = options.createBudget();
+    this.rates = new OwnRates({
+      ...{ clock: options.clock, readShare: options.readShare },
+      readColdness: () => options.readColdness(name),
+    });
+    this.queue = new SlotQueue(options.clock, options.random, (call, ahead) =>
+      this.choosePlace(call, ahead),
+    );
+  }
+
+  /** Counts a call that arrives. */
+  noteCall(): void {
+    this.lastCallAt = this.options.clock.now();
+    this.rate.add(this.lastCallAt);
+    this.budget.noteRequest();
+  }
+
+  /** How slow the service's targets are, and for how long one stays so. */
+  readPattern(): SlowdownPattern {
+    return this.memory.read(this.options.clock.now());
+  }
+
+  /** How long calls take at a usual, idle target, in milliseconds; `fallback` before the first one. */
+  readTime(fallback: number): number {
+    return this.#time.read(fallback);
+  }
+
+  /** What others may start from; undefined before enough was seen here. */
+  readLesson(): ServiceLesson | undefined {
+    if (!this.memory.isTaught) return undefined;
+    return { ...this.readPattern(), knee: this.knee.readFactor() };
+  }
+
+  /** Takes what others have learnt, until enough was seen here. */
+  absorb(lesson: ServiceLesson): void {
+    this.memory.absorb(lesson);
+    this.knee.absorb(lesson.knee);
+  }
+
+  /** Counts the targets that take no more than a rate that they name. */
+  countLimited(): number {
+    let count = 0;
+    for (const { named } of this.targets.values()) if (named.isLimited) count += 1;
+    return count;
+  }
+
+  /** Learns from one call how long calls take at a usual target. */
+  noteTime(time: number): void {
+    this.#time.add(time, this.options.clock.now());
+  }
+
+  /** Takes it that targets came, went or changed. */
+  noteChange(): void {
+    this.#pool = undefined;
+  }
+
+  #readPool(): DrawPool<GatewayTarget> {
+    if (this.#pool !== undefined) return this.#pool;
+    const near: GatewayTarget[] = [];
+    const far: GatewayTarget[] = [];
+    for (const target of this.targets.values()) {
+      (target.record.domain === this.options.domain ? near : far).push(target);
+    }
+    this.#pool = { near, far };
+    return this.#pool;
+  }
+
+  /**
+   * Advises a call that has tried some targets already. One under which a target has ended goes where no other such
+   * call runs, to a target that has run for long where there is one.
+   *
+   * @param ahead calls that go first
+   */
+  choosePlace(wish: PlaceWish, ahead: number): Advice<GatewayTarget> {
+    const { care } = wish;
+    let isLimited = false;
+    const mayTake = (target: GatewayTarget) => {
+      if (!this.#isOpenTo(target, wish)) return false;
+      const isSpent = this.rates.isSpent(target);
+      isLimited ||= isSpent;
+      return !isSpent;
+    };
+    if (care === undefined) {
+      const advice = this.#chooseAmong(mayTake, wish, ahead);
+      if (isLimited && advice.kind === 'now') this.limitedAway += 1;
+      return advice.kind === 'none' ? this.#adviseLimited(wish) : advice;
+    }
+    const now = this.options.clock.wall();
+    const isAllowed = (target: GatewayTarget) =>
+      mayTake(target) && !care.avoided.includes(readRelease(target.record));
+    const isApart = (target: GatewayTarget) => isAllowed(target) && target.suspects === 0;
+    const isSteady = (target: GatewayTarget) =>
+      isApart(target) && now - target.record.born > STEADY_AGE;
+    for (const isFit of [isSteady, isApart]) {
+      const advice = this.#chooseAmong(isFit, wish, ahead);
+      // A suspect that waited for one of few targets would hold up who waits behind it.
+      if (advice.kind === 'now') return advice;
+    }
+    return this.#chooseAmong(isAllowed, wish, ahead);
+  }
+
+  /** Whether a call may go to a target that has room. */
+  #isOpenTo(target: GatewayTarget, { tried, regions }: PlaceWish): boolean {
+    if (!target.isUsable || tried.has(target)) return false;
+    return regions === undefined || this.#isWithin(target, regions);
+  }
+
+  #isWithin({ record }: GatewayTarget, regions: readonly string[]): boolean {
+    const region = this.options.findRegion(record.domain);
+    return region !== undefined && regions.includes(region);
+  }
+
+  /** Advises a call where all that is left has had what it takes: to wait for more of that, if some falls to us. */
+  #adviseLimited(wish: PlaceWish): Advice<GatewayTarget> {
+    let rate = 0;
+    for (const target of this.targets.values()) {
+      if (this.#isOpenTo(target, wish)) rate += this.rates.read(target);
+    }
+    if (rate === 0) return { kind: 'none' };
+    return { kind: 'wait', pace: SECOND / rate / wish.work, slowdown: 1, isLimited: true };
+  }
+
+  #chooseAmong(
+    isUsable: (target: GatewayTarget) => boolean,
+    { bodyBytes }: PlaceWish,
+    ahead: number,
+  ): Advice<GatewayTarget> {
+    const { random, domain } = this.options;
+    const drawn = drawCandidates(this.#readPool(), { random, isUsable });
+    const homes = this.options.countHomes();
+    const tellers = this.options.countTellers();
+    const terms = { pattern: this.readPattern(), domain, homes, tellers, knee: this.knee };
+    return choosePlace(drawn, (target) => target.view(terms), {
+      ...{ ahead, sharers: this.#measureSharers(homes, tellers), random, bodyBytes },
+      standsFor: Math.max(1, this.targets.size / MOST_LOOKED_AT),
+    });
+  }
+
+  /**
+   * How many times this daemon's calls all daemons have at the targets: it gets that part of the slots.
+   * After a restart callers meet at one home, whose part is nearly all.
+   */
+  #measureSharers(homes: number, tellers: number): number {
+    const now = this.options.clock.now();
+    if (now - this.#sharersAt < SHARERS_PACE) return this.#readSharers(homes);
+    this.#sharersAt = now;
+    let own = 0;
+    let all = 0;
+    for (const { belief, isUsable } of this.targets.values()) {
+      if (!isUsable) continue;
+      own += belief.inFlight;
+      all += belief.countCalls(now, homes, tellers);
+    }
+    if (own > 0) this.#sharers.add(Math.max(1, all / own), now);
+    return this.#readSharers(homes);
+  }
+
+  #readSharers(homes: number): number {
+    return Math.min(Math.max(1, homes), this.#sharers.read(homes));
+  }
+}
