A repeat that no target takes in time is told so at once

What callers saw: with the other targets rejecting what they got and the last one taking nothing, two to four of 62 requests were held for two seconds, their route's time-out, before they were told that they had not run. Cause: a call that a target has had before is never sent back from the line, as a slot may free sooner than expected; it waited for a rate like that. What targets take is known, so such a call is told at once.

--- a/src/balance/wait-line.ts
+++ b/src/balance/wait-line.ts
@@ -129,8 +129,12 @@
     return this.#order().map(({ call }) => call);
   }
 
-  /** Takes out the calls that wait in vain, as the outlook is now, with the wait that each would have. */
-  removeVain(): readonly { readonly call: C; readonly wait: number }[] {
+  /**
+   * Takes out the calls that wait in vain, as the outlook is now, with the wait that each would have.
+   *
+   * @param withRepeats whether also those that a target has had before
+   */
+  removeVain(withRepeats = false): readonly { readonly call: C; readonly wait: number }[] {
     const ahead = { inTime: 0, late: 0 };
     const vain: { readonly call: C; readonly wait: number }[] = [];
     for (const place of this.#order()) {
@@ -140,7 +144,8 @@
         continue;
       }
       const admission = judgeLate(this.#describeTerms(call), this.#describeOutlook(ahead));
-      if (admission.kind === 'refuse' && call.mayBeRefused && call.isWorkKnown) {
+      const mayBeRefused = withRepeats || call.mayBeRefused;
+      if (admission.kind === 'refuse' && mayBeRefused && call.isWorkKnown) {
         vain.push({ call, wait: admission.wait });
         this.remove(call);
       } else ahead.late += 1;
--- a/src/gateway/slot-queue.ts
+++ b/src/gateway/slot-queue.ts
@@ -145,7 +145,7 @@
 
   /** Sends back those that wait in vain, as the outlook is now. */
   #review(): void {
-    for (const { call, wait } of this.#line.removeVain()) {
+    for (const { call, wait } of this.#line.removeVain(this.#isLimited)) {
       this.#answer(call, this.#refuse(wait));
     }
   }
@@ -156,7 +156,9 @@
   }
 
   #follow(call: SlotCall, admission: Admission): SlotAnswer | undefined {
-    if (admission.kind !== 'refuse' || !call.mayBeRefused || !call.isWorkKnown) return undefined;
+    if (admission.kind !== 'refuse' || !call.isWorkKnown) return undefined;
+    // A slot may free sooner than expected, so a repeat waits on for one; what targets take is known.
+    if (!call.mayBeRefused && !this.#isLimited) return undefined;
     return this.#refuse(admission.wait);
   }
 
--- a/test/rate-limit.test.ts
+++ b/test/rate-limit.test.ts
@@ -121,8 +121,26 @@
       target.rate = '4';
       await sendFor(ips, SECOND);
       const since = performance.now();
-      await sendFor(ips, SPAN + SECOND);
+      const replies = await sendFor(ips, SPAN + SECOND);
       expect(countBusiest(arrivals, since)).to.be.within(2, computeMost(4));
+      // Nobody who can't be served is held until his time is over.
+      const refused = replies.filter(({ status }) => status === 503);
+      const quick = refused.filter(({ took }) => took < 300).length;
+      expect(quick / refused.length).to.be.greaterThan(0.9);
+    }).timeout(20_000);
+
+    it('is not waited for by repeats until their time is over', async () => {
+      for (const other of others) {
+        other.behaviour = (_request, response) => {
+          response.writeHead(503, { 'Not-Executed': '1' }).end();
+        };
+      }
+      target.rate = '0';
+      await sendFor(ips, SECOND);
+      const replies = await sendFor(ips, SPAN + SECOND, { rest: 400 });
+      const longest = Math.max(...replies.map(({ took }) => took));
+      expect(longest).to.be.lessThan(SECOND);
+      for (const { status } of replies) expect(status).to.be.oneOf([200, 503]);
     }).timeout(20_000);
 
     it('gets no more by second attempts beside slow ones', async () => {
