Failures that name no rate end none

What was seen in a test: a target that takes two a second, is the only one and fails nine of ten requests without naming its rate in those, got 49 and 31 requests in four seconds where 17 are allowed, as each failure let its share rise. Only a signed answer below 500 ends a rate now, as only rejections and health answers were left out before. test/rate-limit.test.ts, 'gets no more while it fails most of what it gets': failed before, passes.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -72,6 +72,8 @@
 
 const ANY_REST = Infinity;
 
+const SERVER_ERROR = 500;
+
 function readHeader(response: IncomingMessage, name: string): string | undefined {
   const value = response.headers[name.toLowerCase()];
   return Array.isArray(value) ? value[0] : value;
@@ -179,7 +181,10 @@
     target.noteLoad(parseLoad(readHeader(response, HEADERS.load)), own);
     connection.restLimit = readRestLimit(readHeader(response, 'keep-alive'));
     const isRejected = readHeader(response, HEADERS.notRun) !== undefined;
-    if (status !== MISDIRECTED) this.#noteRate(response, isRejected);
+    if (status !== MISDIRECTED) {
+      const isSigned = readHeader(response, HEADERS.signature) !== undefined;
+      this.#noteRate(response, !isRejected && isSigned && status < SERVER_ERROR);
+    }
     if (isRejected || status === MISDIRECTED) {
       response.resume();
       if (status === MISDIRECTED) target.noteMisdirected();
@@ -189,10 +194,10 @@
     this.#hold(response);
   }
 
-  /** A rejection need not say what an answer does: that it names no rate ends none. */
-  #noteRate(response: IncomingMessage, isRejected: boolean): void {
+  /** Rejections and failures need not say what a good answer does: that they name no rate ends none. */
+  #noteRate(response: IncomingMessage, isGood: boolean): void {
     const word = parseRate(readHeader(response, HEADERS.rate));
-    if (isRejected && word.kind === 'silent') return;
+    if (!isGood && word.kind === 'silent') return;
     this.target.noteRate(word, this.startedAt);
   }
 
--- a/test/rate-limit.test.ts
+++ b/test/rate-limit.test.ts
@@ -207,6 +207,22 @@
       expect(quick / refused.length).to.be.greaterThan(0.9);
     }).timeout(20_000);
 
+    it('gets no more while it fails most of what it gets and names no rate in failures', async () => {
+      let count = 0;
+      const named: number[] = [];
+      target.behaviour = (request, response) => {
+        named.push(performance.now());
+        count += 1;
+        if (count % 10 === 0) target.answer(request, response);
+        else response.writeHead(500, { 'Attempt-Id': request.headers['attempt-id'] }).end();
+      };
+      target.rate = '2';
+      await sendFor(ips, SECOND);
+      const since = performance.now();
+      await sendFor(ips, 2 * SPAN);
+      expect(countBusiest(named, since)).to.be.at.most(computeMost(2));
+    }).timeout(20_000);
+
     it('of nothing is still asked now and then, so that its end is heard', async () => {
       target.rate = '0';
       await sendFor(ips, SECOND);
