What targets say of draining and back-off is decoded and told; the age of a configuration when it is adopted

One function of the adapter decodes what the head of any answer says of its target (load, warmth, rate, draining, back-off); GatewayTarget.takeReport is the one place that takes it, from calls and health answers alike. No choice changes: lines target.draining, target.backoff, *.unreadable, gauges and counters of such targets. configuration.adopted tells how long the store may have held the version; a watch of the operators' keys that brings nothing is told (store.unanswered prefix=op/).

--- a/src/balance/index.ts
+++ b/src/balance/index.ts
@@ -22,5 +22,6 @@
 export * from './shared-rate.js';
 export * from './cold-limit.js';
 export * from './named-rate.js';
+export * from './standing.js';
 export * from './failure-rate.js';
 export * from './poison.js';
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -8,7 +8,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Readable } from 'node:stream';
 import type { Clock } from '../kernel/index.js';
-import { HEADERS, MISDIRECTED, parseLoad, parseRate } from '../platform/index.js';
+import { HEADERS, type SelfReport, decodeSelfReport, readHeader } from '../platform/index.js';
 import { type TargetConnection, readRestLimit } from './connections.js';
 import type { GatewayTarget } from './target.js';
 
@@ -74,11 +74,6 @@
 
 const SERVER_ERROR = 500;
 
-function readHeader(response: IncomingMessage, name: string): string | undefined {
-  const value = response.headers[name.toLowerCase()];
-  return Array.isArray(value) ? value[0] : value;
-}
-
 class TargetAttempt implements RunningAttempt {
   #request: http.ClientRequest | undefined;
 
@@ -166,8 +161,11 @@
       this.#lose(error.message);
       connection.socket.destroy();
     });
-    const echoed = readHeader(response, HEADERS.requestId);
+    const { statusCode: status = 0, headers } = response;
+    const report = decodeSelfReport(status, headers);
+    const echoed = readHeader(headers, HEADERS.requestId);
     if (echoed !== undefined && echoed !== this.sending.requestId) {
+      target.noteDraining(report.draining);
       target.noteStrayBytes();
       this.#settle({
         ...{ kind: 'lost', reason: 'the answer belongs to another request', isEnded: false },
@@ -175,33 +173,25 @@
       connection.socket.destroy();
       return;
     }
-    const status = response.statusCode ?? 0;
-    // The answered call is still counted here, and no longer there.
-    const own = target.belief.countArrived(this.clock.now()) - 1;
-    target.noteLoad(parseLoad(readHeader(response, HEADERS.load)), own);
-    connection.restLimit = readRestLimit(readHeader(response, 'keep-alive'));
-    const isRejected = readHeader(response, HEADERS.notRun) !== undefined;
-    if (status !== MISDIRECTED) {
-      const isSigned = readHeader(response, HEADERS.signature) !== undefined;
-      this.#noteRate(response, !isRejected && isSigned && status < SERVER_ERROR);
-    }
-    if (isRejected || status === MISDIRECTED) {
+    connection.restLimit = readRestLimit(readHeader(headers, 'keep-alive'));
+    this.#takeReport(report, status);
+    if (report.isRejected || report.isMisdirected) {
       response.resume();
-      if (status === MISDIRECTED) target.noteMisdirected();
-      this.#settle({ kind: 'not-run', cause: status === MISDIRECTED ? 'misdirected' : 'shed' });
+      this.#settle({ kind: 'not-run', cause: report.isMisdirected ? 'misdirected' : 'shed' });
       return;
     }
-    this.#hold(response);
+    this.#hold(response, report.isSigned);
   }
 
-  /** Rejections and failures need not say what a good answer does: that they name no rate ends none. */
-  #noteRate(response: IncomingMessage, isGood: boolean): void {
-    const word = parseRate(readHeader(response, HEADERS.rate));
-    if (!isGood && word.kind === 'silent') return;
-    this.target.noteRate(word, this.startedAt);
+  #takeReport(report: SelfReport, status: number): void {
+    const { target, startedAt } = this;
+    // The answered call is still counted here, and no longer there.
+    const own = target.belief.countArrived(this.clock.now()) - 1;
+    const isGood = !report.isRejected && report.isSigned && status < SERVER_ERROR;
+    target.takeReport(report, { askedAt: startedAt, own, isGood });
   }
 
-  #hold(response: IncomingMessage): void {
+  #hold(response: IncomingMessage, isSigned: boolean): void {
     const chunks: Buffer[] = [];
     let length = 0;
     const answer = (rest: IncomingMessage | undefined): AttemptOutcome => ({
@@ -211,10 +201,10 @@
         rawHeaders: response.rawHeaders,
         body: Buffer.concat(chunks),
         rest,
-        isSigned: readHeader(response, HEADERS.signature) !== undefined,
+        isSigned,
         isDelimited:
-          readHeader(response, 'content-length') !== undefined ||
-          readHeader(response, 'transfer-encoding') !== undefined,
+          readHeader(response.headers, 'content-length') !== undefined ||
+          readHeader(response.headers, 'transfer-encoding') !== undefined,
       },
     });
     const onData = (chunk: Buffer) => {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -38,7 +38,7 @@
 import { type GatewayStatus, describeStatus, listGauges } from './status.js';
 import type { Coldness } from './own-rates.js';
 import { TargetSet } from './target-set.js';
-import type { RateNews } from './target.js';
+import { TargetNews } from './target-news.js';
 import { TurnWatch, createTurnSource } from './turn-watch.js';
 
 /** Readers of the store: two, so that one may die without anybody noticing late. */
@@ -198,13 +198,9 @@
       countTellers: () => this.#sharing.countTellers(),
       readColdness: (service) => this.#readColdness(service),
       readShare: () => this.#readShare(),
-      onRate: (news, own) => this.#tellRate(news, own),
-      onUnreadableRate: ({ record }, text) => {
-        log.warn('rate.unreadable', {
-          ...{ target: record.incarnation, what: text, expected: 'a decimal number' },
-        });
-        this.#metrics.count('rate_unreadable', { service: record.service });
-      },
+      listener: new TargetNews(log, this.#metrics, (target) =>
+        this.#targets.find(target.record.service).rates.refresh(target),
+      ),
       createBudget: () =>
         new WindowBudget(clock, () => {
           const { retry_ratio: ratio, retry_window, retry_slack } = this.#settings.promises;
@@ -514,9 +510,12 @@
 
   #adopt(table: RouteTable): void {
     this.#callers.setLimits(table.limits);
+    // Before that moment the store held no newer one, so it has been there for this long at most.
+    const age = this.#clock.now() - this.#view.operatorsProvenAt;
+    if (age < Infinity) this.#metrics.observe('configuration_age_ms', {}, age);
     this.#log.info('configuration.adopted', {
-      ...{ version: table.version, idle_timeout: table.limits.idleTimeout },
-      header_timeout: table.limits.headerTimeout,
+      ...{ version: table.version, age: age < Infinity ? Math.round(age) : 'unknown' },
+      ...{ idle_timeout: table.limits.idleTimeout, header_timeout: table.limits.headerTimeout },
     });
   }
 
@@ -543,14 +542,6 @@
     this.#log.info('targets.changed', { changed: changes.length, revision });
   }
 
-  #tellRate({ target, before, rate, age, from }: RateNews, own: number): void {
-    const { incarnation, service } = target.record;
-    this.#log.info('target.limited', {
-      ...{ target: incarnation, service, rate: rate ?? 'none', before: before ?? 'none' },
-      ...{ own: own === Infinity ? 'any' : own.toFixed(2), age: Math.round(age), from },
-    });
-  }
-
   #listAddresses(question: ResolveQuestion): readonly string[] {
     this.#lookups += 1;
     const { port } = this.#settings.gateway.callers;
@@ -585,6 +576,7 @@
       members: this.#roster.size,
       version: this.#view.table?.version,
       proofAge: this.#clock.now() - this.#view.provenAt,
+      operatorsProofAge: this.#clock.now() - this.#view.operatorsProvenAt,
       counts: this.#reception.counts,
       lookups: this.#lookups,
       accepted: this.#callers.accepted,
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -3,7 +3,7 @@
 import { recallPair } from '../balance/home.js';
 import { computeProbeInterval } from '../balance/index.js';
 import { type Clock, scheduleFairly } from '../kernel/index.js';
-import { HEADERS, parseColdLeft, parseLoad, parseRate } from '../platform/index.js';
+import { decodeSelfReport } from '../platform/index.js';
 import { BUSY } from '../peering/index.js';
 import type { RouteTable } from '../routing/index.js';
 import type { GatewayTarget } from './target.js';
@@ -302,23 +302,13 @@
       const own = target.belief.countArrived(startedAt);
       const answer = await this.#ask(taken.connection, path);
       target.noteHealth(answer?.statusCode === HEALTHY);
-      const { incarnation } = target.record;
-      const answered = answer?.headers[HEADERS.incarnation.toLowerCase()];
-      if (answered !== undefined && answered !== incarnation) {
-        target.noteMisdirected();
-        return;
+      if (answer === undefined) return;
+      const report = decodeSelfReport(answer.statusCode, answer.headers);
+      target.takeReport(report, { askedAt: startedAt, own, isGood: false });
+      const { load } = report;
+      if (load !== undefined && !target.isMisdirected) {
+        service.memory.note(load.slowdown, clock.now());
       }
-      const cold = parseColdLeft(
-        answer?.headers[HEADERS.coldLeft.toLowerCase()] as string | undefined,
-      );
-      if (cold !== undefined) target.warmth.hear(cold, clock.now());
-      const word = parseRate(answer?.headers[HEADERS.rate.toLowerCase()] as string | undefined);
-      // A health answer need not say what answers to calls do: that it names no rate ends none.
-      if (word.kind !== 'silent') target.noteRate(word, startedAt);
-      const load = parseLoad(answer?.headers[HEADERS.load.toLowerCase()] as string | undefined);
-      if (load === undefined) return;
-      target.noteLoad(load, own);
-      service.memory.note(load.slowdown, clock.now());
     } finally {
       this.#probing.delete(target);
     }
--- a/src/gateway/reception.ts
+++ b/src/gateway/reception.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock, Log, Random, TextMetrics } from '../kernel/index.js';
 import { RouteTime } from '../balance/index.js';
-import { HEADERS } from '../platform/index.js';
+import { HEADERS, readHeader } from '../platform/index.js';
 import { type Route, type RouteTable, SplitDealer } from '../routing/index.js';
 import { type Told, writeTold } from './answers.js';
 import { Backlog, type BacklogOptions } from './backlog.js';
@@ -78,14 +78,9 @@
   return { kind: 'turned-away', told, keepsConnection };
 }
 
-function readHeader(request: IncomingMessage, name: string): string | undefined {
-  const value = request.headers[name.toLowerCase()];
-  return Array.isArray(value) ? value[0] : value;
-}
-
 /** Returns the length that a request states; undefined when it comes in chunks. */
 function readLength(request: IncomingMessage): number | undefined {
-  const text = readHeader(request, 'content-length');
+  const text = readHeader(request.headers, 'content-length');
   return text === undefined ? undefined : Number(text);
 }
 
@@ -215,10 +210,10 @@
 
   /** Reads when an answer stops to be of use; the time that the request lay unread has passed already. */
   #readTimes(request: IncomingMessage, route: Route, cameAt: number): RequestTimes {
-    const asked = Number(readHeader(request, HEADERS.timeLeft));
+    const asked = Number(readHeader(request.headers, HEADERS.timeLeft));
     const allowed = Math.min(asked > 0 ? asked : LONGEST_HOLD, route.timeout, LONGEST_HOLD);
     return {
-      ...{ id: readHeader(request, HEADERS.requestId) ?? '', cameAt },
+      ...{ id: readHeader(request.headers, HEADERS.requestId) ?? '', cameAt },
       arrivedAt: this.options.clock.now(),
       aimAt: cameAt + this.#aims.read(route, asked, cameAt),
       deadline: cameAt + allowed,
@@ -251,7 +246,7 @@
   }
 
   #answer(request: IncomingMessage, response: ServerResponse, away: TurnedAway): void {
-    const id = readHeader(request, HEADERS.requestId) ?? '';
+    const id = readHeader(request.headers, HEADERS.requestId) ?? '';
     const { told, keepsConnection } = away;
     if (!keepsConnection) response.shouldKeepAlive = false;
     this.options.log.info('request.refused', { id, told: told.kind, path: request.url });
--- a/src/gateway/status.ts
+++ b/src/gateway/status.ts
@@ -17,6 +17,8 @@
   readonly version: number | undefined;
   /** Milliseconds since it was last shown that nothing newer is in the store. */
   readonly proofAge: number;
+  /** Milliseconds since this daemon itself last saw that no newer configuration is in the store. */
+  readonly operatorsProofAge: number;
   readonly counts: ForwardingCounts;
   readonly lookups: number;
   readonly accepted: number;
@@ -45,6 +47,7 @@
   const gauges: Record<string, number> = {
     ...{ configuration_version: status.version ?? 0 },
     ...{ proof_age_ms: Math.round(Math.min(status.proofAge, MAX_AGE)) },
+    operators_proof_age_ms: Math.round(Math.min(status.operatorsProofAge, MAX_AGE)),
     ...{ members: status.members, homes: status.homes.length },
     ...{ is_home: Number(status.isHome), is_ready: Number(status.state === 'ready') },
     ...{ lookups: status.lookups, connections: status.connections, busy: status.busy },
@@ -61,6 +64,8 @@
   for (const service of status.services) {
     const { name, queue, budget, targets } = service;
     gauges[`targets_limited{service="${name}"}`] = service.countLimited();
+    gauges[`targets_draining{service="${name}"}`] = service.countDraining();
+    gauges[`targets_backed_off{service="${name}"}`] = service.countBackedOff();
     gauges[`limited_away{service="${name}"}`] = service.limitedAway;
     gauges[`waiting{service="${name}"}`] = queue.size;
     gauges[`targets{service="${name}"}`] = targets.size;
--- a/src/gateway/target-service.ts
+++ b/src/gateway/target-service.ts
@@ -133,8 +133,23 @@
 
   /** Counts the targets that take no more than a rate that they name. */
   countLimited(): number {
+    return this.#countTargets(({ named }) => named.isLimited);
+  }
+
+  /** Counts the targets that have said that they drain. */
+  countDraining(): number {
+    return this.#countTargets(({ standing }) => standing.isDraining);
+  }
+
+  /** Counts the targets that want nothing from this daemon now. */
+  countBackedOff(): number {
+    const now = this.options.clock.now();
+    return this.#countTargets(({ standing }) => standing.backoffUntil > now);
+  }
+
+  #countTargets(isCounted: (target: GatewayTarget) => boolean): number {
     let count = 0;
-    for (const { named } of this.targets.values()) if (named.isLimited) count += 1;
+    for (const target of this.targets.values()) if (isCounted(target)) count += 1;
     return count;
   }
 
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -1,7 +1,8 @@
 /** The targets in use, by service, kept in step with the view. */
 import type { FleetView } from '../view/index.js';
 import type { Lessons, ServiceLesson } from './lessons.js';
-import { GatewayTarget, type RateNews } from './target.js';
+import { GatewayTarget } from './target.js';
+import type { TargetListener } from './target-news.js';
 import { TargetService, type TargetServiceOptions } from './target-service.js';
 
 /** A daemon to which no call has come for this long serves none. */
@@ -9,9 +10,7 @@
 
 /** What the set is made from. */
 export interface TargetSetOptions extends TargetServiceOptions {
-  /** Called when a target names another rate than before, or none any more, with what it may get from here now. */
-  readonly onRate: (news: RateNews, own: number) => void;
-  readonly onUnreadableRate: (target: GatewayTarget, text: string) => void;
+  readonly listener: TargetListener;
 }
 
 /** All targets of a daemon. */
@@ -96,12 +95,8 @@
       const onOpened = () => {
         this.opened += 1;
       };
-      const { clock, onUnreadableRate } = this.options;
-      const onRate = (news: RateNews) =>
-        this.options.onRate(news, service.rates.refresh(news.target));
-      const target = new GatewayTarget(entry, clock, {
-        ...{ memory, onOpened, onRate, onUnreadableRate },
-      });
+      const { clock, listener } = this.options;
+      const target = new GatewayTarget(entry, clock, { memory, onOpened, listener });
       target.update(entry, isEvacuated);
       targets.set(incarnation, target);
       service.noteChange();
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -11,14 +11,23 @@
   SendMeter,
   type SlowdownMemory,
   type SlowdownPattern,
+  Standing,
   Warmth,
 } from '../balance/index.js';
 import type { Clock } from '../kernel/index.js';
-import type { LoadReport, RateWord, TargetRecord } from '../platform/index.js';
+import type {
+  LoadReport,
+  SelfReport,
+  StatedBackoff,
+  StatedDraining,
+  StatedRate,
+  TargetRecord,
+} from '../platform/index.js';
 import type { LoadShare } from '../peering/index.js';
 import type { ListedTarget } from '../view/index.js';
 import { TargetConnections } from './connections.js';
 import { hashIncarnation } from './incarnation-hash.js';
+import type { TargetListener } from './target-news.js';
 
 /** A target where a call is stuck is avoided for this long, in milliseconds, unless another one is. */
 const STUCK_TIME = 1500;
@@ -59,27 +68,23 @@
   readonly knee: KneeEstimate;
 }
 
-/** What has changed of the rate that a target names. */
-export interface RateNews {
-  readonly target: GatewayTarget;
-  /** Requests a second before and now; undefined where none is named. */
-  readonly before: number | undefined;
-  readonly rate: number | undefined;
-  /** How long ago the target said so, in milliseconds. */
-  readonly age: number;
-  /** The IP number of the daemon that told of it, or `target`. */
-  readonly from: string;
+/** The answer that a target's report came with. */
+export interface ReportOrigin {
+  /** When the request was sent, in milliseconds on this daemon's clock. */
+  readonly askedAt: number;
+  /** This daemon's calls that the report may count. */
+  readonly own: number;
+  /** Whether it is a good answer to a call; only such a one says by its silence that the target names no rate. */
+  readonly isGood: boolean;
 }
 
-/** What a target tells of itself to others. */
+/** What a target in use is made from. */
 export interface GatewayTargetOptions {
   /** What its service learns from its reports. */
   readonly memory: SlowdownMemory;
   /** Called for each connection opened. */
   readonly onOpened: () => void;
-  readonly onRate: (news: RateNews) => void;
-  /** Called with a named rate that can't be read. */
-  readonly onUnreadableRate: (target: GatewayTarget, text: string) => void;
+  readonly listener: TargetListener;
 }
 
 /** The release of a target; those that say none count as one. */
@@ -105,6 +110,9 @@
   /** The rate that it has said it takes. */
   readonly named = new NamedRate();
 
+  /** What it has said of whether it takes requests from here. */
+  readonly standing = new Standing();
+
   /** What this daemon may send there while all of them keep to a rate. */
   readonly bucket = new RateBucket();
 
@@ -206,6 +214,11 @@
     this.#isEvacuated = isEvacuated;
   }
 
+  /** Whether another incarnation answers at its address. */
+  get isMisdirected(): boolean {
+    return this.#misdirected;
+  }
+
   /** Whether its failure domain takes no calls. */
   get isEvacuated(): boolean {
     return this.#isEvacuated;
@@ -269,6 +282,42 @@
     this.#ill = !healthy;
   }
 
+  /** Takes what the head of an answer says. */
+  takeReport(report: SelfReport, { askedAt, own, isGood }: ReportOrigin): void {
+    const { incarnation = this.record.incarnation } = report;
+    if (report.isMisdirected || incarnation !== this.record.incarnation) {
+      this.noteMisdirected();
+      return;
+    }
+    const now = this.clock.now();
+    if (report.coldLeft !== undefined) this.warmth.hear(report.coldLeft, now);
+    this.noteLoad(report.load, own);
+    if (isGood || report.rate.kind !== 'silent') this.#noteRate(report.rate, askedAt);
+    this.noteDraining(report.draining);
+    this.#noteBackoff(report.backoff);
+  }
+
+  /** Takes whether an answer says that the target drains. */
+  noteDraining(stated: StatedDraining): void {
+    const { listener } = this.options;
+    if (stated.kind === 'unreadable') {
+      listener.onUnreadable(this, { field: 'draining', what: stated.text });
+    }
+    if (stated.kind !== 'draining' || !this.standing.noteDraining()) return;
+    listener.onDraining(this, 'target', 0);
+  }
+
+  #noteBackoff(stated: StatedBackoff): void {
+    const { listener } = this.options;
+    if (stated.kind === 'unreadable') {
+      listener.onUnreadable(this, { field: 'backoff', what: stated.text });
+    }
+    if (stated.kind !== 'asked') return;
+    if (this.standing.noteBackoff(this.clock.now() + stated.time)) {
+      listener.onBackoff(this, stated.time);
+    }
+  }
+
   /** Takes a load report. @param own this daemon's calls that the report may count */
   noteLoad(report: LoadReport | undefined, own: number): void {
     if (report === undefined) return;
@@ -279,40 +328,41 @@
   }
 
   /**
-   * Takes what an answer to a call says of the rate.
+   * Takes what an answer says of the rate.
    *
    * @param askedAt when the call was sent: an answer that names no rate was made after that, and nothing else is known
    *   of when, so it ends no rate that was named since
    */
-  noteRate(word: RateWord, askedAt: number): void {
-    switch (word.kind) {
+  #noteRate(stated: StatedRate, askedAt: number): void {
+    switch (stated.kind) {
       case 'named':
-        this.#hearRate({ rate: word.rate, at: this.clock.now() });
+        this.#takeRate({ rate: stated.rate, at: this.clock.now() });
         return;
       case 'unreadable':
-        this.options.onUnreadableRate(this, word.text);
-        this.#hearRate({ rate: undefined, at: askedAt });
+        this.options.listener.onUnreadable(this, { field: 'rate', what: stated.text });
+        this.#takeRate({ rate: undefined, at: askedAt });
         return;
       case 'silent':
-        this.#hearRate({ rate: undefined, at: askedAt });
+        this.#takeRate({ rate: undefined, at: askedAt });
         return;
       default:
-        word satisfies never;
+        stated satisfies never;
     }
   }
 
   /** @param home the daemon that told of it, when the target itself did not */
-  #hearRate(word: NamedWord, home?: string): void {
+  #takeRate(told: NamedWord, home?: string): void {
     const now = this.clock.now();
-    const change = this.named.hear(word, now, home === undefined);
+    const change = this.named.hear(told, now, home === undefined);
     if (change === undefined) return;
-    this.options.onRate({ target: this, ...change, age: now - word.at, from: home ?? 'target' });
+    const { listener } = this.options;
+    listener.onRate(this, { ...change, age: now - told.at, from: home ?? 'target' });
   }
 
   /** Takes what another home knows of the target. */
   noteShare(home: string, { inFlight, slowdown, age, named }: LoadShare): void {
     const now = this.clock.now();
-    if (named !== undefined) this.#hearRate({ rate: named.rate, at: now - named.age }, home);
+    if (named !== undefined) this.#takeRate({ rate: named.rate, at: now - named.age }, home);
     const before = this.belief.lastSlowdown;
     this.belief.hearHome(home, inFlight, now);
     const isNews = slowdown !== undefined && this.belief.hearSlowdown(slowdown, now - age);
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -4,5 +4,6 @@
 export * from './metered.js';
 export * from './connector.js';
 export * from './wire.js';
+export * from './self-report.js';
 export * from './documents.js';
 export * from './kv-store.js';
--- /dev/null
+++ b/src/platform/self-report.ts
@@ -0,0 +1,127 @@
+/** What a target says of itself in the head of an answer: decoded once, and alike for every kind of answer. */
+import type { IncomingHttpHeaders } from 'node:http';
+import { HEADERS, MISDIRECTED } from './wire.js';
+
+/** What a target says of its load. */
+export interface LoadReport {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** How long work takes there now, as a multiple of the usual; 1 where it is not told. */
+  readonly slowdown: number;
+}
+
+/** What a target's answer says of the rate that it takes. */
+export type StatedRate =
+  | { readonly kind: 'silent' }
+  /** `rate` is in requests a second, of all daemons together. */
+  | { readonly kind: 'named'; readonly rate: number }
+  | { readonly kind: 'unreadable'; readonly text: string };
+
+/** Whether a target's answer says that it is draining, which it never takes back. */
+export type StatedDraining =
+  { readonly kind: 'silent' | 'draining' } | { readonly kind: 'unreadable'; readonly text: string };
+
+/** For how long a target that rejects a request wants no more from this daemon. */
+export type StatedBackoff =
+  | { readonly kind: 'silent' }
+  /** `time` is in milliseconds from the answer on. */
+  | { readonly kind: 'asked'; readonly time: number }
+  | { readonly kind: 'unreadable'; readonly text: string };
+
+/** All that the head of one answer says of the target that made it. */
+export interface SelfReport {
+  readonly load: LoadReport | undefined;
+  /** For how long it is still cold, in milliseconds; undefined when it does not say. */
+  readonly coldLeft: number | undefined;
+  readonly rate: StatedRate;
+  readonly draining: StatedDraining;
+  readonly backoff: StatedBackoff;
+  /** The incarnation that names itself; undefined when none does. */
+  readonly incarnation: string | undefined;
+  /** Whether the target did not run the request. */
+  readonly isRejected: boolean;
+  /** Whether another incarnation than the expected one answered; the rest is then not about the expected one. */
+  readonly isMisdirected: boolean;
+  /** Whether the target signed its answer. */
+  readonly isSigned: boolean;
+}
+
+const USUAL_PERCENT = 100;
+
+const UNAVAILABLE = 503;
+
+const MILLISECONDS = 1000;
+
+/** A plain decimal number: no sign, no exponent, no other base. */
+const DECIMAL = /^(\d+\.?\d*|\.\d+)$/;
+
+/** Digits beyond these say nothing of a rate or a time. */
+const LONGEST_NUMBER = 20;
+
+/** Reads a header; one that Node keeps as a list counts by its first value. */
+export function readHeader(headers: IncomingHttpHeaders, name: string): string | undefined {
+  const value = headers[name.toLowerCase()];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function isDecimal(text: string): boolean {
+  return text.length <= LONGEST_NUMBER && DECIMAL.test(text);
+}
+
+function rejectText(text: string): { readonly kind: 'unreadable'; readonly text: string } {
+  return { kind: 'unreadable', text: text.slice(0, LONGEST_NUMBER) };
+}
+
+/** Reads the load header: running, waiting, slots, and the slowdown in hundredths. */
+export function parseLoad(text: string | undefined): LoadReport | undefined {
+  if (text === undefined) return undefined;
+  const [running, waiting, slots, percent = USUAL_PERCENT] = text.split(',').map(Number);
+  if (![running, waiting, slots, percent].every((value) => Number.isFinite(value) && value >= 0)) {
+    return undefined;
+  }
+  return { running, waiting, slots, slowdown: percent / USUAL_PERCENT };
+}
+
+/** Reads for how long a target says that it is still cold, in milliseconds; undefined when it says nothing. */
+export function parseColdLeft(text: string | undefined): number | undefined {
+  const left = text === undefined || text === '' ? NaN : Number(text);
+  return left >= 0 && Number.isFinite(left) ? left : undefined;
+}
+
+/** Reads the rate that a target names; one that is named twice comes as two numbers and is unreadable. */
+export function parseRate(text: string | undefined): StatedRate {
+  if (text === undefined) return { kind: 'silent' };
+  return isDecimal(text) ? { kind: 'named', rate: Number(text) } : rejectText(text);
+}
+
+/** Reads whether a target says that it is draining. */
+export function parseDraining(text: string | undefined): StatedDraining {
+  if (text === undefined) return { kind: 'silent' };
+  return text === '1' ? { kind: 'draining' } : rejectText(text);
+}
+
+/** Reads for how many seconds a target asks to be left alone; a date names no time that two clocks agree on. */
+export function parseBackoff(text: string | undefined): StatedBackoff {
+  if (text === undefined) return { kind: 'silent' };
+  return isDecimal(text) ? { kind: 'asked', time: Number(text) * MILLISECONDS } : rejectText(text);
+}
+
+/** Decodes what the head of an answer says of its target. */
+export function decodeSelfReport(
+  status: number | undefined,
+  headers: IncomingHttpHeaders,
+): SelfReport {
+  const read = (name: string) => readHeader(headers, name);
+  return {
+    load: parseLoad(read(HEADERS.load)),
+    coldLeft: parseColdLeft(read(HEADERS.coldLeft)),
+    rate: parseRate(read(HEADERS.rate)),
+    draining: parseDraining(read(HEADERS.draining)),
+    backoff: parseBackoff(status === UNAVAILABLE ? read(HEADERS.retryAfter) : undefined),
+    incarnation: read(HEADERS.incarnation),
+    isRejected: read(HEADERS.notRun) !== undefined,
+    isMisdirected: status === MISDIRECTED,
+    isSigned: read(HEADERS.signature) !== undefined,
+  };
+}
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -20,6 +20,10 @@
   load: 'Server-Load',
   /** In a target's answer: the requests a second that it takes from all daemons together. */
   rate: 'Server-Limit',
+  /** In a target's answer: `1` when it takes no new requests any more. */
+  draining: 'Server-Leaving',
+  /** In a target's rejection: the seconds for which it wants nothing from the daemon that it answers. */
+  retryAfter: 'Retry-After',
   /** Present only when the target did not run the request. */
   notRun: 'Not-Executed',
 } as const;
@@ -49,55 +53,6 @@
   resolve: '/resolve',
 } as const;
 
-/** What a target says of its load. */
-export interface LoadReport {
-  readonly running: number;
-  readonly waiting: number;
-  readonly slots: number;
-  /** How long work takes there now, as a multiple of the usual; 1 where it is not told. */
-  readonly slowdown: number;
-}
-
-const USUAL_PERCENT = 100;
-
-/** Reads the load header: running, waiting, slots, and the slowdown in hundredths. */
-export function parseLoad(text: string | undefined): LoadReport | undefined {
-  if (text === undefined) return undefined;
-  const [running, waiting, slots, percent = USUAL_PERCENT] = text.split(',').map(Number);
-  if (![running, waiting, slots, percent].every((value) => Number.isFinite(value) && value >= 0)) {
-    return undefined;
-  }
-  return { running, waiting, slots, slowdown: percent / USUAL_PERCENT };
-}
-
-/** Reads for how long a target says that it is still cold, in milliseconds; undefined when it says nothing. */
-export function parseColdLeft(text: string | undefined): number | undefined {
-  const left = text === undefined || text === '' ? NaN : Number(text);
-  return left >= 0 && Number.isFinite(left) ? left : undefined;
-}
-
-/** What a target's answer says of the rate that it takes. */
-export type RateWord =
-  | { readonly kind: 'silent' }
-  /** `rate` is in requests a second, of all daemons together. */
-  | { readonly kind: 'named'; readonly rate: number }
-  | { readonly kind: 'unreadable'; readonly text: string };
-
-/** A plain decimal number: no sign, no exponent, no other base. */
-const DECIMAL = /^(\d+\.?\d*|\.\d+)$/;
-
-/** Digits beyond these say nothing of a rate. */
-const LONGEST_RATE = 20;
-
-/** Reads the rate that a target names; one that is named twice comes as two numbers and is unreadable. */
-export function parseRate(text: string | undefined): RateWord {
-  if (text === undefined) return { kind: 'silent' };
-  if (text.length > LONGEST_RATE || !DECIMAL.test(text)) {
-    return { kind: 'unreadable', text: text.slice(0, LONGEST_RATE) };
-  }
-  return { kind: 'named', rate: Number(text) };
-}
-
 /** The question of a client that wants to know which addresses to use. */
 export interface ResolveQuestion {
   readonly host: string;
--- a/src/view/store-reader.ts
+++ b/src/view/store-reader.ts
@@ -193,7 +193,10 @@
         return this.#readAllTargets(false);
       case 'not-done':
       case 'unknown':
-        this.options.log.warn('store.unanswered', { call: 'watch', reason: answer.reason });
+        this.options.log.warn('store.unanswered', {
+          ...{ call: 'watch', prefix: KEYS.targets, reason: answer.reason },
+          took: Math.round(clock.now() - startedAt),
+        });
         return false;
       default:
         return answer satisfies never;
@@ -312,19 +315,25 @@
 
   /** One reading of what the operators keep; false when the store did not answer, or nothing is there. */
   async #readOperators(): Promise<boolean> {
-    const { store, view } = this.options;
+    const { store, view, clock } = this.options;
     const after = Math.max(this.#operatorsAfter ?? 0, view.known.operators);
     if (after === 0 || view.table === undefined) return this.#readAllOfOperators(false);
+    const startedAt = clock.now();
     const answer = await store.watch(KEYS.operators, after, OPERATORS_WAIT);
     switch (answer.kind) {
       case 'events':
         for (const event of answer.events) this.#takeOperatorsEvent(event);
         this.#noteOperatorsKnown(Math.max(after, answer.storeRevision));
+        view.proveOperators(answer.events.length === 0 ? startedAt + OPERATORS_WAIT : startedAt);
         return true;
       case 'history-gone':
         return this.#readAllOfOperators(false);
       case 'not-done':
       case 'unknown':
+        this.options.log.warn('store.unanswered', {
+          ...{ call: 'watch', prefix: KEYS.operators, reason: answer.reason },
+          took: Math.round(clock.now() - startedAt),
+        });
         return false;
       default:
         return answer satisfies never;
@@ -333,7 +342,8 @@
 
   /** Reads all that the operators keep. They have a configuration before anybody calls; until then asks again soon. */
   async #readAllOfOperators(stale: boolean): Promise<boolean> {
-    const { store, view } = this.options;
+    const { store, view, clock } = this.options;
+    const startedAt = clock.now();
     const keys: string[] = [];
     let firstRevision = 0;
     let hasConfiguration = false;
@@ -352,7 +362,10 @@
     }
     // Later pages may be newer than the first; what changed since then is heard of again, from there on.
     view.setEvacuations({ domains: this.#listDomains(keys), revision: firstRevision });
-    if (!stale) this.#noteOperatorsKnown(firstRevision);
+    if (!stale) {
+      this.#noteOperatorsKnown(firstRevision);
+      view.proveOperators(startedAt);
+    }
     return hasConfiguration;
   }
 
--- /dev/null
+++ b/test/helpers/listener.ts
@@ -0,0 +1,9 @@
+/** A listener to targets that does nothing. */
+import type { TargetListener } from '../../src/gateway/target-news.js';
+
+export const quietListener: TargetListener = {
+  onRate: () => undefined,
+  onDraining: () => undefined,
+  onBackoff: () => undefined,
+  onUnreadable: () => undefined,
+};
--- a/test/helpers/targets.ts
+++ b/test/helpers/targets.ts
@@ -3,6 +3,7 @@
 import { TargetSet } from '../../src/gateway/target-set.js';
 import { type Clock, createSeededRandom } from '../../src/kernel/index.js';
 import { FleetView } from '../../src/view/index.js';
+import { quietListener } from './listener.js';
 
 /** Creates an empty view. */
 export function createView(): FleetView {
@@ -19,7 +20,7 @@
   return new TargetSet({
     ...{ clock, random: createSeededRandom(1), domain: 'd1' },
     ...{ countHomes: () => 1, countTellers: () => 0, findRegion: () => undefined },
-    ...{ onRate: () => undefined, onUnreadableRate: () => undefined },
+    listener: quietListener,
     readColdness: () => ({ rate: Infinity, overshoot: 1, slack: 0, time: 0 }),
     readShare: () => ({ part: 1, homes: ['127.0.0.1'], self: '127.0.0.1' }),
     createBudget: () => new WindowBudget(clock, () => ({ ratio: 0.2, window: 10_000, slack: 5 })),
--- a/test/lessons.test.ts
+++ b/test/lessons.test.ts
@@ -19,6 +19,7 @@
 import { KEYS, type KvStore, createKvStore } from '../src/platform/index.js';
 import { WindowBudget } from '../src/balance/index.js';
 import { KvStandin } from '../src/standin/index.js';
+import { quietListener } from './helpers/listener.js';
 
 const LESSONS: Lessons = {
   services: { alpha: { mean: 2, slow: 5, life: 150, knee: 1.7 } },
@@ -138,7 +139,7 @@
     const targets = new TargetSet({
       ...{ clock, random, domain: 'd', countHomes: () => 1, countTellers: () => 0 },
       findRegion: () => undefined,
-      ...{ onRate: () => undefined, onUnreadableRate: () => undefined },
+      listener: quietListener,
       readColdness: () => ({ rate: Infinity, overshoot: 1, slack: 0, time: 0 }),
       readShare: () => ({ part: 1, homes: ['127.0.0.1'], self: '127.0.0.1' }),
       createBudget: () => new WindowBudget(clock, () => ({ ratio: 0, slack: 0, window: 1000 })),
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -19,6 +19,7 @@
 import { ManualClock, createLineLog, createSeededRandom } from '../src/kernel/index.js';
 import { type Datagram, decodeDatagram, encodeDatagram } from '../src/peering/index.js';
 import type { Route } from '../src/routing/index.js';
+import { quietListener } from './helpers/listener.js';
 
 const IDLE: Prospect = {
   ...{ slots: 3, calls: 0, slowdown: 1, cold: 1, failures: 0, doubtful: false, isFar: false },
@@ -263,8 +264,7 @@
       {
         memory: new SlowdownMemory(),
         onOpened: () => undefined,
-        onRate: () => undefined,
-        onUnreadableRate: () => undefined,
+        listener: quietListener,
       },
     );
     queue = new SlotQueue(clock, createSeededRandom(7), () =>
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -3,6 +3,7 @@
 import { type SlotAnswer, type SlotCall, SlotQueue } from '../src/gateway/slot-queue.js';
 import { GatewayTarget } from '../src/gateway/target.js';
 import { ManualClock, createSeededRandom } from '../src/kernel/index.js';
+import { quietListener } from './helpers/listener.js';
 
 const SLOTS = 26;
 const WORK = 220;
@@ -48,8 +49,7 @@
     {
       memory: new SlowdownMemory(),
       onOpened: () => undefined,
-      onRate: () => undefined,
-      onUnreadableRate: () => undefined,
+      listener: quietListener,
     },
   );
   const queue = new SlotQueue(clock, random, () =>
--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -22,6 +22,7 @@
 import { FleetView } from '../src/view/index.js';
 import { waitUntil } from './helpers/fleet.js';
 import { type CallerReply, Site, sendTo } from './helpers/gateways.js';
+import { quietListener } from './helpers/listener.js';
 
 const POISON = '/a/poison?page=3';
 
@@ -254,7 +255,7 @@
     const targets = new TargetSet({
       ...{ clock, random: createSeededRandom(5), domain: 'd', countHomes: () => 1 },
       ...{ countTellers: () => 0, findRegion: () => undefined },
-      ...{ onRate: () => undefined, onUnreadableRate: () => undefined },
+      listener: quietListener,
       readColdness: () => ({ rate: Infinity, overshoot: 1, slack: 0, time: 0 }),
       readShare: () => ({ part: 1, homes: ['127.0.0.1'], self: '127.0.0.1' }),
       createBudget: () => new WindowBudget(clock, () => ({ ratio: 0, slack: 0, window: 1000 })),
