--- a/src/standin/site.ts
+++ b/src/standin/site.ts
@@ -116,6 +116,9 @@
   /** What it says in answers of the rate that it takes; says nothing unless set. */
   rate: string | string[] | undefined;
 
+  /** What it says in all its answers of draining; says nothing unless set. */
+  draining: string | undefined;
+
   behaviour: Behaviour | undefined;
 
   /** How often its process has ended and taken all that it ran with it. */
@@ -175,10 +178,24 @@
       ...{ 'Attempt-Id': request.headers['attempt-id'], 'Server-Signature': 'sig.1' },
       ...{ 'Server-Load': `0,0,4,${this.slowdown}`, 'Content-Length': Buffer.byteLength(body) },
       ...(this.rate === undefined ? {} : { 'Server-Limit': this.rate }),
+      ...this.#describeDraining(),
     });
     response.end(body);
   }
 
+  /** Answers that it did not run a request, and may ask for some seconds without any. */
+  reject(response: ServerResponse, retryAfter?: string): void {
+    response.writeHead(503, {
+      ...{ 'Not-Executed': '1', ...this.#describeDraining() },
+      ...(retryAfter === undefined ? {} : { 'Retry-After': retryAfter }),
+    });
+    response.end();
+  }
+
+  #describeDraining(): Readonly<Record<string, string>> {
+    return this.draining === undefined ? {} : { 'Server-Leaving': this.draining };
+  }
+
   async #take(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (request.url === '/health') {
       this.probes += 1;
@@ -186,6 +203,7 @@
       response.writeHead(200, {
         ...{ 'Instance-Id': this.incarnation, 'Server-Load': `0,0,4,${this.slowdown}` },
         ...(this.coldLeft === undefined ? {} : { 'Warmup-Ms': this.coldLeft }),
+        ...this.#describeDraining(),
       });
       response.end();
       return;
--- /dev/null
+++ b/test/backoff.test.ts
@@ -0,0 +1,157 @@
+import { expect } from 'chai';
+import { pause } from '../src/demo/index.js';
+import type { SiteTarget } from '../src/standin/index.js';
+import { type CallerReply, Site, sendTo } from './helpers/gateways.js';
+
+const SECOND = 1000;
+
+/** Sends requests to each daemon, two at a time, for a while. */
+async function sendFor(
+  ips: readonly string[],
+  time: number,
+  deadline = 4000,
+): Promise<readonly CallerReply[]> {
+  const until = performance.now() + time;
+  const replies: CallerReply[] = [];
+  const sendOn = async (ip: string) => {
+    while (performance.now() < until) {
+      replies.push(await sendTo(ip, { deadline }));
+      await pause(10);
+    }
+  };
+  await Promise.all(ips.flatMap((ip) => [sendOn(ip), sendOn(ip)]));
+  return replies;
+}
+
+// Guards against sending more to a target that has rejected a request and asked for some seconds without any.
+describe('a target that asks to be left alone for a time', () => {
+  let site: Site;
+  let target: SiteTarget;
+  let others: SiteTarget[];
+  let arrivals: number[];
+  let ips: string[];
+  /** How it answers the next requests; well once there is nothing more. */
+  let rejections: ((response: Parameters<SiteTarget['reject']>[0]) => void)[];
+
+  const startSite = async (besides: number, daemons = 1) => {
+    site = await new Site().start([{ prefix: '/a/', attempts: 3 }]);
+    target = await site.addTarget();
+    arrivals = [];
+    rejections = [];
+    target.behaviour = (request, response) => {
+      arrivals.push(performance.now());
+      const reject = rejections.shift();
+      if (reject === undefined) setTimeout(() => target.answer(request, response), 10);
+      else reject(response);
+    };
+    others = [];
+    for (let index = 0; index < besides; index += 1) others.push(await site.addTarget());
+    ips = [await site.addGateway()];
+    while (ips.length < daemons) ips.push(await site.addGateway([ips[0]]));
+    if (daemons > 1) await pause(SECOND);
+    await sendFor(ips, 300);
+    arrivals.length = 0;
+  };
+  /** What reaches the target later than this was sent after its word was read. */
+  const READ = 50;
+  const countBetween = (from: number, to: number) =>
+    arrivals.filter((at) => at >= arrivals[0] + from && at < arrivals[0] + to).length;
+
+  afterEach(() => site.stop());
+
+  for (const [what, rejectWith] of [
+    ['which it says that it did not run', { 'Not-Executed': '1' }],
+    ['of which it does not say so', { 'Server-Signature': 's' }],
+  ] as const) {
+    it(`with a rejection ${what} gets nothing meanwhile, and its share soon after`, async () => {
+      await startSite(2);
+      rejections.push((response) =>
+        response.writeHead(503, { ...rejectWith, 'Retry-After': '1.5' }).end(),
+      );
+      const replies = await sendFor(ips, 4 * SECOND);
+      expect(countBetween(READ, 1500)).to.equal(0);
+      expect(countBetween(2500, 3500)).to.be.greaterThan(20);
+      const served = replies.filter(({ status }) => status === 200).length;
+      expect(served).to.be.within(replies.length - 1, replies.length);
+    });
+  }
+
+  it('gets nothing by repeats of what the others reject, nor by second attempts', async () => {
+    await startSite(2);
+    rejections.push((response) => target.reject(response, '3'));
+    await sendFor(ips, 300);
+    for (const other of others) other.behaviour = (_request, response) => other.reject(response);
+    await sendFor(ips, 500);
+    for (const other of others) {
+      other.behaviour = (request, response) => {
+        setTimeout(() => other.answer(request, response), 500);
+      };
+    }
+    await sendFor(ips, 1500);
+    expect(countBetween(READ, 2900)).to.equal(0);
+  });
+
+  it('binds the daemon that was asked, and no other one', async () => {
+    await startSite(2, 2);
+    rejections.push((response) => target.reject(response, '2'));
+    await sendFor([ips[0]], 500);
+    expect(arrivals).to.have.length(1);
+    await sendFor([ips[1]], SECOND);
+    expect(arrivals.length).to.be.greaterThan(5);
+  });
+
+  it('holds to the latest end that it asked for', async () => {
+    await startSite(2);
+    rejections.push(
+      (response) => setTimeout(() => target.reject(response, '2'), 30),
+      (response) => setTimeout(() => target.reject(response, '0.5'), 60),
+    );
+    await Promise.all([sendFor(ips, 3 * SECOND), sendFor(ips, 3 * SECOND)]);
+    expect(countBetween(150, 2000)).to.equal(0);
+    expect(countBetween(2000, 3000)).to.be.greaterThan(1);
+  });
+
+  it('and is the only one leaves callers told when it is back, at once', async () => {
+    await startSite(0);
+    rejections.push((response) => target.reject(response, '3'));
+    await sendTo(ips[0]);
+    const replies = await sendFor(ips, SECOND, 800);
+    expect(replies.length).to.be.greaterThan(50);
+    for (const { status, took, headers } of replies) {
+      expect(status).to.equal(503);
+      expect(took).to.be.lessThan(200);
+      expect(Number(headers['retry-after'])).to.be.within(1.5, 4.5);
+    }
+    expect(countBetween(READ, 3000)).to.equal(0);
+  });
+
+  it('and is the only one is waited for where that ends in time', async () => {
+    await startSite(0);
+    rejections.push((response) => target.reject(response, '0.3'));
+    await sendTo(ips[0]);
+    const { status, took } = await sendTo(ips[0]);
+    expect(status).to.equal(200);
+    expect(took).to.be.within(200, 1000);
+  });
+
+  for (const text of ['0', '-1', 'NaN', 'Infinity', 'Thu, 03 Dec 2026 10:00:00 GMT', 'soon']) {
+    it(`by ${JSON.stringify(text)} is used as before`, async () => {
+      await startSite(2);
+      // What it has rejected counts as a failure, for which others are preferred unless they are slow.
+      for (const other of others) other.slowdown = 700;
+      rejections.push((response) => target.reject(response, text));
+      await sendFor(ips, 1500);
+      expect(arrivals.length).to.be.greaterThan(5);
+    });
+  }
+
+  it('with another status than that of a rejection is used as before', async () => {
+    await startSite(2);
+    for (const other of others) other.slowdown = 700;
+    rejections.push((response) =>
+      response.writeHead(500, { 'Server-Signature': 's', 'Retry-After': '60' }).end(),
+    );
+    await sendFor(ips, 1500);
+    expect(arrivals.length).to.be.greaterThan(5);
+  });
+});
--- /dev/null
+++ b/test/helpers/news-fleet.ts
@@ -0,0 +1,301 @@
+/** Daemons that tell each other what the store holds, in one process and on a clock that the test moves. */
+import { setMaxListeners } from 'node:events';
+import { KnowledgeExchange } from '../../src/gateway/knowledge-exchange.js';
+import { ManualClock, createSeededRandom, createSilentLog } from '../../src/kernel/index.js';
+import {
+  KEYS,
+  type KvReader,
+  type StoreEvent,
+  type StoredItem,
+  type WatchAnswer,
+} from '../../src/platform/index.js';
+import { type FeedQuestion, ReaderDuty, Roster } from '../../src/peering/index.js';
+import { writeConfiguration, writeTarget } from '../../src/standin/index.js';
+import { FleetView, StoreReader } from '../../src/view/index.js';
+
+const ADDRESS = { host: '10.0.0.9', port: 80 };
+
+/** Time for which a call to the store waits for an answer, besides a watch's own. */
+const CALL_TIMEOUT = 1000;
+
+/** Longest wait for an answer of another daemon. */
+const FEED_TIMEOUT = 600;
+
+const READERS = 2;
+
+/** Daemons ask this often: those near the homes, and the others. */
+const NEAR_PACE = 100;
+const PACE = 250;
+
+/** What is slow or broken in a fleet; times in milliseconds. */
+export interface FleetFaults {
+  /** One way between two daemons. */
+  readonly link?: number;
+  /** One way to the store and through it. */
+  readonly store?: number;
+  /** For how long each daemon lets lie what has come. */
+  readonly lag?: number;
+}
+
+type Waiter = () => void;
+
+/** A store in memory: it hears no daemon that it is cut from, and answers none that it was cut from meanwhile. */
+class NewsStore {
+  readonly items = new Map<string, StoredItem>();
+
+  readonly events: StoreEvent[] = [];
+
+  readonly #waiters = new Set<Waiter>();
+
+  #revision = 0;
+
+  #cuts = new Map<string, number>();
+
+  constructor(
+    private readonly clock: ManualClock,
+    private readonly delay: number,
+  ) {}
+
+  put(key: string, text: string): void {
+    this.#revision += 1;
+    const item = { key, text, revision: this.#revision };
+    this.items.set(key, item);
+    this.events.push({ kind: 'written', item });
+    for (const wake of [...this.#waiters]) wake();
+  }
+
+  /** From now on a daemon gets no answer, until it is joined again. */
+  cut(ip: string): void {
+    this.#cuts.set(ip, Infinity);
+  }
+
+  join(ip: string): void {
+    this.#cuts.set(ip, this.clock.now());
+  }
+
+  /** Whether what was sent at a time brings no answer. */
+  #isLost(ip: string, sentAt: number): boolean {
+    const until = this.#cuts.get(ip) ?? -Infinity;
+    return until === Infinity || sentAt <= until;
+  }
+
+  createReader(ip: string): KvReader {
+    const call = async <T>(wait: number, answer: () => Promise<T>) => {
+      const sentAt = this.clock.now();
+      await this.clock.sleep(this.delay);
+      const given = await answer();
+      await this.clock.sleep(this.delay);
+      if (!this.#isLost(ip, sentAt)) return given;
+      await this.clock.sleep(Math.max(0, sentAt + wait + CALL_TIMEOUT - this.clock.now()));
+      return { kind: 'unknown' as const, reason: 'timeout' };
+    };
+    return {
+      readItem: () => call(0, async () => ({ kind: 'absent' as const })),
+      readItems: (prefix) =>
+        call(0, async () => ({
+          ...{ kind: 'items' as const, storeRevision: this.#revision, hasMore: false },
+          items: [...this.items.values()].filter(({ key }) => key.startsWith(prefix)),
+        })),
+      watch: (prefix, after, wait) => call(wait, () => this.#watch(prefix, after, wait)),
+    };
+  }
+
+  async #watch(prefix: string, after: number, wait: number): Promise<WatchAnswer> {
+    const list = () =>
+      this.events.filter(
+        (it) => it.kind === 'written' && it.item.revision > after && it.item.key.startsWith(prefix),
+      );
+    if (list().length === 0) {
+      await new Promise<void>((resolve) => {
+        const timer = this.clock.schedule(wait, resolve);
+        const wake = () => {
+          if (list().length === 0) return;
+          this.#waiters.delete(wake);
+          timer.cancel();
+          resolve();
+        };
+        this.#waiters.add(wake);
+      });
+    }
+    return { kind: 'events', events: list(), storeRevision: this.#revision };
+  }
+}
+
+/** One daemon: what it knows, and how it learns it. */
+class NewsDaemon {
+  readonly view: FleetView;
+
+  readonly roster: Roster;
+
+  /** When each version came into force here. */
+  readonly adopted = new Map<number, number>();
+
+  isGone = false;
+
+  readonly #exchange: KnowledgeExchange;
+
+  readonly #reader: StoreReader;
+
+  constructor(
+    readonly ip: string,
+    private readonly fleet: NewsFleet,
+    seed: number,
+  ) {
+    const { clock } = fleet;
+    const self = { ip, domain: `d${seed % 3}`, capacity: 1, isSenior: true };
+    this.view = new FleetView({
+      onTable: ({ version }) => this.adopted.set(version, clock.now()),
+      onTarget: () => undefined,
+      onEvacuations: () => undefined,
+      onFault: () => undefined,
+    });
+    const { view } = this;
+    this.roster = new Roster({ clock, self, selfState: () => 'ready', homes: 3, capacity: 1 });
+    const duty = new ReaderDuty(clock, {
+      isAppointed: () => this.isReader,
+      isNearHomes: () => this.roster.isNearHomes(),
+    });
+    duty.noteServing();
+    this.#reader = new StoreReader({
+      ...{ store: fleet.store.createReader(ip), view, clock, log: createSilentLog() },
+      ...{ random: createSeededRandom(seed), isReader: () => duty.isReader() },
+      readLongestPause: () => duty.readLongestPause(),
+    });
+    this.#exchange = new KnowledgeExchange({
+      ...{ clock, self: ip, view, roster: this.roster, reader: this.#reader, duty },
+      feed: {
+        fetchNews: (from: string, question: FeedQuestion) => fleet.fetch(this, from, question),
+        fetchMembers: () => Promise.resolve(true),
+      } as never,
+      listCases: () => [],
+    });
+  }
+
+  /** Whether it reads the store for all. */
+  get isReader(): boolean {
+    const readers = this.roster.listHomes().slice(0, READERS);
+    return readers.some(({ ip }) => ip === this.ip);
+  }
+
+  run(signal: AbortSignal): void {
+    this.#reader.run(signal).catch(() => undefined);
+    this.#askOn(signal).catch(() => undefined);
+  }
+
+  async #askOn(signal: AbortSignal): Promise<void> {
+    const { clock } = this.fleet;
+    while (!signal.aborted) {
+      for (const { ip } of this.roster.listToAsk()) {
+        this.#ask(ip).catch(() => undefined);
+      }
+      await clock.sleep(this.roster.isNearHomes() ? NEAR_PACE : PACE, signal);
+    }
+  }
+
+  async #ask(ip: string): Promise<void> {
+    const { clock } = this.fleet;
+    const askedAt = clock.now();
+    const other = this.fleet.find(ip);
+    await this.fleet.pass();
+    if (other.isGone) return;
+    const knowledge = other.#exchange.read();
+    const presences = other.roster.listPresences();
+    await this.fleet.pass();
+    if (this.isGone) return;
+    const travelled = clock.now() - askedAt;
+    this.roster.hear({ ip, domain: other.domain, capacity: 1, isSenior: true }, IDLE);
+    for (const presence of presences) {
+      this.roster.hearOf({ ...presence, age: presence.age + travelled });
+    }
+    const { reading, proofAge } = knowledge;
+    await this.#exchange.hear(
+      { ip, domain: other.domain, capacity: 1, isSenior: true },
+      {
+        ...{ ...knowledge, proofAge: proofAge + travelled },
+        reading: reading && { ...reading, age: reading.age + travelled },
+      },
+    );
+  }
+
+  get domain(): string {
+    return this.roster.list().find(({ ip }) => ip === this.ip)?.domain ?? '';
+  }
+}
+
+const IDLE = { state: 'ready', busy: 0, askers: 0 } as const;
+
+/** Nine daemons in three failure domains, and their store. */
+export class NewsFleet {
+  readonly clock = new ManualClock();
+
+  readonly store: NewsStore;
+
+  readonly daemons: readonly NewsDaemon[];
+
+  readonly #running = new AbortController();
+
+  constructor(
+    seed: number,
+    private readonly faults: FleetFaults = {},
+  ) {
+    const { store = 2 } = faults;
+    this.store = new NewsStore(this.clock, store);
+    this.configure(1);
+    this.store.put(`${KEYS.targets}i`, writeTarget(ADDRESS));
+    const ips = Array.from({ length: 9 }, (_, index) => `10.0.${seed}.${index + 1}`);
+    this.daemons = ips.map((ip, index) => new NewsDaemon(ip, this, 10 * seed + index));
+    for (const { roster } of this.daemons) {
+      for (const { ip, domain } of this.daemons) {
+        roster.note({ ip, domain, capacity: 1, isSenior: true });
+        roster.hear({ ip, domain, capacity: 1, isSenior: true }, IDLE);
+      }
+    }
+    setMaxListeners(0, this.#running.signal);
+    for (const daemon of this.daemons) daemon.run(this.#running.signal);
+  }
+
+  configure(version: number): void {
+    this.store.put(KEYS.configuration, writeConfiguration(version, [{ prefix: '/a/' }]));
+  }
+
+  /** Lets the target say in its entry that it drains. */
+  drain(): void {
+    this.store.put(`${KEYS.targets}i`, writeTarget(ADDRESS, { state: 'draining' }));
+  }
+
+  find(ip: string): NewsDaemon {
+    const found = this.daemons.find((daemon) => daemon.ip === ip);
+    if (found === undefined) throw new Error(`no daemon has the address ${ip}`);
+    return found;
+  }
+
+  /** The daemons that read the store for all. */
+  listReaders(): readonly NewsDaemon[] {
+    return this.daemons.filter(({ isReader }) => isReader);
+  }
+
+  /** The way from one daemon to another, until it is looked at there. */
+  async pass(): Promise<void> {
+    const { link = 1, lag = 0 } = this.faults;
+    await this.clock.sleep(link + lag);
+  }
+
+  async fetch(to: NewsDaemon, from: string, { position }: FeedQuestion): Promise<boolean> {
+    const other = this.find(from);
+    const startedAt = this.clock.now();
+    // The first two ways open the connection.
+    for (let way = 0; way < 3; way += 1) await this.pass();
+    if (other.isGone) {
+      await this.clock.sleep(Math.max(0, startedAt + FEED_TIMEOUT - this.clock.now()));
+      return false;
+    }
+    const delta = other.view.diffSince(position, this.clock.now());
+    await this.pass();
+    to.view.applyDelta(delta, this.clock.now());
+    return true;
+  }
+
+  stop(): void {
+    this.#running.abort();
+  }
+}
--- /dev/null
+++ b/test/news.test.ts
@@ -0,0 +1,108 @@
+import { expect } from 'chai';
+import { NewsFleet, type FleetFaults } from './helpers/news-fleet.js';
+
+/** Within this time of its acknowledgement a change is to be in force, in milliseconds. */
+const PROMISE = 2000;
+
+/** What is to be left of that, whatever happens. */
+const SPARE = 100;
+
+/** Daemons are bound again this long after the store was away. */
+const CONTACT = 3000;
+
+const SEEDS = [1, 2, 3];
+
+const PHASES = [0, 170, 340, 510, 680, 850];
+
+/** A change is written after what happens to the store and the daemons. */
+interface Story {
+  readonly faults?: FleetFaults;
+  /** What happens; returns the time before which nobody is bound. */
+  readonly happen: (fleet: NewsFleet) => Promise<number> | number;
+  /** Time from then to the change, besides the phase. */
+  readonly pause: number;
+}
+
+async function loseStore(fleet: NewsFleet, time: number): Promise<number> {
+  for (const { ip } of fleet.daemons) fleet.store.cut(ip);
+  await fleet.clock.advance(time);
+  for (const { ip } of fleet.daemons) fleet.store.join(ip);
+  return fleet.clock.now() + CONTACT;
+}
+
+function silenceReaders(fleet: NewsFleet): number {
+  for (const { ip } of fleet.listReaders()) fleet.store.cut(ip);
+  return 0;
+}
+
+function killReaders(fleet: NewsFleet): number {
+  for (const daemon of fleet.listReaders()) {
+    daemon.isGone = true;
+    fleet.store.cut(daemon.ip);
+  }
+  return 0;
+}
+
+const SLOW: FleetFaults = { link: 15, store: 30, lag: 20 };
+
+const STORIES: Readonly<Record<string, Story>> = {
+  'on a quiet day': { happen: () => 0, pause: 0 },
+  'over slow links, at slow machines': { happen: () => 0, pause: 0, faults: SLOW },
+  'after the store was silent': { happen: (fleet) => loseStore(fleet, 6000), pause: 2000 },
+  'after the store was silent for a moment': {
+    happen: (fleet) => loseStore(fleet, 700),
+    pause: 1000,
+  },
+  'after the store was silent, over slow links': {
+    ...{ happen: (fleet: NewsFleet) => loseStore(fleet, 6000), pause: 2000, faults: SLOW },
+  },
+  'when those that read for all hear nothing from the store': { happen: silenceReaders, pause: 0 },
+  'when they hear nothing, over slow links': { happen: silenceReaders, pause: 0, faults: SLOW },
+  'when those that read for all have just been killed': { happen: killReaders, pause: 0 },
+  'when they have just been killed, over slow links': {
+    ...{ happen: killReaders, pause: 0, faults: SLOW },
+  },
+};
+
+// Guards against a change that some daemon has not in force in time, because those that read the store for all are not
+// told of it and nobody notices.
+describe('a change in the store', () => {
+  for (const [what, { faults, happen, pause }] of Object.entries(STORIES)) {
+    it(`is in force in time ${what}`, async () => {
+      for (const seed of SEEDS) {
+        for (const phase of PHASES) {
+          const fleet = new NewsFleet(seed, faults);
+          try {
+            await fleet.clock.advance(4000 + phase);
+            const silenced = new Set(happen === silenceReaders ? fleet.listReaders() : []);
+            const bound = await happen(fleet);
+            await fleet.clock.advance(pause + (bound > 0 ? phase : 0));
+            const writtenAt = fleet.clock.now();
+            fleet.configure(2);
+            await fleet.clock.advance(300);
+            // A second one within the second, which all are told of after the first.
+            fleet.configure(3);
+            fleet.drain();
+            const due = Math.max(writtenAt + PROMISE, bound) - SPARE;
+            await fleet.clock.advance(due - fleet.clock.now());
+            for (const daemon of fleet.daemons) {
+              if (daemon.isGone || silenced.has(daemon)) continue;
+              const told = `${daemon.ip}, seed ${seed}, phase ${phase}`;
+              expect(daemon.view.table?.version ?? 0, told).to.be.at.least(2);
+            }
+            await fleet.clock.advance(300);
+            for (const daemon of fleet.daemons) {
+              if (daemon.isGone || silenced.has(daemon)) continue;
+              const told = `${daemon.ip}, seed ${seed}, phase ${phase}`;
+              expect(daemon.view.table?.version, told).to.equal(3);
+              const [{ record }] = daemon.view.listTargets();
+              expect(record.state, told).to.equal('draining');
+            }
+          } finally {
+            fleet.stop();
+          }
+        }
+      }
+    }).timeout(60_000);
+  }
+});
