A target whose answers say that it drains gets no more requests

What callers saw: look-ups sent to a target that had said that it leaves, 2 and 6 s after the daemon that sent them had passed that on, while its entry in the store still said ready. Cause: an answer was read for the target's load and rate only; draining was learnt from its entry, and a bad health answer only made others preferred. Now the statement of an incarnation (Standing) decides with its entry, in GatewayTarget.isUsable, which every way to a target asks: the choice, repeats, second attempts, calls that waited, probes, and once more when a connection has come up (outcome withdrawn, nothing sent). It is kept by incarnation and start, so a lapsed entry that comes back, or a newer one that says ready, changes nothing; a new start is another target. The stand-in says it in answers to calls and in health answers separately now, so that each case knows which one told the daemon.

--- a/src/balance/standing.ts
+++ b/src/balance/standing.ts
@@ -1,14 +1,22 @@
 /** What a target itself has said of whether it takes requests from this daemon. */
 
+/** When and from whom it was learnt that a target drains. */
+export interface DrainingNotice {
+  /** When the target said so, in milliseconds on this daemon's clock. */
+  readonly at: number;
+  /** Whether it said so to this daemon. */
+  readonly isOwn: boolean;
+}
+
 /** What is known of one incarnation of a target. It outlives the target's entry in the list. */
 export class Standing {
-  #isDraining = false;
+  #draining: DrainingNotice | undefined;
 
   #backoffUntil = -Infinity;
 
-  /** Whether the target has said that it drains, which holds for as long as this incarnation lives. */
-  get isDraining(): boolean {
-    return this.#isDraining;
+  /** That the target drains, which holds for as long as this incarnation lives; undefined unless it has said so. */
+  get draining(): DrainingNotice | undefined {
+    return this.#draining;
   }
 
   /** Until when the target wants nothing from this daemon, in milliseconds on its clock. */
@@ -16,10 +24,15 @@
     return this.#backoffUntil;
   }
 
+  /** Whether anything that was said holds still. */
+  isNotable(now: number): boolean {
+    return this.#draining !== undefined || this.#backoffUntil > now;
+  }
+
   /** Notes that the target drains; returns whether that is news. */
-  noteDraining(): boolean {
-    const isNews = !this.#isDraining;
-    this.#isDraining = true;
+  noteDraining(notice: DrainingNotice): boolean {
+    const isNews = this.#draining === undefined;
+    if (isNews || (notice.isOwn && !this.#draining?.isOwn)) this.#draining = notice;
     return isNews;
   }
 
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -39,6 +39,8 @@
   | { readonly kind: 'answered'; readonly answer: TargetAnswer }
   /** No byte was sent. */
   | { readonly kind: 'not-connected'; readonly reason: string }
+  /** No byte was sent, as the target takes no calls any more since it was chosen. */
+  | { readonly kind: 'withdrawn' }
   /** The target said that it did not run the request. */
   | { readonly kind: 'not-run'; readonly cause: 'shed' | 'misdirected' }
   /** It was sent and no whole answer came; `isEnded` tells whether its target has ended. */
@@ -114,6 +116,11 @@
       this.#settle(taken);
       return;
     }
+    if (!target.isUsable) {
+      taken.connection.socket.emit('free');
+      this.#settle({ kind: 'withdrawn' });
+      return;
+    }
     this.timing.connected = this.clock.now() - this.startedAt;
     this.#write(taken.connection);
   }
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -358,6 +358,12 @@
         this.#log.tellFailure(attempt, outcome.kind, outcome.reason);
         if (this.#running.size === 0) this.#begin();
         return;
+      case 'withdrawn':
+        this.#ledger.noteNotRun();
+        this.#sendings -= 1;
+        this.context.metrics.count('calls_withdrawn', { service: this.request.service.name });
+        if (this.#running.size === 0) this.#begin();
+        return;
       case 'not-run':
         this.#ledger.noteNotRun();
         target.noteFailure();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -254,6 +254,7 @@
         this.#exchange.hear(from, knowledge).catch(() => undefined);
       },
       onShares: (from, shares) => this.#sharing.hear(from, shares),
+      onDraining: (from, shares) => this.#sharing.takeDraining(from, shares),
       onCases: (from, cases) => this.#poison.hear(from, cases),
     });
     this.#poison = new PoisonDesk({
@@ -318,6 +319,7 @@
       ...{ clock, targets: this.#targets, self: gateway.ip, listHomes },
       isServing: () => this.#targets.isServing(clock.now()),
       send: (ip, shares) => this.#link.sendShares(ip, shares),
+      sendDraining: (ip, shares) => this.#link.sendDraining(ip, shares),
     });
     this.#prober = new Prober({
       ...{ targets: this.#targets, clock },
--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -6,7 +6,8 @@
  * started anew. Such a daemon tells the homes of its calls, and hears from them for as long as it does.
  */
 import type { Clock } from '../kernel/index.js';
-import type { LoadShare } from '../peering/index.js';
+import type { DrainingShare, LoadShare } from '../peering/index.js';
+import { DrainingNews } from './draining-news.js';
 import type { GatewayTarget } from './target.js';
 import type { TargetSet } from './target-set.js';
 
@@ -20,6 +21,7 @@
   /** Whether calls come to this daemon. */
   readonly isServing: () => boolean;
   readonly send: (ip: string, shares: readonly LoadShare[]) => void;
+  readonly sendDraining: (ip: string, targets: readonly DrainingShare[]) => void;
 }
 
 /** Time between two datagrams to two others: short against a call, long against what a datagram costs. */
@@ -75,7 +77,11 @@
   /** When this home last told the others anything. */
   #homesToldAt = -Infinity;
 
-  constructor(private readonly options: LoadSharingOptions) {}
+  readonly #draining: DrainingNews;
+
+  constructor(private readonly options: LoadSharingOptions) {
+    this.#draining = new DrainingNews(options.targets, options.clock);
+  }
 
   /** Tells until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
@@ -95,6 +101,13 @@
     for (const share of shares) targets.findByHash(share.target)?.noteShare(from, share);
   }
 
+  /** Takes it that targets drain, as they told another daemon. */
+  takeDraining(from: string, drained: readonly DrainingShare[]): void {
+    for (const { target, age } of drained) {
+      this.options.targets.findByHash(target)?.noteDrainingTold(from, age);
+    }
+  }
+
   /** How many of the other homes have told of their calls of late. */
   countTellers(): number {
     const { clock, listHomes } = this.options;
@@ -126,6 +139,10 @@
     const otherHomes = homes.filter((ip) => ip !== self);
     const nonHomes = isHome ? this.#listNonHomes(homes) : [];
     if (otherHomes.length + nonHomes.length === 0) return;
+    const drained = this.#draining.take();
+    if (drained.length > 0) {
+      for (const ip of [...otherHomes, ...nonHomes]) this.options.sendDraining(ip, drained);
+    }
     const news = this.#listNews();
     this.#tellHomes(otherHomes, news);
     if (nonHomes.length > 0) this.#tellNonHomes(nonHomes, news);
--- a/src/gateway/target-news.ts
+++ b/src/gateway/target-news.ts
@@ -1,6 +1,7 @@
 /** Lines and counters for what targets say of themselves. */
 import type { Log, TextMetrics } from '../kernel/index.js';
 import type { GatewayTarget } from './target.js';
+import type { TargetService } from './target-service.js';
 
 /** What has changed of the rate that a target names. */
 export interface RateNews {
@@ -27,6 +28,10 @@
   /** The target wants nothing from this daemon for a time, in milliseconds. */
   onBackoff(target: GatewayTarget, time: number): void;
   onUnreadable(target: GatewayTarget, statement: UnreadableStatement): void;
+  /** No target of the service takes calls any more. */
+  onDeserted(service: TargetService): void;
+  /** Some targets of the service take calls again. */
+  onServed(service: TargetService, usable: number): void;
 }
 
 const EXPECTED: Readonly<Record<UnreadableStatement['field'], string>> = {
@@ -67,6 +72,17 @@
     this.metrics.count('target_backoff', { service });
   }
 
+  onDeserted(service: TargetService): void {
+    this.log.warn('service.deserted', {
+      ...{ service: service.name, targets: service.targets.size },
+      ...{ draining: service.countDraining(), backed_off: service.countBackedOff() },
+    });
+  }
+
+  onServed({ name, targets }: TargetService, usable: number): void {
+    this.log.info('service.served', { service: name, targets: targets.size, usable });
+  }
+
   onUnreadable({ record }: GatewayTarget, { field, what }: UnreadableStatement): void {
     const { incarnation, service } = record;
     this.log.warn(`${field}.unreadable`, {
--- a/src/gateway/target-service.ts
+++ b/src/gateway/target-service.ts
@@ -136,9 +136,14 @@
     return this.#countTargets(({ named }) => named.isLimited);
   }
 
+  /** Counts the targets that new calls may go to. */
+  countUsable(): number {
+    return this.#countTargets(({ isUsable }) => isUsable);
+  }
+
   /** Counts the targets that have said that they drain. */
   countDraining(): number {
-    return this.#countTargets(({ standing }) => standing.isDraining);
+    return this.#countTargets(({ standing }) => standing.draining !== undefined);
   }
 
   /** Counts the targets that want nothing from this daemon now. */
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -1,6 +1,7 @@
 /** The targets in use, by service, kept in step with the view. */
 import type { FleetView } from '../view/index.js';
 import type { Lessons, ServiceLesson } from './lessons.js';
+import { StandingBook } from './standing-book.js';
 import { GatewayTarget } from './target.js';
 import type { TargetListener } from './target-news.js';
 import { TargetService, type TargetServiceOptions } from './target-service.js';
@@ -21,10 +22,17 @@
 
   #lessons: Lessons['services'] = {};
 
+  /** Services without a target that takes calls. */
+  readonly #deserted = new Set<TargetService>();
+
   /** Connections opened to targets since the start. */
   opened = 0;
 
-  constructor(private readonly options: TargetSetOptions) {}
+  readonly #standings: StandingBook;
+
+  constructor(private readonly options: TargetSetOptions) {
+    this.#standings = new StandingBook(options.clock);
+  }
 
   /** Finds a service, known or not: targets may appear before or after the configuration. */
   find(name: string): TargetService {
@@ -74,6 +82,7 @@
         service.targets.delete(incarnation);
         service.noteChange();
         this.#byHash.delete(target.hash);
+        this.#standings.keep(target.record, target.standing);
         target.leave(record !== undefined && record.born > target.record.born);
       }
     }
@@ -96,7 +105,8 @@
         this.opened += 1;
       };
       const { clock, listener } = this.options;
-      const target = new GatewayTarget(entry, clock, { memory, onOpened, listener });
+      const standing = this.#standings.find(entry.record);
+      const target = new GatewayTarget(entry, clock, { memory, onOpened, listener, standing });
       target.update(entry, isEvacuated);
       targets.set(incarnation, target);
       service.noteChange();
@@ -120,10 +130,22 @@
     return this.#byHash.get(hash);
   }
 
-  /** Closes connections that have rested too long. */
+  /** Closes connections that have rested too long, and tells of services that no target takes calls of. */
   trim(): void {
-    for (const { targets } of this.#services.values()) {
-      for (const target of targets.values()) target.connections.trim();
+    for (const service of this.#services.values()) {
+      for (const target of service.targets.values()) target.connections.trim();
+      this.#reviewService(service);
     }
   }
+
+  #reviewService(service: TargetService): void {
+    const usable = service.countUsable();
+    const isDeserted = usable === 0;
+    if (isDeserted === this.#deserted.has(service)) return;
+    if (isDeserted) this.#deserted.add(service);
+    else this.#deserted.delete(service);
+    const { listener } = this.options;
+    if (isDeserted) listener.onDeserted(service);
+    else listener.onServed(service, usable);
+  }
 }
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -11,7 +11,7 @@
   SendMeter,
   type SlowdownMemory,
   type SlowdownPattern,
-  Standing,
+  type Standing,
   Warmth,
 } from '../balance/index.js';
 import type { Clock } from '../kernel/index.js';
@@ -85,6 +85,8 @@
   /** Called for each connection opened. */
   readonly onOpened: () => void;
   readonly listener: TargetListener;
+  /** What this incarnation has said before. */
+  readonly standing: Standing;
 }
 
 /** The release of a target; those that say none count as one. */
@@ -111,7 +113,7 @@
   readonly named = new NamedRate();
 
   /** What it has said of whether it takes requests from here. */
-  readonly standing = new Standing();
+  readonly standing: Standing;
 
   /** What this daemon may send there while all of them keep to a rate. */
   readonly bucket = new RateBucket();
@@ -153,7 +155,8 @@
     private readonly clock: Clock,
     private readonly options: GatewayTargetOptions,
   ) {
-    const { memory, onOpened } = options;
+    const { memory, onOpened, standing } = options;
+    this.standing = standing;
     this.#listed = listed;
     this.warmth.suspect(listed.coldUntil);
     this.trail = new ReportTrail(memory);
@@ -168,7 +171,8 @@
 
   /** Whether new calls may go there. */
   get isUsable(): boolean {
-    return this.record.state === 'ready' && !this.#misdirected && !this.#isEvacuated;
+    if (this.#isLeaving || this.#misdirected) return false;
+    return !this.#isEvacuated;
   }
 
   /**
@@ -194,13 +198,17 @@
     this.connections.close();
     const losses = this.#losses;
     this.#losses = [];
-    if (!isReborn || this.record.state === 'draining') return;
+    if (!isReborn || this.#isDraining) return;
     const now = this.clock.now();
     for (const { at, onEnded } of losses) if (now - at < LOSS_LIFE) onEnded();
   }
 
   get #isLeaving(): boolean {
-    return this.#isGone || this.record.state === 'draining';
+    return this.#isGone || this.#isDraining;
+  }
+
+  get #isDraining(): boolean {
+    return this.record.state === 'draining' || this.standing.draining !== undefined;
   }
 
   /**
@@ -303,8 +311,17 @@
     if (stated.kind === 'unreadable') {
       listener.onUnreadable(this, { field: 'draining', what: stated.text });
     }
-    if (stated.kind !== 'draining' || !this.standing.noteDraining()) return;
-    listener.onDraining(this, 'target', 0);
+    if (stated.kind === 'draining') this.#takeDraining(this.clock.now());
+  }
+
+  /** Takes it from another daemon that the target drains. @param age how long ago it said so, in milliseconds */
+  noteDrainingTold(from: string, age: number): void {
+    this.#takeDraining(this.clock.now() - age, from);
+  }
+
+  #takeDraining(at: number, from?: string): void {
+    if (!this.standing.noteDraining({ at, isOwn: from === undefined })) return;
+    this.options.listener.onDraining(this, from ?? 'target', this.clock.now() - at);
   }
 
   #noteBackoff(stated: StatedBackoff): void {
--- a/src/peering/datagram.ts
+++ b/src/peering/datagram.ts
@@ -65,13 +65,22 @@
   readonly age: number;
 }
 
+/** A target that has said that it drains. */
+export interface DrainingShare {
+  /** Stands for the target's incarnation. */
+  readonly target: number;
+  /** How long ago it said so, in milliseconds. */
+  readonly age: number;
+}
+
 /** A datagram. */
 export type Datagram =
   /** `asked` is how many daemons are asked in all, this one included. */
   | { readonly kind: 'ask'; readonly self: SelfWord; readonly asked: number }
   | { readonly kind: 'tell'; readonly self: SelfWord; readonly knowledge: Knowledge }
   | { readonly kind: 'load'; readonly shares: readonly LoadShare[] }
-  | { readonly kind: 'cases'; readonly cases: readonly CaseWord[] };
+  | { readonly kind: 'cases'; readonly cases: readonly CaseWord[] }
+  | { readonly kind: 'draining'; readonly targets: readonly DrainingShare[] };
 
 const STATES: readonly MemberState[] = ['starting', 'ready', 'stopping'];
 
@@ -79,6 +88,7 @@
 const TELL = 1;
 const LOAD = 2;
 const CASES = 3;
+const DRAINING = 4;
 
 /** Slowdowns travel as whole tenths, and none as 0. */
 const SLOWDOWN_STEPS = 10;
@@ -163,6 +173,10 @@
       ]);
     case 'cases':
       return encode([CASES, ...encodeCases(datagram.cases)]);
+    case 'draining': {
+      const fields = datagram.targets.flatMap(({ target, age }) => [target, Math.round(age)]);
+      return encode([DRAINING, ...fields]);
+    }
     default:
       return datagram satisfies never;
   }
@@ -289,6 +303,17 @@
   return { kind: 'load', shares };
 }
 
+function decodeDraining(fields: readonly unknown[]): Datagram | undefined {
+  if (!isNumbers(fields) || fields.length % 2 !== 0) return undefined;
+  const targets: DrainingShare[] = [];
+  for (let at = 0; at < fields.length; at += 2) {
+    const [target, age] = fields.slice(at, at + 2);
+    if (!(age >= 0)) return undefined;
+    targets.push({ target, age });
+  }
+  return { kind: 'draining', targets };
+}
+
 /** Unpacks a datagram; undefined when it is none of ours. */
 export function decodeDatagram(bytes: Uint8Array): Datagram | undefined {
   let value: unknown;
@@ -314,6 +339,8 @@
       const cases = decodeCases(fields);
       return cases && { kind: 'cases', cases };
     }
+    case DRAINING:
+      return decodeDraining(fields);
     default:
       return undefined;
   }
--- a/src/peering/peer-link.ts
+++ b/src/peering/peer-link.ts
@@ -8,6 +8,7 @@
 import {
   type CaseWord,
   type Datagram,
+  type DrainingShare,
   type Knowledge,
   type LoadShare,
   type SelfWord,
@@ -31,6 +32,8 @@
   readonly onKnowledge: (from: MemberInfo, knowledge: Knowledge) => void;
   /** Called with what another home knows of targets. */
   readonly onShares: (from: string, shares: readonly LoadShare[]) => void;
+  /** Called with targets that drain, as another daemon was told by them. */
+  readonly onDraining: (from: string, targets: readonly DrainingShare[]) => void;
   /** Called with what another daemon tells of requests under which targets ended. */
   readonly onCases: (from: string, cases: readonly CaseWord[]) => void;
 }
@@ -174,6 +177,11 @@
     this.#send(ip, { kind: 'load', shares });
   }
 
+  /** Tells another daemon of targets that drain. */
+  sendDraining(ip: string, targets: readonly DrainingShare[]): void {
+    this.#send(ip, { kind: 'draining', targets });
+  }
+
   /** Tells another daemon of requests under which targets ended. */
   sendCases(ip: string, cases: readonly CaseWord[]): void {
     this.#send(ip, { kind: 'cases', cases });
@@ -205,7 +213,7 @@
   }
 
   #take(bytes: Uint8Array, ip: string): void {
-    const { roster, clock, onKnowledge, onShares, onCases } = this.options;
+    const { roster, clock, onKnowledge, onShares, onCases, onDraining } = this.options;
     const datagram = decodeDatagram(bytes);
     if (datagram === undefined) return;
     if (datagram.kind === 'load') {
@@ -216,6 +224,10 @@
       onCases(ip, datagram.cases);
       return;
     }
+    if (datagram.kind === 'draining') {
+      onDraining(ip, datagram.targets);
+      return;
+    }
     const { domain, capacity, isSenior } = datagram.self;
     const info = { ip, domain, capacity, isSenior };
     if (datagram.kind === 'ask') {
--- a/src/standin/site.ts
+++ b/src/standin/site.ts
@@ -116,9 +116,11 @@
   /** What it says in answers of the rate that it takes; says nothing unless set. */
   rate: string | string[] | undefined;
 
-  /** What it says in all its answers of draining; says nothing unless set. */
+  /** What it says of draining in answers to calls, and in health answers; says nothing unless set. */
   draining: string | undefined;
 
+  healthDraining: string | undefined;
+
   behaviour: Behaviour | undefined;
 
   /** How often its process has ended and taken all that it ran with it. */
@@ -203,7 +205,7 @@
       response.writeHead(200, {
         ...{ 'Instance-Id': this.incarnation, 'Server-Load': `0,0,4,${this.slowdown}` },
         ...(this.coldLeft === undefined ? {} : { 'Warmup-Ms': this.coldLeft }),
-        ...this.#describeDraining(),
+        ...(this.healthDraining === undefined ? {} : { 'Server-Leaving': this.healthDraining }),
       });
       response.end();
       return;
--- a/test/draining.test.ts
+++ b/test/draining.test.ts
@@ -108,17 +108,11 @@
   it('gets none after a health answer that says so', async () => {
     await startSite(1, 2);
     await sendFor(ips, 300);
-    target.draining = '1';
+    target.healthDraining = '1';
     let toldAt = Infinity;
     target.onProbe = () => {
       toldAt = Math.min(toldAt, performance.now());
     };
-    const plain = target.behaviour;
-    target.behaviour = (request, response) => {
-      target.draining = undefined;
-      plain?.(request, response);
-      target.draining = '1';
-    };
     await sendFor(ips, 1500);
     expect(toldAt).to.be.lessThan(Infinity);
     expect(countSince(toldAt + 100)).to.equal(0);
--- a/test/helpers/listener.ts
+++ b/test/helpers/listener.ts
@@ -6,4 +6,6 @@
   onDraining: () => undefined,
   onBackoff: () => undefined,
   onUnreadable: () => undefined,
+  onDeserted: () => undefined,
+  onServed: () => undefined,
 };
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -11,6 +11,7 @@
   isStuck,
   judgeNeed,
   measureCost,
+  Standing,
 } from '../src/balance/index.js';
 import { chooseHomes } from '../src/gateway/address-choice.js';
 import { CallerAims } from '../src/gateway/caller-aims.js';
@@ -265,6 +266,7 @@
         memory: new SlowdownMemory(),
         onOpened: () => undefined,
         listener: quietListener,
+        standing: new Standing(),
       },
     );
     queue = new SlotQueue(clock, createSeededRandom(7), () =>
--- a/test/measuring.test.ts
+++ b/test/measuring.test.ts
@@ -111,6 +111,7 @@
         heard.push({ from: self, to, shares });
         daemons.get(to)?.hear(self, shares);
       },
+      sendDraining: () => undefined,
     });
     daemons.set(self, sharing);
     sharing.run(ends.signal).catch(() => undefined);
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { SlowdownMemory } from '../src/balance/index.js';
+import { Standing, SlowdownMemory } from '../src/balance/index.js';
 import { type SlotAnswer, type SlotCall, SlotQueue } from '../src/gateway/slot-queue.js';
 import { GatewayTarget } from '../src/gateway/target.js';
 import { ManualClock, createSeededRandom } from '../src/kernel/index.js';
@@ -50,6 +50,7 @@
       memory: new SlowdownMemory(),
       onOpened: () => undefined,
       listener: quietListener,
+      standing: new Standing(),
     },
   );
   const queue = new SlotQueue(clock, random, () =>
