A target that rejects a request and asks for a back-off gets none from that daemon meanwhile

What callers saw: requests sent on and on to targets that turned them away (eleven in three seconds where two are allowed), each a lost repeat or a 503. Cause: a rejection counted as one failure; for how long the target wanted nothing was not read, and as nothing ran there its load report made it look idle. Now a 503 with Retry-After, of a call or a health check, whether or not it says that the request has not run, ends in the target's Standing: the latest end holds, ten minutes at most, for the daemon that was asked. GatewayTarget.isUsable asks it, so every way keeps to it, and a connection that came up late. It is no failure besides, so the target's share is back within a second of the end, rising from four calls a second; the rise is the one of named rates.

--- a/src/balance/admission.ts
+++ b/src/balance/admission.ts
@@ -26,6 +26,8 @@
 
 /** What is ahead of it. */
 export interface QueueOutlook {
+  /** Time until the first start. */
+  readonly opensIn: number;
   /** Time between two starts of this daemon's calls while all targets are busy. */
   readonly pace: number;
   /** Calls that can be in time, as a share of the starts: from 1 on they leave nothing over. */
@@ -58,16 +60,19 @@
  * over. An overload is expected to go on for as long as it has gone on; nothing else is known of it.
  */
 export function estimateLateWait(outlook: QueueOutlook): number {
-  const { pace, demand, overloadAge, ahead, lateAhead } = outlook;
+  const { opensIn, pace, demand, overloadAge, ahead, lateAhead } = outlook;
   const leftover = 1 - demand;
-  if (leftover > LEAST_LEFTOVER) return ahead * pace + ((lateAhead + 1) * pace) / leftover;
-  return overloadAge + (ahead + lateAhead + 1) * pace;
+  if (leftover > LEAST_LEFTOVER) {
+    return opensIn + ahead * pace + ((lateAhead + 1) * pace) / leftover;
+  }
+  return opensIn + overloadAge + (ahead + lateAhead + 1) * pace;
 }
 
 /** Judges a call that could still be in time if it started now. */
 export function judgeArrival(call: WaitTerms, outlook: QueueOutlook): Admission {
   const safe = { ...call, duration: call.duration * call.spread };
-  if (isInTime(safe, (outlook.ahead + 1) * outlook.pace)) return { kind: 'in-time' };
+  const { opensIn, ahead, pace } = outlook;
+  if (isInTime(safe, opensIn + (ahead + 1) * pace)) return { kind: 'in-time' };
   return judgeLate(call, outlook);
 }
 
--- a/src/balance/expected-time.ts
+++ b/src/balance/expected-time.ts
@@ -69,10 +69,16 @@
       readonly pace: number;
       /** The slowdown of all targets on the whole. */
       readonly slowdown: number;
-      /** Whether targets have slots but take no more for now. */
-      readonly isLimited?: boolean;
+      /** Why targets that have slots take no more for now; undefined where none does so. */
+      readonly limit?: TargetLimit;
+      /** Time until the first of them takes calls again, in milliseconds; 0 unless given. */
+      readonly opensIn?: number;
     }
-  | { readonly kind: 'none' };
+  /** `wait` is the time after which the first target takes calls again, in milliseconds; undefined when unknown. */
+  | { readonly kind: 'none'; readonly wait?: number };
+
+/** Why targets with free slots take no calls from this daemon for now: they have had their rate, or asked for a back-off. */
+export type TargetLimit = 'rate-limit' | 'backoff';
 
 /** What an advice depends on besides the targets. */
 export interface AdviceTerms {
--- a/src/balance/index.ts
+++ b/src/balance/index.ts
@@ -22,6 +22,7 @@
 export * from './shared-rate.js';
 export * from './cold-limit.js';
 export * from './named-rate.js';
+export * from './rise.js';
 export * from './standing.js';
 export * from './failure-rate.js';
 export * from './poison.js';
--- a/src/balance/named-rate.ts
+++ b/src/balance/named-rate.ts
@@ -4,6 +4,7 @@
  * The newest word holds, by when the target said it. When it names a rate no more, what it gets rises from that rate on,
  * doubling every fraction of a second: what is sent elsewhere meanwhile does not come back all at once.
  */
+import { computeRisen } from './rise.js';
 import { MOST_SHARERS, type SharedRate } from './shared-rate.js';
 
 /** A word of a target on its rate. */
@@ -68,13 +69,12 @@
     const { rate } = this.#word;
     if (rate !== undefined) return spreadRate(rate);
     if (this.#ended === undefined) return undefined;
-    const elapsed = now - this.#ended.heardAt;
-    if (elapsed >= RISE_TIME) {
-      this.#ended = undefined;
-      return undefined;
-    }
-    const risen = Math.max(LEAST_RATE, this.#ended.rate) * 2 ** (elapsed / DOUBLING);
-    return { rate: risen, sharers: MOST_SHARERS };
+    const from = Math.max(LEAST_RATE, this.#ended.rate);
+    const rise = { from, doubling: DOUBLING, time: RISE_TIME };
+    const risen = computeRisen(rise, now - this.#ended.heardAt);
+    if (risen !== undefined) return { rate: risen, sharers: MOST_SHARERS };
+    this.#ended = undefined;
+    return undefined;
   }
 
   /** The word to tell others: heard from the target itself, and that it takes less than it could or did so of late. */
--- a/src/balance/standing.ts
+++ b/src/balance/standing.ts
@@ -1,4 +1,14 @@
 /** What a target itself has said of whether it takes requests from this daemon. */
+import { type Rise, computeRisen } from './rise.js';
+
+/**
+ * A back-off holds for this long at most, in milliseconds. A target that needs more should leave, and a wrong value must
+ * not take a whole service away for hours.
+ */
+const LONGEST_BACKOFF = 600_000;
+
+/** What a target gets from this daemon after a back-off. */
+const RISE: Rise = { from: 4, doubling: 150, time: 1000 };
 
 /** When and from whom it was learnt that a target drains. */
 export interface DrainingNotice {
@@ -24,9 +34,20 @@
     return this.#backoffUntil;
   }
 
+  /** Whether the target wants nothing from this daemon now. */
+  isBackedOff(now: number): boolean {
+    return this.#backoffUntil > now;
+  }
+
   /** Whether anything that was said holds still. */
   isNotable(now: number): boolean {
-    return this.#draining !== undefined || this.#backoffUntil > now;
+    return this.#draining !== undefined || this.isBackedOff(now);
+  }
+
+  /** Requests a second that the target may get from this daemon after a back-off; undefined where none limits it. */
+  readRate(now: number): number | undefined {
+    if (this.#backoffUntil === -Infinity) return undefined;
+    return computeRisen(RISE, Math.max(0, now - this.#backoffUntil));
   }
 
   /** Notes that the target drains; returns whether that is news. */
@@ -36,10 +57,15 @@
     return isNews;
   }
 
-  /** Notes until when the target wants nothing from this daemon; returns whether that is later than was known. */
-  noteBackoff(until: number): boolean {
-    const isNews = until > this.#backoffUntil;
-    this.#backoffUntil = Math.max(this.#backoffUntil, until);
+  /**
+   * Notes that the target wants nothing from this daemon for a time; returns whether that ends later than was known.
+   *
+   * @param time in milliseconds from now on
+   */
+  noteBackoff(time: number, now: number): boolean {
+    const until = now + Math.min(time, LONGEST_BACKOFF);
+    const isNews = time > 0 && until > this.#backoffUntil;
+    if (isNews) this.#backoffUntil = until;
     return isNews;
   }
 }
--- a/src/balance/wait-line.ts
+++ b/src/balance/wait-line.ts
@@ -77,6 +77,8 @@
 
   #slowdown = 1;
 
+  #opensAt = -Infinity;
+
   constructor(
     private readonly clock: Pick<Clock, 'now'>,
     private readonly random: Random,
@@ -92,11 +94,16 @@
     if (!this.#isLate(call)) this.#arrivals.note(this.clock.now());
   }
 
-  /** Takes the time between two starts while all is busy, and how many times longer calls take then. */
-  notePace(pace: number, slowdown: number): void {
+  /**
+   * Takes the time between two starts while all is busy, and how many times longer calls take then.
+   *
+   * @param opensIn time until the first start, in milliseconds
+   */
+  notePace(pace: number, slowdown: number, opensIn = 0): void {
     this.#pace = pace;
     this.#slowdown = slowdown;
     const now = this.clock.now();
+    this.#opensAt = now + opensIn;
     if (this.#arrivals.read(now) * this.#pace < OVERLOAD) this.#overloadedSince = undefined;
     else this.#overloadedSince ??= now;
   }
@@ -161,6 +168,7 @@
   #describeOutlook({ inTime, late }: Ahead): QueueOutlook {
     const now = this.clock.now();
     return {
+      opensIn: Math.max(0, this.#opensAt - now),
       ...{ pace: this.#pace, ahead: inTime, lateAhead: late },
       demand: this.#arrivals.read(now) * this.#pace,
       overloadAge: now - (this.#overloadedSince ?? now),
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -530,7 +530,10 @@
 
   /** When a caller may return whom the queue gave no time for that. */
   #chooseReturn(): number {
-    const isRejected = this.#sendings > 0 && this.request.service.queue.size === 0;
+    const { service } = this.request;
+    const backoff = service.readBackoffLeft();
+    if (backoff !== undefined) return backoff;
+    const isRejected = this.#sendings > 0 && service.queue.size === 0;
     // Within the time of one call some target will have ended one.
     return isRejected ? REJECTED_RETURN : this.context.routeTime.readWork();
   }
--- a/src/gateway/own-rates.ts
+++ b/src/gateway/own-rates.ts
@@ -47,12 +47,13 @@
     const now = this.options.clock.now();
     const named = target.named.read(now);
     const isCold = target.warmth.isCold(now);
-    if (named === undefined && !isCold) return Infinity;
+    const risen = target.standing.readRate(now);
+    if (named === undefined && risen === undefined && !isCold) return Infinity;
     const share = this.#readShare(now);
     const known = this.#rates.get(target);
     if (known !== undefined) return known;
     const cold = isCold ? computeColdRate(this.options.readColdness()) : undefined;
-    let least = Infinity;
+    let least = risen ?? Infinity;
     for (const shared of [named, cold]) {
       if (shared === undefined) continue;
       least = Math.min(least, computeOwnRate(shared, share, target.hash));
--- a/src/gateway/prober.ts
+++ b/src/gateway/prober.ts
@@ -298,6 +298,10 @@
         target.noteHealth(false);
         return;
       }
+      if (!target.isUsable) {
+        taken.connection.socket.emit('free');
+        return;
+      }
       this.sent += 1;
       const own = target.belief.countArrived(startedAt);
       const answer = await this.#ask(taken.connection, path);
--- a/src/gateway/slot-queue.ts
+++ b/src/gateway/slot-queue.ts
@@ -1,5 +1,5 @@
 /** Calls of one service that wait in this daemon for a target. */
-import { type Admission, type LineCall, WaitLine } from '../balance/index.js';
+import { type Admission, type LineCall, type TargetLimit, WaitLine } from '../balance/index.js';
 import type { Clock, Random, Timer } from '../kernel/index.js';
 import type { GatewayTarget } from './target.js';
 
@@ -34,7 +34,7 @@
   | { readonly kind: 'refused'; readonly reason: Refusal; readonly wait: number };
 
 /** Why no target is found: none is there, none has a slot in time, or those that have one take no more for now. */
-export type Refusal = 'no-target' | 'no-room' | 'rate-limit';
+export type Refusal = 'no-target' | 'no-room' | TargetLimit;
 
 /** What a queue asks for each call in turn. */
 export type SlotAdviser = (
@@ -51,9 +51,10 @@
       readonly kind: 'wait';
       readonly pace: number;
       readonly slowdown: number;
-      readonly isLimited?: boolean;
+      readonly limit?: TargetLimit;
+      readonly opensIn?: number;
     }
-  | { readonly kind: 'none' };
+  | { readonly kind: 'none'; readonly wait?: number };
 
 /** Reports and ends of calls wake the queue; this is for time that passes without any. */
 const PUMP_PACE = 10;
@@ -69,8 +70,8 @@
 
   #timer: Timer | undefined;
 
-  /** Whether calls wait for what targets take, and not for slots. */
-  #isLimited = false;
+  /** What calls wait for besides slots. */
+  #limit: TargetLimit | undefined;
 
   /** When a call last had to wait. */
   waitedAt = -Infinity;
@@ -95,7 +96,7 @@
     const advice = this.adviser(call, ahead);
     switch (advice.kind) {
       case 'none':
-        return { kind: 'refused', reason: 'no-target', wait: NO_TARGET_RETURN };
+        return this.#refuseNone(advice.wait);
       case 'now':
         return ahead === 0 ? this.#start(call, advice) : this.#wait(call, true);
       case 'wait': {
@@ -124,17 +125,17 @@
         break;
       }
       if (advice.kind === 'now') this.#answer(call, this.#start(call, advice));
-      else this.#answer(call, { kind: 'refused', reason: 'no-target', wait: NO_TARGET_RETURN });
+      else this.#answer(call, this.#refuseNone(advice.wait));
     }
     this.#pumpLater();
   }
 
   #noteWait(
     { work }: SlotCall,
-    { pace, slowdown, isLimited = false }: Extract<ReturnType<SlotAdviser>, { kind: 'wait' }>,
+    { pace, slowdown, limit, opensIn }: Extract<ReturnType<SlotAdviser>, { kind: 'wait' }>,
   ): void {
-    this.#isLimited = isLimited;
-    this.#line.notePace(pace * work, slowdown);
+    this.#limit = limit;
+    this.#line.notePace(pace * work, slowdown, opensIn);
   }
 
   #answer(call: SlotCall, answer: SlotAnswer): void {
@@ -145,20 +146,25 @@
 
   /** Sends back those that wait in vain, as the outlook is now. */
   #review(): void {
-    for (const { call, wait } of this.#line.removeVain(this.#isLimited)) {
+    for (const { call, wait } of this.#line.removeVain(this.#limit !== undefined)) {
       this.#answer(call, this.#refuse(wait));
     }
   }
 
   #refuse(wait: number): SlotAnswer {
-    const reason = this.#isLimited ? 'rate-limit' : 'no-room';
+    const reason = this.#limit ?? 'no-room';
     return { kind: 'refused', reason, wait: this.#line.chooseReturn(wait) };
   }
 
+  #refuseNone(wait: number | undefined): SlotAnswer {
+    if (wait === undefined) return { kind: 'refused', reason: 'no-target', wait: NO_TARGET_RETURN };
+    return { kind: 'refused', reason: 'backoff', wait: this.#line.chooseReturn(wait) };
+  }
+
   #follow(call: SlotCall, admission: Admission): SlotAnswer | undefined {
     if (admission.kind !== 'refuse' || !call.isWorkKnown) return undefined;
     // A slot may free sooner than expected, so a repeat waits on for one; what targets take is known.
-    if (!call.mayBeRefused && !this.#isLimited) return undefined;
+    if (!call.mayBeRefused && this.#limit === undefined) return undefined;
     return this.#refuse(admission.wait);
   }
 
--- a/src/gateway/status.ts
+++ b/src/gateway/status.ts
@@ -67,6 +67,7 @@
     gauges[`targets_draining{service="${name}"}`] = service.countDraining();
     gauges[`targets_backed_off{service="${name}"}`] = service.countBackedOff();
     gauges[`limited_away{service="${name}"}`] = service.limitedAway;
+    gauges[`backed_off_away{service="${name}"}`] = service.backedOffAway;
     gauges[`waiting{service="${name}"}`] = queue.size;
     gauges[`targets{service="${name}"}`] = targets.size;
     gauges[`repeats_denied{service="${name}"}`] = budget.counts.denied;
--- a/src/gateway/target-news.ts
+++ b/src/gateway/target-news.ts
@@ -27,6 +27,7 @@
   onDraining(target: GatewayTarget, from: string, age: number): void;
   /** The target wants nothing from this daemon for a time, in milliseconds. */
   onBackoff(target: GatewayTarget, time: number): void;
+  onBackoffOver(target: GatewayTarget): void;
   onUnreadable(target: GatewayTarget, statement: UnreadableStatement): void;
   /** No target of the service takes calls any more. */
   onDeserted(service: TargetService): void;
@@ -72,6 +73,11 @@
     this.metrics.count('target_backoff', { service });
   }
 
+  onBackoffOver({ record }: GatewayTarget): void {
+    const { incarnation, service } = record;
+    this.log.info('target.resumed', { target: incarnation, service });
+  }
+
   onDeserted(service: TargetService): void {
     this.log.warn('service.deserted', {
       ...{ service: service.name, targets: service.targets.size },
--- a/src/gateway/target-service.ts
+++ b/src/gateway/target-service.ts
@@ -87,6 +87,9 @@
   /** Calls that went elsewhere because a target had had what it takes. */
   limitedAway = 0;
 
+  /** Calls that went elsewhere because a target wants nothing from this daemon for a time. */
+  backedOffAway = 0;
+
   constructor(
     readonly name: string,
     private readonly options: TargetServiceOptions,
@@ -149,7 +152,7 @@
   /** Counts the targets that want nothing from this daemon now. */
   countBackedOff(): number {
     const now = this.options.clock.now();
-    return this.#countTargets(({ standing }) => standing.backoffUntil > now);
+    return this.#countTargets(({ standing }) => standing.isBackedOff(now));
   }
 
   #countTargets(isCounted: (target: GatewayTarget) => boolean): number {
@@ -188,8 +191,12 @@
   choosePlace(wish: PlaceWish, ahead: number): Advice<GatewayTarget> {
     const { care } = wish;
     let isLimited = false;
+    let isBackedOff = false;
     const mayTake = (target: GatewayTarget) => {
-      if (!this.#isOpenTo(target, wish)) return false;
+      if (!this.#isOpenTo(target, wish)) {
+        isBackedOff ||= target.isBackedOff;
+        return false;
+      }
       const isSpent = this.rates.isSpent(target);
       isLimited ||= isSpent;
       return !isSpent;
@@ -197,6 +204,7 @@
     if (care === undefined) {
       const advice = this.#chooseAmong(mayTake, wish, ahead);
       if (isLimited && advice.kind === 'now') this.limitedAway += 1;
+      if (isBackedOff && advice.kind === 'now') this.backedOffAway += 1;
       return advice.kind === 'none' ? this.#adviseLimited(wish) : advice;
     }
     const now = this.options.clock.wall();
@@ -210,7 +218,8 @@
       // A suspect that waited for one of few targets would hold up who waits behind it.
       if (advice.kind === 'now') return advice;
     }
-    return this.#chooseAmong(isAllowed, wish, ahead);
+    const advice = this.#chooseAmong(isAllowed, wish, ahead);
+    return advice.kind === 'none' ? { kind: 'none', wait: this.readBackoffLeft() } : advice;
   }
 
   /** Whether a call may go to a target that has room. */
@@ -230,8 +239,36 @@
     for (const target of this.targets.values()) {
       if (this.#isOpenTo(target, wish)) rate += this.rates.read(target);
     }
-    if (rate === 0) return { kind: 'none' };
-    return { kind: 'wait', pace: SECOND / rate / wish.work, slowdown: 1, isLimited: true };
+    if (rate === 0) return this.#adviseBackoff(wish);
+    return { kind: 'wait', pace: SECOND / rate / wish.work, slowdown: 1, limit: 'rate-limit' };
+  }
+
+  /** Advises a call where every target that it could go to wants nothing for a time. */
+  #adviseBackoff({ tried, regions }: PlaceWish): Advice<GatewayTarget> {
+    const now = this.options.clock.now();
+    let slots = 0;
+    let opensAt = Infinity;
+    for (const target of this.targets.values()) {
+      if (!target.isBackedOff || tried.has(target)) continue;
+      if (regions !== undefined && !this.#isWithin(target, regions)) continue;
+      slots += target.record.slots;
+      opensAt = Math.min(opensAt, target.standing.backoffUntil);
+    }
+    if (slots === 0) return { kind: 'none', wait: this.readBackoffLeft() };
+    const opensIn = Math.max(0, opensAt - now);
+    return { kind: 'wait', pace: 1 / slots, slowdown: 1, limit: 'backoff', opensIn };
+  }
+
+  /** Time until the first target takes calls again; undefined where one does, or none has asked for a back-off. */
+  readBackoffLeft(): number | undefined {
+    const now = this.options.clock.now();
+    let left: number | undefined;
+    for (const target of this.targets.values()) {
+      if (target.isUsable) return undefined;
+      if (!target.isBackedOff) continue;
+      left = Math.min(left ?? Infinity, target.standing.backoffUntil - now);
+    }
+    return left;
   }
 
   #chooseAmong(
--- a/src/gateway/target-set.ts
+++ b/src/gateway/target-set.ts
@@ -133,7 +133,10 @@
   /** Closes connections that have rested too long, and tells of services that no target takes calls of. */
   trim(): void {
     for (const service of this.#services.values()) {
-      for (const target of service.targets.values()) target.connections.trim();
+      for (const target of service.targets.values()) {
+        target.connections.trim();
+        target.reviewBackoff();
+      }
       this.#reviewService(service);
     }
   }
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -134,6 +134,8 @@
 
   #misdirected = false;
 
+  #isToldBackedOff = false;
+
   #isGone = false;
 
   #isEvacuated = false;
@@ -171,8 +173,14 @@
 
   /** Whether new calls may go there. */
   get isUsable(): boolean {
-    if (this.#isLeaving || this.#misdirected) return false;
-    return !this.#isEvacuated;
+    if (this.#isLeaving || this.#misdirected || this.#isEvacuated) return false;
+    return !this.isBackedOff;
+  }
+
+  /** Whether it wants nothing from this daemon for a time, and would get calls otherwise. */
+  get isBackedOff(): boolean {
+    if (this.#isLeaving || this.#misdirected || this.#isEvacuated) return false;
+    return this.standing.isBackedOff(this.clock.now());
   }
 
   /**
@@ -254,8 +262,9 @@
     };
   }
 
-  /** Notes that a call failed there. */
+  /** Notes that a call failed there; where the target has asked for a back-off, that alone keeps calls away. */
   noteFailure(): void {
+    if (this.standing.isBackedOff(this.clock.now())) return;
     this.failures.noteFailure(this.clock.now());
   }
 
@@ -330,11 +339,19 @@
       listener.onUnreadable(this, { field: 'backoff', what: stated.text });
     }
     if (stated.kind !== 'asked') return;
-    if (this.standing.noteBackoff(this.clock.now() + stated.time)) {
+    if (this.standing.noteBackoff(stated.time, this.clock.now())) {
+      this.#isToldBackedOff = true;
       listener.onBackoff(this, stated.time);
     }
   }
 
+  /** Tells once that a back-off is over. */
+  reviewBackoff(): void {
+    if (!this.#isToldBackedOff || this.standing.isBackedOff(this.clock.now())) return;
+    this.#isToldBackedOff = false;
+    this.options.listener.onBackoffOver(this);
+  }
+
   /** Takes a load report. @param own this daemon's calls that the report may count */
   noteLoad(report: LoadReport | undefined, own: number): void {
     if (report === undefined) return;
--- a/test/helpers/listener.ts
+++ b/test/helpers/listener.ts
@@ -5,6 +5,7 @@
   onRate: () => undefined,
   onDraining: () => undefined,
   onBackoff: () => undefined,
+  onBackoffOver: () => undefined,
   onUnreadable: () => undefined,
   onDeserted: () => undefined,
   onServed: () => undefined,
