One watch brings all news of the store, and the times of its way follow from the promise

What callers saw: a route handled by a version that had been replaced more than 2 s before (61 ms over the bound), some seconds after the store had been silent. Class: a proof of one part taken for a proof of another; times chosen beside the promise and not from it (stand-in after 2.2 s where 2 s are promised). Now one watch of all keys, with one position and one proof, so the configuration, evacuations and targets can't differ. Its wait, when others stand in, questions and pauses follow from the shorter one of [promises] config_apply and drain (src/view/news-times.ts); the sum of the longest way is computed and tested: 0.9 of the promise at most. After a call that was not answered a reader asks without waiting; after news the next watch ends when the proof is as old as one may become.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,7 +23,7 @@
 } from '../peering/index.js';
 import { type ResolveQuestion, kvStoreService } from '../platform/index.js';
 import type { RouteTable } from '../routing/index.js';
-import { FleetView, StoreReader } from '../view/index.js';
+import { FleetView, type NewsTimes, StoreReader, planNews } from '../view/index.js';
 import { chooseHomes } from './address-choice.js';
 import { CallerServer, computeListenQueue } from './caller-server.js';
 import { serveDirectory, serveMetrics, serveReadiness } from './directory.js';
@@ -234,12 +234,15 @@
         isAppointed: () => this.#isAppointedReader(),
         isNearHomes: () => this.#roster.isNearHomes(),
       },
+      () => this.#planNews(),
       findPatience(gateway),
     );
     this.#reader = new StoreReader({
       ...{ store, view: this.#view, clock, random, log },
       isReader: () => this.#duty.isReader(),
+      readDueIn: () => this.#duty.readDueIn(),
       readLongestPause: () => this.#duty.readLongestPause(),
+      readWatchWait: () => this.#planNews().watchWait,
     });
     const [port = 0] = gateway.peer_ports;
     this.#planner = new HomePlanner({
@@ -248,7 +251,7 @@
     });
     this.#link = new PeerLink({
       ...{ address: { host: gateway.ip, port }, readSelf, selfState, roster: this.#roster },
-      ...{ clock, log, readBusy: () => this.#planner.busy },
+      ...{ clock, log, readBusy: () => this.#planner.busy, readTimes: () => this.#planNews() },
       readKnowledge: () => this.#exchange.read(),
       onKnowledge: (from, knowledge) => {
         this.#exchange.hear(from, knowledge).catch(() => undefined);
@@ -455,6 +458,11 @@
     });
   }
 
+  #planNews(): NewsTimes {
+    const { config_apply: configApply, drain } = this.#settings.promises;
+    return planNews(Math.min(configApply, drain));
+  }
+
   #findRegion(domain: string): string | undefined {
     const { domains, domain: own, region } = this.#settings.gateway;
     if (domain === own) return region;
@@ -513,7 +521,7 @@
   #adopt(table: RouteTable): void {
     this.#callers.setLimits(table.limits);
     // Before that moment the store held no newer one, so it has been there for this long at most.
-    const age = this.#clock.now() - this.#view.operatorsProvenAt;
+    const age = this.#clock.now() - this.#view.provenAt;
     if (age < Infinity) this.#metrics.observe('configuration_age_ms', {}, age);
     this.#log.info('configuration.adopted', {
       ...{ version: table.version, age: age < Infinity ? Math.round(age) : 'unknown' },
@@ -578,7 +586,6 @@
       members: this.#roster.size,
       version: this.#view.table?.version,
       proofAge: this.#clock.now() - this.#view.provenAt,
-      operatorsProofAge: this.#clock.now() - this.#view.operatorsProvenAt,
       counts: this.#reception.counts,
       lookups: this.#lookups,
       accepted: this.#callers.accepted,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -73,6 +73,14 @@
     COUNT,
   ),
   answer_ttl: describeInteger('Most seconds for which callers keep an answer', COUNT),
+  config_apply: describeDuration(
+    'Time from the acknowledgement of a configuration until it is in force everywhere',
+    2000,
+  ),
+  drain: describeDuration(
+    'Time from the acknowledgement that a target drains until it gets nothing any more',
+    2000,
+  ),
   retry_ratio: describeNumber('Repeats allowed for each request, over all daemons', [0, 100]),
   retry_window: describeInteger('Seconds over which repeats are counted', COUNT),
   retry_slack: describeNumber('Repeats allowed besides, over all daemons', COUNT),
--- a/src/gateway/status.ts
+++ b/src/gateway/status.ts
@@ -17,8 +17,6 @@
   readonly version: number | undefined;
   /** Milliseconds since it was last shown that nothing newer is in the store. */
   readonly proofAge: number;
-  /** Milliseconds since this daemon itself last saw that no newer configuration is in the store. */
-  readonly operatorsProofAge: number;
   readonly counts: ForwardingCounts;
   readonly lookups: number;
   readonly accepted: number;
@@ -47,7 +45,6 @@
   const gauges: Record<string, number> = {
     ...{ configuration_version: status.version ?? 0 },
     ...{ proof_age_ms: Math.round(Math.min(status.proofAge, MAX_AGE)) },
-    operators_proof_age_ms: Math.round(Math.min(status.operatorsProofAge, MAX_AGE)),
     ...{ members: status.members, homes: status.homes.length },
     ...{ is_home: Number(status.isHome), is_ready: Number(status.state === 'ready') },
     ...{ lookups: status.lookups, connections: status.connections, busy: status.busy },
--- a/src/peering/peer-link.ts
+++ b/src/peering/peer-link.ts
@@ -15,6 +15,7 @@
   decodeDatagram,
   encodeDatagram,
 } from './datagram.js';
+import type { NewsTimes } from '../view/index.js';
 import type { MemberInfo, MemberState, Roster } from './roster.js';
 
 /** What the link is made from. */
@@ -27,6 +28,8 @@
   readonly roster: Roster;
   readonly clock: Clock;
   readonly log: Log;
+  /** How often others are asked. */
+  readonly readTimes: () => NewsTimes;
   readonly readKnowledge: () => Knowledge;
   /** Called with what another daemon knows, as of the moment when it was asked. */
   readonly onKnowledge: (from: MemberInfo, knowledge: Knowledge) => void;
@@ -38,12 +41,6 @@
   readonly onCases: (from: string, cases: readonly CaseWord[]) => void;
 }
 
-/** How often a daemon asks those that it looks to. */
-const PACE = 250;
-
-/** How often homes and their successors ask one another: what they know is a step older elsewhere. */
-const NEAR_PACE = 100;
-
 /** How often one of the daemons in the settings or the store that never answered is asked, in turn. */
 const SEED_PACE = 1000;
 
@@ -112,7 +109,8 @@
         roster.forgetSilent(new Set(this.#seeds));
       }
       for (const ip of asked) this.#ask(ip);
-      const pace = roster.isNearHomes() ? NEAR_PACE : PACE;
+      const { nearPace, remotePace } = this.options.readTimes();
+      const pace = roster.isNearHomes() ? nearPace : remotePace;
       await clock.sleep(isNew ? FIRST_PACE : pace, signal);
     }
     this.#socket.close();
--- a/src/peering/reader-duty.ts
+++ b/src/peering/reader-duty.ts
@@ -6,23 +6,7 @@
  * the configuration, which nobody else keeps meanwhile.
  */
 import type { Clock } from '../kernel/index.js';
-
-/**
- * When no reading younger than this is known of, a daemon reads for itself. A reader's watch tells of its end
- * every 0.9 s; the word takes 0.1 s to the homes and 0.25 s from there at most.
- */
-const STALE_AFTER = 1500;
-
-/**
- * The same for a daemon that hears the homes and is not near them: these read, or try to, before everybody does. When
- * watches are cut or the store is away for a moment, each of hundreds of daemons read all targets anew for nothing.
- * Still within the seconds in which a leaving target must be known.
- */
-const REMOTE_STALE_AFTER = 2200;
-
-/** Pauses of a daemon that reads the store, and those of one whose homes try as well, in milliseconds at most. */
-const LONGEST_PAUSE = 1000;
-const LONGEST_REMOTE_PAUSE = 2500;
+import type { NewsTimes } from '../view/index.js';
 
 /**
  * A daemon that has just begun to serve knows of nobody else who does, and takes itself for a first home, until it
@@ -58,9 +42,10 @@
   constructor(
     private readonly clock: Clock,
     private readonly place: ReaderPlace,
+    private readonly readTimes: () => NewsTimes,
     patience = 0,
   ) {
-    this.#toldAt = clock.now() - STALE_AFTER + patience;
+    this.#toldAt = clock.now() - readTimes().nearStale + patience;
   }
 
   /** The last reading by another daemon that is known of; it may be passed on. */
@@ -88,19 +73,28 @@
   /** Whether this daemon reads now. */
   isReader(): boolean {
     const now = this.clock.now();
-    if (now - this.#toldAt >= (this.#isRemote() ? REMOTE_STALE_AFTER : STALE_AFTER)) return true;
+    if (this.readDueIn() <= 0) return true;
     return now - this.#servesSince >= HEARING_TIME && this.place.isAppointed();
   }
 
+  /** Time until this daemon reads for itself unless it is told of a reading, in milliseconds. */
+  readDueIn(): number {
+    const { nearStale, remoteStale } = this.readTimes();
+    return this.#toldAt + (this.#isRemote() ? remoteStale : nearStale) - this.clock.now();
+  }
+
   /** The longest pause after a call that the store did not answer, in milliseconds. */
   readLongestPause(): number {
-    return this.#isRemote() ? LONGEST_REMOTE_PAUSE : LONGEST_PAUSE;
+    const { longestPause, longestRemotePause } = this.readTimes();
+    return this.#isRemote() ? longestRemotePause : longestPause;
   }
 
   /** Whether others are there that read before this daemon has to. */
   #isRemote(): boolean {
     const now = this.clock.now();
-    if (this.#servesSince === Infinity || now - this.#heardAt >= STALE_AFTER) return false;
+    if (this.#servesSince === Infinity || now - this.#heardAt >= this.readTimes().nearStale) {
+      return false;
+    }
     return !this.place.isNearHomes();
   }
 }
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -33,6 +33,8 @@
 
 /** Keys in the store. */
 export const KEYS = {
+  /** The prefix of all keys. */
+  all: '',
   /** All that the operators keep there. */
   operators: 'op/',
   configuration: 'op/config',
--- a/src/view/fleet-view.ts
+++ b/src/view/fleet-view.ts
@@ -114,8 +114,6 @@
 
   #provenAt = -Infinity;
 
-  #operatorsProvenAt = -Infinity;
-
   #evacuations: Evacuations = { domains: [], revision: 0 };
 
   #known: KnownRevisions = { targets: 0, operators: 0 };
@@ -140,11 +138,6 @@
     return this.#provenAt;
   }
 
-  /** The last moment at which the store was seen to hold no newer configuration; -Infinity when never. */
-  get operatorsProvenAt(): number {
-    return this.#operatorsProvenAt;
-  }
-
   /** The revisions of the store up to which all changes are known. */
   get known(): KnownRevisions {
     return this.#known;
@@ -165,16 +158,11 @@
     return [...this.#targets.values()];
   }
 
-  /** Notes that at time `at` the store held no newer change of a target. */
+  /** Notes that at time `at` the store held no newer change of a target or of what the operators keep. */
   prove(at: number): void {
     this.#provenAt = Math.max(this.#provenAt, at);
   }
 
-  /** Notes that at time `at` the store held no newer change of what the operators keep. */
-  proveOperators(at: number): void {
-    this.#operatorsProvenAt = Math.max(this.#operatorsProvenAt, at);
-  }
-
   /** Notes up to which revisions all changes are known. */
   noteKnown({ targets = 0, operators = 0 }: Partial<KnownRevisions>): void {
     this.#known = {
--- a/src/view/store-reader.ts
+++ b/src/view/store-reader.ts
@@ -1,9 +1,9 @@
 /**
  * Reads configuration and targets from the store, at a pace, while this daemon is a reader.
  *
- * A call is dear, so few daemons read. A watch that waits brings a change at once; a beat that says
- * nothing new answers no watch. Its wait is short all the same, because only an answer shows that
- * the store still hears this daemon.
+ * A call is dear, so few daemons read. A watch that waits brings a change at once; a heartbeat that says nothing new
+ * answers no watch. Its wait is short all the same, because only an answer shows that the store still receives the calls
+ * of this daemon. One watch brings everything, so what its answer shows holds for the configuration and for targets.
  */
 import type { Clock, Log, Random } from '../kernel/index.js';
 import {
@@ -25,17 +25,18 @@
   readonly log: Log;
   /** Whether this daemon is to read now; others hear from readers. */
   readonly isReader: () => boolean;
+  /** Time until this daemon is to read unless it is told of a reading, in milliseconds. */
+  readonly readDueIn: () => number;
   /** The longest pause after a call that the store did not answer, in milliseconds. */
   readonly readLongestPause: () => number;
+  /** How long one watch waits, in milliseconds. */
+  readonly readWatchWait: () => number;
 }
 
-/** How long one watch of the targets waits: news come at once, and its end shows that there were none. */
-const TARGETS_WAIT = 900;
-
 const NO_WAIT = 1;
 
-/** Least time between two answers of the targets' watch, for many changes in quick succession. */
-const TARGETS_PACE = 200;
+/** Least time between two watches, for many changes in quick succession. */
+const WATCH_PACE = 200;
 
 /** How often a daemon that does not read looks whether it has to. */
 const IDLE_PACE = 200;
@@ -43,12 +44,6 @@
 /** The same for one that nobody has told anything yet, and which is not ready before. */
 const START_PACE = 20;
 
-/** Least time between two answers of the operators' watch, for configurations in quick succession. */
-const OPERATORS_PACE = 150;
-
-/** How long one watch of the operators' keys waits. A cut that nobody shows ends with it. */
-const OPERATORS_WAIT = 4000;
-
 /** The pause after a call that the store did not answer well, in milliseconds; each next one is longer. */
 const FIRST_PAUSE = 200;
 
@@ -85,14 +80,11 @@
 
 /** The reader of one daemon. */
 export class StoreReader {
-  /** The revision after which the targets' changes are asked for; undefined when all are to be read. */
-  #targetsAfter: number | undefined;
+  /** The revision after which changes are asked for; 0 when everything is to be read. */
+  #after = 0;
 
   #readAt = -Infinity;
 
-  /** The revision after which changes of what the operators keep are asked for. */
-  #operatorsAfter: number | undefined;
-
   #failingSince: number | undefined;
 
   #lapseUntil = -Infinity;
@@ -117,40 +109,26 @@
     return this.#unreadable.size + this.#unreadableKeys.size;
   }
 
-  #readIdlePace(): number {
-    return this.options.view.provenAt === -Infinity ? START_PACE : IDLE_PACE;
-  }
-
-  #prove(at: number): void {
-    this.#readAt = Math.max(this.#readAt, at);
-    this.options.view.prove(at);
-    this.options.view.noteKnown({ targets: this.#targetsAfter ?? 0 });
-  }
-
   /** Reads once, cheaply and perhaps seconds late, so that a starting daemon knows something. */
   async readStale(): Promise<void> {
-    await Promise.all([this.#readAllOfOperators(true), this.#readAllTargets(true)]);
+    await this.#readAll(true);
   }
 
   /** Reads until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([this.#followTargets(signal), this.#followOperators(signal)]);
-  }
-
-  async #followTargets(signal: AbortSignal): Promise<void> {
     const { clock, isReader, random, readLongestPause } = this.options;
     const backoff = new Backoff(random, readLongestPause);
     while (!signal.aborted) {
       this.#settlePending();
       if (!isReader()) {
-        await clock.sleep(this.#readIdlePace(), signal);
+        await clock.sleep(this.#chooseIdleTime(), signal);
         continue;
       }
       const startedAt = clock.now();
-      const read = await this.#readTargets();
+      const read = await this.#read();
       if (read) {
         backoff.clear();
-        await clock.sleep(Math.max(0, startedAt + TARGETS_PACE - clock.now()), signal);
+        await clock.sleep(Math.max(0, startedAt + WATCH_PACE - clock.now()), signal);
       } else {
         this.#noteFailure();
         await clock.sleep(backoff.next(), signal);
@@ -158,82 +136,128 @@
     }
   }
 
-  /** One reading of the targets; false when the store did not answer. */
-  async #readTargets(): Promise<boolean> {
-    const { store, view, clock } = this.options;
-    const after = Math.max(this.#targetsAfter ?? 0, view.known.targets);
-    if (after === 0) return this.#readAllTargets(false);
+  #chooseIdleTime(): number {
+    const { view, readDueIn } = this.options;
+    const pace = view.provenAt === -Infinity ? START_PACE : IDLE_PACE;
+    return Math.max(1, Math.min(pace, readDueIn()));
+  }
+
+  /** One reading; false when the store did not answer. */
+  async #read(): Promise<boolean> {
+    const { store, view, clock, log } = this.options;
+    const after = Math.max(this.#after, Math.min(view.known.targets, view.known.operators));
+    if (after === 0) return this.#readAll(false);
     const startedAt = clock.now();
-    // Before the first proof nothing is served, so that watch only asks what came after a stale reading.
-    const wait = this.#readAt === -Infinity ? NO_WAIT : TARGETS_WAIT;
-    const answer = await store.watch(KEYS.targets, after, wait);
+    const wait = this.#chooseWait(startedAt);
+    const answer = await store.watch(KEYS.all, after, wait);
+    const took = Math.round(clock.now() - startedAt);
     switch (answer.kind) {
       case 'events':
-        this.options.log.debug('store.watched', {
-          ...{
-            after,
-            store_revision: answer.storeRevision,
-            took: Math.round(clock.now() - startedAt),
-          },
+        log.debug('store.watched', {
+          ...{ after, store_revision: answer.storeRevision, took },
           events: answer.events
             .map((event) => (event.kind === 'written' ? event.item.revision : -event.revision))
             .join(','),
         });
         this.#noteSuccess();
-        for (const event of answer.events) {
-          if (event.kind === 'written') this.#takeTarget(event.item);
-          else this.#takeRemoval(event.key, event.revision);
-        }
-        this.#targetsAfter = Math.max(after, answer.storeRevision);
+        for (const event of answer.events) this.#takeEvent(event);
+        this.#after = Math.max(after, answer.storeRevision);
         // Without news the answer was made at the end of the wait; with news at an unknown moment.
         this.#prove(answer.events.length === 0 ? startedAt + wait : startedAt);
         return true;
       case 'history-gone':
-        this.options.log.warn('store.history-gone', { after });
-        return this.#readAllTargets(false);
+        log.warn('store.history-gone', { after });
+        return this.#readAll(false);
       case 'not-done':
       case 'unknown':
-        this.options.log.warn('store.unanswered', {
-          ...{ call: 'watch', prefix: KEYS.targets, reason: answer.reason },
-          took: Math.round(clock.now() - startedAt),
-        });
+        log.warn('store.unanswered', { call: 'watch', reason: answer.reason, took });
         return false;
       default:
         return answer satisfies never;
     }
   }
 
-  async #readAllTargets(stale: boolean): Promise<boolean> {
-    const { store, view, clock } = this.options;
-    const startedAt = clock.now();
+  /**
+   * How long the next watch waits: until the last proof is as old as one may become. Before the first one, and after a
+   * call that was not answered, it only asks what there is.
+   */
+  #chooseWait(now: number): number {
+    if (this.#failingSince !== undefined) return NO_WAIT;
+    const wait = this.options.readWatchWait();
+    return Math.max(NO_WAIT, Math.min(wait, this.#readAt + wait - now));
+  }
+
+  #prove(at: number): void {
+    const { view } = this.options;
+    this.#readAt = Math.max(this.#readAt, at);
+    view.prove(at);
+    view.noteKnown({ targets: this.#after, operators: this.#after });
+  }
+
+  /** Reads everything; what changes meanwhile comes by the watch from the first page on. */
+  async #readAll(stale: boolean): Promise<boolean> {
+    const startedAt = this.options.clock.now();
+    const revisions = await Promise.all([
+      this.#readAllOfOperators(stale),
+      this.#readAllTargets(stale),
+    ]);
+    const [operators, targets] = revisions;
+    if (operators === undefined || targets === undefined) return false;
+    this.#after = Math.max(this.#after, Math.min(operators, targets));
+    if (stale) return true;
+    this.#noteSuccess();
+    this.#prove(startedAt);
+    return true;
+  }
+
+  /** Reads all targets; returns the store's revision at the first page, undefined when the store did not answer. */
+  async #readAllTargets(stale: boolean): Promise<number | undefined> {
+    const { view } = this.options;
+    const items = await this.#readItems(KEYS.targets, stale);
+    if (items === undefined) return undefined;
     const seen = new Set<string>();
-    let firstRevision = 0;
+    for (const item of items.listed) {
+      seen.add(item.key.slice(KEYS.targets.length));
+      // Changes since the first page come by the watch, in their order: a view that is told of a later one first
+      // passes on a position that hides the earlier ones from other daemons.
+      if (item.revision <= items.revision) this.#takeTarget(item);
+    }
+    if (stale) return items.revision;
+    for (const { record, revision } of view.listTargets()) {
+      if (seen.has(record.incarnation) || revision > items.revision) continue;
+      this.#takeRemoval(KEYS.targets + record.incarnation, items.revision);
+    }
+    return items.revision;
+  }
+
+  /** Reads the pages of a prefix; `revision` is the store's at the first one. */
+  async #readItems(
+    prefix: string,
+    stale: boolean,
+  ): Promise<{ readonly listed: readonly StoredItem[]; readonly revision: number } | undefined> {
+    const { store, log } = this.options;
+    const listed: StoredItem[] = [];
+    let revision: number | undefined;
     for (let after = ''; ;) {
-      const page = await store.readItems(KEYS.targets, after, stale);
+      const page = await store.readItems(prefix, after, stale);
       if (page.kind !== 'items') {
-        this.options.log.warn('store.unanswered', { call: 'range', reason: page.reason });
-        return false;
-      }
-      if (firstRevision === 0) firstRevision = page.storeRevision;
-      for (const item of page.items) {
-        seen.add(item.key.slice(KEYS.targets.length));
-        // Changes since the first page come by the watch, in their order: a view that is told of a later one first
-        // passes on a position that hides the earlier ones from other daemons.
-        if (item.revision <= firstRevision) this.#takeTarget(item);
+        log.warn('store.unanswered', { call: 'range', prefix, reason: page.reason });
+        return undefined;
       }
+      revision ??= page.storeRevision;
+      listed.push(...page.items);
       const last = page.items.at(-1);
-      if (!page.hasMore || last === undefined) break;
+      if (!page.hasMore || last === undefined) return { listed, revision };
       after = last.key;
     }
-    this.#targetsAfter = Math.max(this.#targetsAfter ?? 0, firstRevision);
-    if (stale) return true;
-    this.#noteSuccess();
-    for (const { record, revision } of view.listTargets()) {
-      if (seen.has(record.incarnation) || revision > firstRevision) continue;
-      this.#takeRemoval(KEYS.targets + record.incarnation, firstRevision);
-    }
-    this.#prove(startedAt);
-    return true;
+  }
+
+  #takeEvent(event: StoreEvent): void {
+    const key = event.kind === 'written' ? event.item.key : event.key;
+    if (key.startsWith(KEYS.operators)) this.#takeOperatorsEvent(event);
+    if (!key.startsWith(KEYS.targets)) return;
+    if (event.kind === 'written') this.#takeTarget(event.item);
+    else this.#takeRemoval(event.key, event.revision);
   }
 
   #takeTarget(item: StoredItem): void {
@@ -286,10 +310,6 @@
     this.#failingSince = undefined;
     log.info('store.regained', { outage: Math.round(outage) });
     if (outage >= LAPSE_OUTAGE) this.#lapseUntil = clock.now() + LAPSE_GRACE;
-    // A watch that waited through the outage may have lost its answer.
-    this.#readAllOfOperators(false).catch((error: Error) => {
-      log.error('store.broken', { error: error.message });
-    });
   }
 
   #noteFailure(): void {
@@ -299,79 +319,15 @@
     log.warn('store.lost', { proven_age: Math.round(clock.now() - this.options.view.provenAt) });
   }
 
-  async #followOperators(signal: AbortSignal): Promise<void> {
-    const { clock, isReader, random, readLongestPause } = this.options;
-    const backoff = new Backoff(random, readLongestPause);
-    while (!signal.aborted) {
-      if (!isReader()) {
-        await clock.sleep(this.#readIdlePace(), signal);
-        continue;
-      }
-      const read = await this.#readOperators();
-      if (read) backoff.clear();
-      await clock.sleep(read ? OPERATORS_PACE : backoff.next(), signal);
-    }
-  }
-
-  /** One reading of what the operators keep; false when the store did not answer, or nothing is there. */
-  async #readOperators(): Promise<boolean> {
-    const { store, view, clock } = this.options;
-    const after = Math.max(this.#operatorsAfter ?? 0, view.known.operators);
-    if (after === 0 || view.table === undefined) return this.#readAllOfOperators(false);
-    const startedAt = clock.now();
-    const answer = await store.watch(KEYS.operators, after, OPERATORS_WAIT);
-    switch (answer.kind) {
-      case 'events':
-        for (const event of answer.events) this.#takeOperatorsEvent(event);
-        this.#noteOperatorsKnown(Math.max(after, answer.storeRevision));
-        view.proveOperators(answer.events.length === 0 ? startedAt + OPERATORS_WAIT : startedAt);
-        return true;
-      case 'history-gone':
-        return this.#readAllOfOperators(false);
-      case 'not-done':
-      case 'unknown':
-        this.options.log.warn('store.unanswered', {
-          ...{ call: 'watch', prefix: KEYS.operators, reason: answer.reason },
-          took: Math.round(clock.now() - startedAt),
-        });
-        return false;
-      default:
-        return answer satisfies never;
-    }
-  }
-
-  /** Reads all that the operators keep. They have a configuration before anybody calls; until then asks again soon. */
-  async #readAllOfOperators(stale: boolean): Promise<boolean> {
-    const { store, view, clock } = this.options;
-    const startedAt = clock.now();
-    const keys: string[] = [];
-    let firstRevision = 0;
-    let hasConfiguration = false;
-    for (let after = ''; ;) {
-      const page = await store.readItems(KEYS.operators, after, stale);
-      if (page.kind !== 'items') return false;
-      if (firstRevision === 0) firstRevision = page.storeRevision;
-      for (const item of page.items) {
-        if (item.key === KEYS.configuration) hasConfiguration = true;
-        this.#takeConfiguration(item);
-        keys.push(item.key);
-      }
-      const last = page.items.at(-1);
-      if (!page.hasMore || last === undefined) break;
-      after = last.key;
-    }
-    // Later pages may be newer than the first; what changed since then is heard of again, from there on.
-    view.setEvacuations({ domains: this.#listDomains(keys), revision: firstRevision });
-    if (!stale) {
-      this.#noteOperatorsKnown(firstRevision);
-      view.proveOperators(startedAt);
-    }
-    return hasConfiguration;
-  }
-
-  #noteOperatorsKnown(revision: number): void {
-    this.#operatorsAfter = Math.max(this.#operatorsAfter ?? 0, revision);
-    this.options.view.noteKnown({ operators: this.#operatorsAfter });
+  /** Reads all that the operators keep; returns as for targets. */
+  async #readAllOfOperators(stale: boolean): Promise<number | undefined> {
+    const items = await this.#readItems(KEYS.operators, stale);
+    if (items === undefined) return undefined;
+    for (const item of items.listed) this.#takeConfiguration(item);
+    // Later pages may be newer than the first; what changed since then is told again, from there on.
+    const domains = this.#listDomains(items.listed.map(({ key }) => key));
+    this.options.view.setEvacuations({ domains, revision: items.revision });
+    return items.revision;
   }
 
   /** The domains that the keys ask to evacuate; one that can't be read is told of once. */
--- a/test/gateway-settings.test.ts
+++ b/test/gateway-settings.test.ts
@@ -23,6 +23,8 @@
   'bounds.budget_window_s': '10',
   'bounds.budget_slack': '64',
   'bounds.probes_per_s': '60',
+  'bounds.config_apply_ms': '2500',
+  'bounds.drain_ms': '3000',
   'bounds.warmup_overshoot': '1.5',
   'bounds.warmup_slack': '8',
 };
@@ -56,6 +58,7 @@
     expect(settings.gateway.first_start).to.equal('false');
     expect(settings.promises).to.include({ grace: 6, answer_ttl: 5, retry_slack: 64 });
     expect(settings.promises).to.include({ cold_overshoot: 1.5, cold_slack: 8 });
+    expect(settings.promises).to.include({ config_apply: 2500, drain: 3000 });
     expect(settings.gateway.domains).to.deep.equal([
       { domain: 'bp-angyal', region: 'hu-central' },
       { domain: 'vac-hall', region: 'hu-east' },
@@ -74,6 +77,12 @@
     const settings = checkGatewaySettings('gateway.ini', writeSettings(rest)).unsafeCoerce();
     expect(settings.promises).to.include({ cold_overshoot: 1, cold_slack: 0 });
   });
+  it('may lack within which time a change is to be in force', () => {
+    const { 'bounds.config_apply_ms': apply, 'bounds.drain_ms': drain, ...rest } = FIELDS;
+    expect([apply, drain]).to.deep.equal(['2500', '3000']);
+    const settings = checkGatewaySettings('gateway.ini', writeSettings(rest)).unsafeCoerce();
+    expect(settings.promises).to.include({ config_apply: 2000, drain: 2000 });
+  });
   it('may lack seeds', () => {
     const text = writeSettings({ ...FIELDS, seeds: '' });
     const settings = checkGatewaySettings('gateway.ini', text).unsafeCoerce();
--- a/test/helpers/news-fleet.ts
+++ b/test/helpers/news-fleet.ts
@@ -11,7 +11,10 @@
 } from '../../src/platform/index.js';
 import { type FeedQuestion, ReaderDuty, Roster } from '../../src/peering/index.js';
 import { writeConfiguration, writeTarget } from '../../src/standin/index.js';
-import { FleetView, StoreReader } from '../../src/view/index.js';
+import { FleetView, StoreReader, planNews } from '../../src/view/index.js';
+
+/** Within this time of its acknowledgement a change is to be in force, in milliseconds. */
+export const PROMISE = 2000;
 
 const ADDRESS = { host: '10.0.0.9', port: 80 };
 
@@ -23,10 +26,6 @@
 
 const READERS = 2;
 
-/** Daemons ask this often: those near the homes, and the others. */
-const NEAR_PACE = 100;
-const PACE = 250;
-
 /** What is slow or broken in a fleet; times in milliseconds. */
 export interface FleetFaults {
   /** One way between two daemons. */
@@ -47,6 +46,9 @@
 
   readonly #waiters = new Set<Waiter>();
 
+  /** Calls of each daemon. */
+  readonly calls = new Map<string, number>();
+
   #revision = 0;
 
   #cuts = new Map<string, number>();
@@ -82,6 +84,7 @@
   createReader(ip: string): KvReader {
     const call = async <T>(wait: number, answer: () => Promise<T>) => {
       const sentAt = this.clock.now();
+      this.calls.set(ip, (this.calls.get(ip) ?? 0) + 1);
       await this.clock.sleep(this.delay);
       const given = await answer();
       await this.clock.sleep(this.delay);
@@ -151,15 +154,20 @@
     });
     const { view } = this;
     this.roster = new Roster({ clock, self, selfState: () => 'ready', homes: 3, capacity: 1 });
-    const duty = new ReaderDuty(clock, {
-      isAppointed: () => this.isReader,
-      isNearHomes: () => this.roster.isNearHomes(),
-    });
+    const duty = new ReaderDuty(
+      clock,
+      {
+        isAppointed: () => this.isReader,
+        isNearHomes: () => this.roster.isNearHomes(),
+      },
+      () => fleet.times,
+    );
     duty.noteServing();
     this.#reader = new StoreReader({
       ...{ store: fleet.store.createReader(ip), view, clock, log: createSilentLog() },
       ...{ random: createSeededRandom(seed), isReader: () => duty.isReader() },
-      readLongestPause: () => duty.readLongestPause(),
+      ...{ readLongestPause: () => duty.readLongestPause(), readDueIn: () => duty.readDueIn() },
+      readWatchWait: () => fleet.times.watchWait,
     });
     this.#exchange = new KnowledgeExchange({
       ...{ clock, self: ip, view, roster: this.roster, reader: this.#reader, duty },
@@ -188,7 +196,8 @@
       for (const { ip } of this.roster.listToAsk()) {
         this.#ask(ip).catch(() => undefined);
       }
-      await clock.sleep(this.roster.isNearHomes() ? NEAR_PACE : PACE, signal);
+      const { nearPace, remotePace } = this.fleet.times;
+      await clock.sleep(this.roster.isNearHomes() ? nearPace : remotePace, signal);
     }
   }
 
@@ -228,6 +237,8 @@
 export class NewsFleet {
   readonly clock = new ManualClock();
 
+  readonly times = planNews(PROMISE);
+
   readonly store: NewsStore;
 
   readonly daemons: readonly NewsDaemon[];
--- a/test/news.test.ts
+++ b/test/news.test.ts
@@ -1,8 +1,6 @@
 import { expect } from 'chai';
-import { NewsFleet, type FleetFaults } from './helpers/news-fleet.js';
-
-/** Within this time of its acknowledgement a change is to be in force, in milliseconds. */
-const PROMISE = 2000;
+import { computeLongestWay, planNews } from '../src/view/index.js';
+import { type FleetFaults, NewsFleet, PROMISE } from './helpers/news-fleet.js';
 
 /** What is to be left of that, whatever happens. */
 const SPARE = 100;
@@ -106,3 +104,31 @@
     }).timeout(60_000);
   }
 });
+
+describe('the times by which changes come to every daemon', () => {
+  /** A slow machine behind a slow link, and a busy store. */
+  const DELAYS = { hop: 35, call: 110 };
+
+  for (const promised of [2000, 2500, 3000, 18_000]) {
+    const times = planNews(promised);
+
+    it(`bring one within ${promised} ms, with a tenth to spare, from silent readers`, () => {
+      expect(computeLongestWay(times, DELAYS)).to.be.lessThan(0.9 * promised);
+    });
+    it(`take no reader for silent that is well: ${promised} ms`, () => {
+      const oldest = times.watchWait + DELAYS.call + times.nearPace + 2 * DELAYS.hop;
+      expect(oldest).to.be.lessThan(times.nearStale);
+      expect(oldest + times.remotePace + 2 * DELAYS.hop).to.be.lessThan(times.remoteStale);
+    });
+  }
+
+  it('leave the store to two readers on a quiet day, at two calls a second at most', async () => {
+    const fleet = new NewsFleet(1);
+    await fleet.clock.advance(3000);
+    fleet.store.calls.clear();
+    await fleet.clock.advance(10_000);
+    fleet.stop();
+    expect([...fleet.store.calls.keys()]).to.have.members(fleet.listReaders().map(({ ip }) => ip));
+    for (const calls of fleet.store.calls.values()) expect(calls).to.be.within(10, 20);
+  });
+});
--- a/test/strange.test.ts
+++ b/test/strange.test.ts
@@ -104,6 +104,7 @@
         random: createSeededRandom(1),
         isReader: () => true,
         readLongestPause: () => 1000,
+        ...{ readDueIn: () => Infinity, readWatchWait: () => 900 },
       },
       log: { debug: () => undefined, info: write, warn: write, error: write },
       store: {
@@ -112,7 +113,7 @@
           Promise.resolve({ kind: 'items', items, storeRevision: 10, hasMore: false }),
         watch: (prefix) => {
           known.push(view.listTargets().length);
-          const next = prefix === KEYS.targets ? answers.shift() : undefined;
+          const next = prefix === KEYS.all ? answers.shift() : undefined;
           return next === undefined ? waitForever : Promise.resolve(next);
         },
       },
--- a/test/view.test.ts
+++ b/test/view.test.ts
@@ -2,10 +2,12 @@
 import { ManualClock, createSeededRandom, createSilentLog } from '../src/kernel/index.js';
 import { KEYS, type KvReader, type StoreEvent, type WatchAnswer } from '../src/platform/index.js';
 import { ReaderDuty } from '../src/peering/index.js';
-import { FleetView, StoreReader } from '../src/view/index.js';
+import { FleetView, StoreReader, planNews } from '../src/view/index.js';
 import { HOST, writeConfiguration, writeTarget } from '../src/standin/index.js';
 import { createView } from './helpers/targets.js';
 
+const readTimes = () => planNews(3000);
+
 const ADDRESS = { host: '10.0.0.1', port: 80 };
 
 /** A store in memory whose answers are set by the test, call by call. */
@@ -172,7 +174,8 @@
   it('falls to appointed homes, and to a daemon to which nobody tells anything', async () => {
     const clock = new ManualClock();
     let isAppointed = false;
-    const duty = new ReaderDuty(clock, { isAppointed: () => isAppointed, isNearHomes: () => true });
+    const place = { isAppointed: () => isAppointed, isNearHomes: () => true };
+    const duty = new ReaderDuty(clock, place, readTimes);
     duty.noteServing();
     expect(duty.isReader()).to.equal(true);
     duty.noteTold('10.0.0.2', clock.now());
@@ -190,7 +193,11 @@
   it('falls to the homes and those next to them before the daemons that hear them', async () => {
     const clock = new ManualClock();
     const createDuty = (isNear: boolean) => {
-      const duty = new ReaderDuty(clock, { isAppointed: () => false, isNearHomes: () => isNear });
+      const duty = new ReaderDuty(
+        clock,
+        { isAppointed: () => false, isNearHomes: () => isNear },
+        readTimes,
+      );
       duty.noteServing();
       duty.noteTold('10.0.0.2', clock.now());
       return duty;
@@ -211,7 +218,12 @@
   });
   it('is left to others for a moment by a daemon that starts', async () => {
     const clock = new ManualClock();
-    const duty = new ReaderDuty(clock, { isAppointed: () => false, isNearHomes: () => false }, 60);
+    const duty = new ReaderDuty(
+      clock,
+      { isAppointed: () => false, isNearHomes: () => false },
+      readTimes,
+      60,
+    );
     expect(duty.isReader()).to.equal(false);
     await clock.advance(60);
     expect(duty.isReader()).to.equal(true);
@@ -225,6 +237,7 @@
     const duty = new ReaderDuty(
       clock,
       { isAppointed: () => !knowsOthers, isNearHomes: () => true },
+      readTimes,
       3000,
     );
     duty.noteTold('10.0.0.2', clock.now());
@@ -239,7 +252,11 @@
   });
   it('reads as an appointed one soon, and at once where nobody tells it anything', async () => {
     const clock = new ManualClock();
-    const duty = new ReaderDuty(clock, { isAppointed: () => true, isNearHomes: () => true });
+    const duty = new ReaderDuty(
+      clock,
+      { isAppointed: () => true, isNearHomes: () => true },
+      readTimes,
+    );
     expect(duty.isReader()).to.equal(true);
     duty.noteServing();
     duty.noteTold('10.0.0.2', clock.now());
@@ -261,6 +278,7 @@
       ...{ store, view, clock, random: createSeededRandom(1), log: createSilentLog() },
       isReader: () => isReader,
       readLongestPause: () => 1000,
+      ...{ readDueIn: () => Infinity, readWatchWait: () => 900 },
     });
     reader.run(running.signal).catch(() => undefined);
     return reader;
@@ -366,6 +384,7 @@
     const reader = new StoreReader({
       ...{ store: paged, view, clock, random: createSeededRandom(1), log: createSilentLog() },
       ...{ isReader: () => true, readLongestPause: () => 1000 },
+      ...{ readDueIn: () => Infinity, readWatchWait: () => 900 },
     });
     reader.run(running.signal).catch(() => undefined);
     await clock.advance(20);
