An outage that a reader saw ends for it when others read

Cause: when a daemon ceases to read, what it knew of the outage stayed. test/view.test.ts, 'drops an entry at once that left after others had read for it': failed before, passes.

--- a/src/view/store-reader.ts
+++ b/src/view/store-reader.ts
@@ -121,6 +121,8 @@
     while (!signal.aborted) {
       this.#settlePending();
       if (!isReader()) {
+        // Others read, so the outage that this daemon saw is over, whatever it sees when it reads again.
+        this.#failingSince = undefined;
         await clock.sleep(this.#chooseIdleTime(), signal);
         continue;
       }
--- a/test/news.test.ts
+++ b/test/news.test.ts
@@ -21,19 +21,19 @@
   readonly pause: number;
 }
 
-async function loseStore(fleet: NewsFleet, time: number): Promise<number> {
+async function breakStore(fleet: NewsFleet, time: number): Promise<number> {
   for (const { ip } of fleet.daemons) fleet.store.cut(ip);
   await fleet.clock.advance(time);
   for (const { ip } of fleet.daemons) fleet.store.join(ip);
   return fleet.clock.now() + CONTACT;
 }
 
-function silenceReaders(fleet: NewsFleet): number {
+function cutReaders(fleet: NewsFleet): number {
   for (const { ip } of fleet.listReaders()) fleet.store.cut(ip);
   return 0;
 }
 
-function killReaders(fleet: NewsFleet): number {
+function stopReaders(fleet: NewsFleet): number {
   for (const daemon of fleet.listReaders()) {
     daemon.isGone = true;
     fleet.store.cut(daemon.ip);
@@ -46,19 +46,19 @@
 const STORIES: Readonly<Record<string, Story>> = {
   'on a quiet day': { happen: () => 0, pause: 0 },
   'over slow links, at slow machines': { happen: () => 0, pause: 0, faults: SLOW },
-  'after the store was silent': { happen: (fleet) => loseStore(fleet, 6000), pause: 2000 },
+  'after the store was silent': { happen: (fleet) => breakStore(fleet, 6000), pause: 2000 },
   'after the store was silent for a moment': {
-    happen: (fleet) => loseStore(fleet, 700),
+    happen: (fleet) => breakStore(fleet, 700),
     pause: 1000,
   },
   'after the store was silent, over slow links': {
-    ...{ happen: (fleet: NewsFleet) => loseStore(fleet, 6000), pause: 2000, faults: SLOW },
+    ...{ happen: (fleet: NewsFleet) => breakStore(fleet, 6000), pause: 2000, faults: SLOW },
   },
-  'when those that read for all hear nothing from the store': { happen: silenceReaders, pause: 0 },
-  'when they hear nothing, over slow links': { happen: silenceReaders, pause: 0, faults: SLOW },
-  'when those that read for all have just been killed': { happen: killReaders, pause: 0 },
+  'when those that read for all hear nothing from the store': { happen: cutReaders, pause: 0 },
+  'when they hear nothing, over slow links': { happen: cutReaders, pause: 0, faults: SLOW },
+  'when those that read for all have just been killed': { happen: stopReaders, pause: 0 },
   'when they have just been killed, over slow links': {
-    ...{ happen: killReaders, pause: 0, faults: SLOW },
+    ...{ happen: stopReaders, pause: 0, faults: SLOW },
   },
 };
 
@@ -72,7 +72,7 @@
           const fleet = new NewsFleet(seed, faults);
           try {
             await fleet.clock.advance(4000 + phase);
-            const silenced = new Set(happen === silenceReaders ? fleet.listReaders() : []);
+            const silenced = new Set(happen === cutReaders ? fleet.listReaders() : []);
             const bound = await happen(fleet);
             await fleet.clock.advance(pause + (bound > 0 ? phase : 0));
             const writtenAt = fleet.clock.now();
--- a/test/view.test.ts
+++ b/test/view.test.ts
@@ -414,6 +414,22 @@
       await clock.advance(2000);
       expect(listIds()).to.have.members(['i1', 'i3']);
     });
+    // Guards against an outage that never ends for a daemon that others have read for since: what left long after it was
+    // taken for an entry that had lapsed, and stayed in use for two seconds.
+    it('drops an entry at once that left after others had read for it', async () => {
+      startReader();
+      await clock.advance(500);
+      store.isDown = true;
+      await clock.advance(3000);
+      isReader = false;
+      store.isDown = false;
+      await clock.advance(10_000);
+      isReader = true;
+      await clock.advance(100);
+      store.change('i1', undefined);
+      await clock.advance(500);
+      expect(listIds()).to.have.members(['i2', 'i3']);
+    });
     it('drops an entry at once that left after the outage was over for long', async () => {
       startReader();
       await clock.advance(500);
