--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -44,6 +44,25 @@
       'default-case': 'off',
     },
   },
+  // Within the gateway what concerns targets knows nothing of requests, and neither knows the daemon that is made of them.
+  ...[
+    ['targets', ['requests', 'fleet']],
+    ['requests', ['fleet']],
+    ['fleet', ['requests', 'targets']],
+  ].map(([room, others]) => ({
+    files: [`src/gateway/${room}/*.ts`],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            ...others.map((other) => `../${other}/*`),
+            ...['../gateway.js', '../status.js', '../directory.js', '../index.js'],
+          ],
+        },
+      ],
+    },
+  })),
   {
     files: ['test/**/*.ts'],
     rules: {
--- a/src/gateway/address-choice.ts
+++ b/src/gateway/fleet/address-choice.ts
@@ -6,8 +6,8 @@
  * the time, and made the first home plan for more homes, all of them weak. So a home is named the less often the
  * weaker it is.
  */
-import type { Random } from '../kernel/index.js';
-import type { MemberInfo } from '../peering/index.js';
+import type { Random } from '../../kernel/index.js';
+import type { MemberInfo } from '../../peering/index.js';
 
 /** A home that has at least this part of the strongest one's cores may be a spare. */
 const SPARE_PART = 0.5;
--- a/src/gateway/busy-meter.ts
+++ b/src/gateway/fleet/busy-meter.ts
@@ -1,7 +1,7 @@
 /** Which part of its time this daemon has been at work of late. */
 import { performance } from 'node:perf_hooks';
-import { DecayingMean } from '../balance/index.js';
-import type { Clock } from '../kernel/index.js';
+import { DecayingMean } from '../../balance/index.js';
+import type { Clock } from '../../kernel/index.js';
 
 /** Long against one call, short against a burst. */
 const HALF_LIFE = 500;
--- a/src/gateway/home-planner.ts
+++ b/src/gateway/fleet/home-planner.ts
@@ -1,6 +1,6 @@
 /** Measures how busy this daemon is and, while it is the first home, plans how many homes there are. */
-import type { Clock, Log } from '../kernel/index.js';
-import { HomePlan, type Roster } from '../peering/index.js';
+import type { Clock, Log } from '../../kernel/index.js';
+import { HomePlan, type Roster } from '../../peering/index.js';
 import { BusyMeter, createUtilizationReader } from './busy-meter.js';
 
 /** What the planner is made from. */
--- a/src/gateway/knowledge-exchange.ts
+++ b/src/gateway/fleet/knowledge-exchange.ts
@@ -1,5 +1,5 @@
 /** What this daemon answers when another one asks what it knows, and what it takes from the answers of others. */
-import type { Clock } from '../kernel/index.js';
+import type { Clock } from '../../kernel/index.js';
 import type {
   CaseWord,
   FeedClient,
@@ -8,8 +8,8 @@
   Reading,
   ReaderDuty,
   Roster,
-} from '../peering/index.js';
-import type { FleetView, StoreReader } from '../view/index.js';
+} from '../../peering/index.js';
+import type { FleetView, StoreReader } from '../../view/index.js';
 
 /** What the exchange is made from. */
 export interface KnowledgeExchangeOptions {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -24,21 +24,21 @@
 import { type ResolveQuestion, kvStoreService } from '../platform/index.js';
 import type { RouteTable } from '../routing/index.js';
 import { FleetView, type NewsTimes, StoreReader, planNews } from '../view/index.js';
-import { chooseHomes } from './address-choice.js';
-import { CallerServer, computeListenQueue } from './caller-server.js';
+import { chooseHomes } from './fleet/address-choice.js';
+import { CallerServer, computeListenQueue } from './requests/caller-server.js';
 import { serveDirectory, serveMetrics, serveReadiness } from './directory.js';
-import { LoadSharing } from './load-sharing.js';
-import { HomePlanner } from './home-planner.js';
-import { KnowledgeExchange } from './knowledge-exchange.js';
-import { PoisonDesk } from './poison-desk.js';
+import { LoadSharing } from './targets/load-sharing.js';
+import { HomePlanner } from './fleet/home-planner.js';
+import { KnowledgeExchange } from './fleet/knowledge-exchange.js';
+import { PoisonDesk } from './requests/poison-desk.js';
 import { LessonBook } from './lessons.js';
-import { Prober } from './prober.js';
-import { Reception } from './reception.js';
+import { Prober } from './targets/prober.js';
+import { Reception } from './requests/reception.js';
 import type { GatewaySettings } from './settings.js';
 import { type GatewayStatus, describeStatus, listGauges } from './status.js';
-import type { Coldness } from './own-rates.js';
-import { TargetSet } from './target-set.js';
-import { TargetNews } from './target-news.js';
+import type { Coldness } from './targets/own-rates.js';
+import { TargetSet } from './targets/target-set.js';
+import { TargetNews } from './targets/target-news.js';
 import { TurnWatch, createTurnSource } from './turn-watch.js';
 
 /** Readers of the store: two, so that one may die without anybody noticing late. */
--- a/src/gateway/answers.ts
+++ b/src/gateway/requests/answers.ts
@@ -1,7 +1,7 @@
 /** The answers that the system gives by itself, and the passing on of a target's answer. */
 import type { ServerResponse } from 'node:http';
-import { listPairs } from '../proxy/headers.js';
-import { HEADERS } from '../platform/index.js';
+import { listPairs } from '../../proxy/headers.js';
+import { HEADERS } from '../../platform/index.js';
 import type { TargetAnswer } from './attempt.js';
 
 /**
--- a/src/gateway/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -7,10 +7,10 @@
 import http from 'node:http';
 import type { IncomingMessage } from 'node:http';
 import type { Readable } from 'node:stream';
-import type { Clock } from '../kernel/index.js';
-import { HEADERS, type SelfReport, decodeSelfReport, readHeader } from '../platform/index.js';
-import { type TargetConnection, readRestLimit } from './connections.js';
-import type { GatewayTarget } from './target.js';
+import type { Clock } from '../../kernel/index.js';
+import { HEADERS, type SelfReport, decodeSelfReport, readHeader } from '../../platform/index.js';
+import { type TargetConnection, readRestLimit } from '../targets/connections.js';
+import type { GatewayTarget } from '../targets/target.js';
 
 /** What is sent. */
 export interface Sending {
--- a/src/gateway/backlog.ts
+++ b/src/gateway/requests/backlog.ts
@@ -11,9 +11,9 @@
  * What it buys: more calls are served, none is held on past its time-out, and hardly any is sent on for a caller that
  * has left (`test/overdue.test.ts`).
  */
-import { DecayingMean, type LineCall, QuantileEstimate, WaitLine } from '../balance/index.js';
-import type { Clock, Random } from '../kernel/index.js';
-import type { TurnWatch } from './turn-watch.js';
+import { DecayingMean, type LineCall, QuantileEstimate, WaitLine } from '../../balance/index.js';
+import type { Clock, Random } from '../../kernel/index.js';
+import type { TurnWatch } from '../turn-watch.js';
 
 /** A request that was read. Times are on the clock, in milliseconds. */
 export interface BacklogCall extends LineCall {
--- a/src/gateway/caller-aims.ts
+++ b/src/gateway/requests/caller-aims.ts
@@ -10,7 +10,7 @@
  * late ones go behind and are given up sooner. So how far first tries lie apart is learnt, and the least patient ones
  * are what others are measured against.
  */
-import type { Route } from '../routing/index.js';
+import type { Route } from '../../routing/index.js';
 
 /** The way of a request and its answer, in milliseconds: callers are about 8 ms away. */
 const WAY = 16;
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/requests/caller-server.ts
@@ -1,9 +1,9 @@
 /** The listener for callers: connections that are kept, drained and closed without losing a request. */
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Address, Clock } from '../kernel/index.js';
-import type { RequestLimits } from '../routing/index.js';
-import type { TurnMark, TurnWatch } from './turn-watch.js';
+import type { Address, Clock } from '../../kernel/index.js';
+import type { RequestLimits } from '../../routing/index.js';
+import type { TurnMark, TurnWatch } from '../turn-watch.js';
 
 /** What the listener is made from. */
 export interface CallerServerOptions {
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -7,16 +7,16 @@
  * request that is given up gets its answer at once.
  */
 import type { ServerResponse } from 'node:http';
-import type { Clock, Log, TextMetrics, Timer } from '../kernel/index.js';
-import { SendLedger } from '../proxy/ledger.js';
-import type { Route } from '../routing/index.js';
+import type { Clock, Log, TextMetrics, Timer } from '../../kernel/index.js';
+import { SendLedger } from '../../proxy/ledger.js';
+import type { Route } from '../../routing/index.js';
 import {
   type FirstAttempt,
   type RouteTime,
   isQuicker,
   isStuck,
   judgeNeed,
-} from '../balance/index.js';
+} from '../../balance/index.js';
 import { type Told, writeAnswer, writeTold } from './answers.js';
 import {
   type AttemptOutcome,
@@ -28,9 +28,9 @@
 import { RequestLog } from './request-log.js';
 import type { PoisonDesk } from './poison-desk.js';
 import type { RequestIdentity } from './request-identity.js';
-import type { PlaceCare, Refusal, SlotAnswer, SlotCall } from './slot-queue.js';
-import type { GatewayTarget } from './target.js';
-import type { TargetService } from './target-service.js';
+import type { PlaceCare, Refusal, SlotAnswer, SlotCall } from '../targets/slot-queue.js';
+import type { GatewayTarget } from '../targets/target.js';
+import type { TargetService } from '../targets/target-service.js';
 
 /** A request that was read and found its route. */
 export interface RoutedRequest {
--- a/src/gateway/intake.ts
+++ b/src/gateway/requests/intake.ts
@@ -1,12 +1,12 @@
 /** Reads a caller's request: its head against the operators' limits, its route, its body. */
 import type { IncomingMessage } from 'node:http';
 import { type Readable, Transform } from 'node:stream';
-import { checkHead, normalizeTarget } from '../proxy/door.js';
-import { listPairs } from '../proxy/headers.js';
-import { HEADERS } from '../platform/index.js';
-import type { RequestLimits } from '../routing/index.js';
+import { checkHead, normalizeTarget } from '../../proxy/door.js';
+import { listPairs } from '../../proxy/headers.js';
+import { HEADERS } from '../../platform/index.js';
+import type { RequestLimits } from '../../routing/index.js';
 import type { Told } from './answers.js';
-import type { GatewayTarget } from './target.js';
+import type { GatewayTarget } from '../targets/target.js';
 
 /** Bodies up to this length are read whole before a target is chosen, so that they can be sent again. */
 export const HELD_BODY = 1_048_576;
--- a/src/gateway/poison-desk.ts
+++ b/src/gateway/requests/poison-desk.ts
@@ -11,13 +11,13 @@
   PoisonRecord,
   type PoisonTerms,
   type PoisonVerdict,
-} from '../balance/index.js';
-import type { Clock, Log, TextMetrics } from '../kernel/index.js';
-import type { CaseWord } from '../peering/index.js';
-import type { PoisonLesson } from './lessons.js';
+} from '../../balance/index.js';
+import type { Clock, Log, TextMetrics } from '../../kernel/index.js';
+import type { CaseWord } from '../../peering/index.js';
+import type { PoisonLesson } from '../lessons.js';
 import type { RequestIdentity } from './request-identity.js';
-import { type GatewayTarget, readRelease } from './target.js';
-import type { TargetService } from './target-service.js';
+import { type GatewayTarget, readRelease } from '../targets/target.js';
+import type { TargetService } from '../targets/target-service.js';
 
 /** What the desk is made from. */
 export interface PoisonDeskOptions {
--- a/src/gateway/reception.ts
+++ b/src/gateway/requests/reception.ts
@@ -1,9 +1,9 @@
 /** Takes a caller's request from its head to the hands of {@link Forwarding}, or answers it at once. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Clock, Log, Random, TextMetrics } from '../kernel/index.js';
-import { RouteTime } from '../balance/index.js';
-import { HEADERS, readHeader } from '../platform/index.js';
-import { type Route, type RouteTable, SplitDealer } from '../routing/index.js';
+import type { Clock, Log, Random, TextMetrics } from '../../kernel/index.js';
+import { RouteTime } from '../../balance/index.js';
+import { HEADERS, readHeader } from '../../platform/index.js';
+import { type Route, type RouteTable, SplitDealer } from '../../routing/index.js';
 import { type Told, writeTold } from './answers.js';
 import { Backlog, type BacklogOptions } from './backlog.js';
 import { CallerAims } from './caller-aims.js';
@@ -21,11 +21,11 @@
   checkRequest,
   readBody,
 } from './intake.js';
-import type { Lessons, RouteLesson } from './lessons.js';
+import type { Lessons, RouteLesson } from '../lessons.js';
 import type { PoisonDesk } from './poison-desk.js';
 import { RequestIdentity } from './request-identity.js';
 import { RequestLog } from './request-log.js';
-import type { TargetSet } from './target-set.js';
+import type { TargetSet } from '../targets/target-set.js';
 
 /** What the reception is made from. */
 export interface ReceptionOptions {
--- a/src/gateway/request-identity.ts
+++ b/src/gateway/requests/request-identity.ts
@@ -8,7 +8,7 @@
  * They are worked out when they are asked for, on most days never; all three take some 10 us.
  */
 import { createHash } from 'node:crypto';
-import { HEAD_LENGTH } from '../balance/index.js';
+import { HEAD_LENGTH } from '../../balance/index.js';
 import type { Sending } from './attempt.js';
 
 /** What a request is told apart by. */
--- a/src/gateway/request-log.ts
+++ b/src/gateway/requests/request-log.ts
@@ -1,6 +1,6 @@
 /** The lines and counters of one request: each decision on it, with what it rested on. */
-import { judgeLateness } from '../balance/index.js';
-import type { Clock, Log, TextMetrics } from '../kernel/index.js';
+import { judgeLateness } from '../../balance/index.js';
+import type { Clock, Log, TextMetrics } from '../../kernel/index.js';
 import type { Told } from './answers.js';
 import type { RunningAttempt } from './attempt.js';
 
--- a/src/gateway/status.ts
+++ b/src/gateway/status.ts
@@ -1,8 +1,8 @@
 /** What a daemon tells of itself: gauges for whoever asks, and a line now and then. */
 import type { LogFields } from '../kernel/index.js';
 import type { MemberState } from '../peering/index.js';
-import type { ForwardingCounts } from './forwarding.js';
-import type { TargetService } from './target-service.js';
+import type { ForwardingCounts } from './requests/forwarding.js';
+import type { TargetService } from './targets/target-service.js';
 
 /** The state of a daemon at one moment. */
 export interface GatewayStatus {
--- a/src/gateway/connections.ts
+++ b/src/gateway/targets/connections.ts
@@ -6,7 +6,7 @@
  */
 import http from 'node:http';
 import net from 'node:net';
-import { type Address, type Clock, scheduleFairly } from '../kernel/index.js';
+import { type Address, type Clock, scheduleFairly } from '../../kernel/index.js';
 
 /** An open connection to a target. */
 export interface TargetConnection {
--- a/src/gateway/draining-news.ts
+++ b/src/gateway/targets/draining-news.ts
@@ -1,6 +1,6 @@
 /** Which draining targets the other daemons are to be told of now. */
-import type { Clock } from '../kernel/index.js';
-import type { DrainingShare } from '../peering/index.js';
+import type { Clock } from '../../kernel/index.js';
+import type { DrainingShare } from '../../peering/index.js';
 import type { GatewayTarget } from './target.js';
 import type { TargetSet } from './target-set.js';
 
--- a/src/gateway/incarnation-hash.ts
+++ b/src/gateway/targets/incarnation-hash.ts
@@ -1,5 +1,5 @@
 /** The number that stands for an incarnation in datagrams between daemons. */
-import { hashPair } from '../balance/home.js';
+import { hashPair } from '../../balance/home.js';
 
 const HASHES = 2 ** 32;
 
--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/targets/load-sharing.ts
@@ -5,8 +5,8 @@
  * Calls come to other daemons as well, from callers that hold an old answer or after many daemons have
  * started anew. Such a daemon tells the homes of its calls, and hears from them for as long as it does.
  */
-import type { Clock } from '../kernel/index.js';
-import type { DrainingShare, LoadShare } from '../peering/index.js';
+import type { Clock } from '../../kernel/index.js';
+import type { DrainingShare, LoadShare } from '../../peering/index.js';
 import { DrainingNews } from './draining-news.js';
 import type { GatewayTarget } from './target.js';
 import type { TargetSet } from './target-set.js';
--- a/src/gateway/own-rates.ts
+++ b/src/gateway/targets/own-rates.ts
@@ -4,8 +4,8 @@
   type FleetShare,
   computeColdRate,
   computeOwnRate,
-} from '../balance/index.js';
-import type { Clock } from '../kernel/index.js';
+} from '../../balance/index.js';
+import type { Clock } from '../../kernel/index.js';
 import type { GatewayTarget } from './target.js';
 
 /** What is known of the cold targets of a service. */
--- a/src/gateway/prober.ts
+++ b/src/gateway/targets/prober.ts
@@ -1,11 +1,11 @@
 /** Asks targets how loaded they are, while calls for them come to this daemon. */
 import http from 'node:http';
-import { recallPair } from '../balance/home.js';
-import { computeProbeInterval } from '../balance/index.js';
-import { type Clock, scheduleFairly } from '../kernel/index.js';
-import { decodeSelfReport } from '../platform/index.js';
-import { BUSY } from '../peering/index.js';
-import type { RouteTable } from '../routing/index.js';
+import { recallPair } from '../../balance/home.js';
+import { computeProbeInterval } from '../../balance/index.js';
+import { type Clock, scheduleFairly } from '../../kernel/index.js';
+import { decodeSelfReport } from '../../platform/index.js';
+import { BUSY } from '../../peering/index.js';
+import type { RouteTable } from '../../routing/index.js';
 import type { GatewayTarget } from './target.js';
 import type { TargetService } from './target-service.js';
 import type { TargetSet } from './target-set.js';
--- a/src/gateway/slot-queue.ts
+++ b/src/gateway/targets/slot-queue.ts
@@ -1,6 +1,6 @@
 /** Calls of one service that wait in this daemon for a target. */
-import { type Admission, type LineCall, type TargetLimit, WaitLine } from '../balance/index.js';
-import type { Clock, Random, Timer } from '../kernel/index.js';
+import { type Admission, type LineCall, type TargetLimit, WaitLine } from '../../balance/index.js';
+import type { Clock, Random, Timer } from '../../kernel/index.js';
 import type { GatewayTarget } from './target.js';
 
 /** What a call asks of its place. */
--- a/src/gateway/standing-book.ts
+++ b/src/gateway/targets/standing-book.ts
@@ -1,7 +1,7 @@
 /** What targets have said of themselves, kept while their entries are gone from the list and may come back. */
-import { Standing } from '../balance/index.js';
-import type { Clock } from '../kernel/index.js';
-import type { TargetRecord } from '../platform/index.js';
+import { Standing } from '../../balance/index.js';
+import type { Clock } from '../../kernel/index.js';
+import type { TargetRecord } from '../../platform/index.js';
 
 /** Incarnations kept at most: some releases of a large fleet. */
 const MOST_KEPT = 4096;
--- a/src/gateway/target-news.ts
+++ b/src/gateway/targets/target-news.ts
@@ -1,5 +1,5 @@
 /** Lines and counters for what targets say of themselves. */
-import type { Log, TextMetrics } from '../kernel/index.js';
+import type { Log, TextMetrics } from '../../kernel/index.js';
 import type { GatewayTarget } from './target.js';
 import type { TargetService } from './target-service.js';
 
--- a/src/gateway/target-service.ts
+++ b/src/gateway/targets/target-service.ts
@@ -1,5 +1,5 @@
 /** One service as this daemon uses it: its targets, and which of them a call goes to. */
-import type { Clock, Random } from '../kernel/index.js';
+import type { Clock, Random } from '../../kernel/index.js';
 import {
   type Advice,
   type DrawPool,
@@ -13,8 +13,8 @@
   WindowBudget,
   choosePlace,
   drawCandidates,
-} from '../balance/index.js';
-import type { ServiceLesson } from './lessons.js';
+} from '../../balance/index.js';
+import type { ServiceLesson } from '../lessons.js';
 import { type Coldness, OwnRates } from './own-rates.js';
 import { type PlaceWish, SlotQueue } from './slot-queue.js';
 import { type GatewayTarget, readRelease } from './target.js';
--- a/src/gateway/target-set.ts
+++ b/src/gateway/targets/target-set.ts
@@ -1,6 +1,6 @@
 /** The targets in use, by service, kept in step with the view. */
-import type { FleetView } from '../view/index.js';
-import type { Lessons, ServiceLesson } from './lessons.js';
+import type { FleetView } from '../../view/index.js';
+import type { Lessons, ServiceLesson } from '../lessons.js';
 import { StandingBook } from './standing-book.js';
 import { GatewayTarget } from './target.js';
 import type { TargetListener } from './target-news.js';
--- a/src/gateway/target.ts
+++ b/src/gateway/targets/target.ts
@@ -13,8 +13,8 @@
   type SlowdownPattern,
   type Standing,
   Warmth,
-} from '../balance/index.js';
-import type { Clock } from '../kernel/index.js';
+} from '../../balance/index.js';
+import type { Clock } from '../../kernel/index.js';
 import type {
   LoadReport,
   SelfReport,
@@ -22,9 +22,9 @@
   StatedDraining,
   StatedRate,
   TargetRecord,
-} from '../platform/index.js';
-import type { LoadShare } from '../peering/index.js';
-import type { ListedTarget } from '../view/index.js';
+} from '../../platform/index.js';
+import type { LoadShare } from '../../peering/index.js';
+import type { ListedTarget } from '../../view/index.js';
 import { TargetConnections } from './connections.js';
 import { hashIncarnation } from './incarnation-hash.js';
 import type { TargetListener } from './target-news.js';
--- a/test/backlog.test.ts
+++ b/test/backlog.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { Backlog, type BacklogCall } from '../src/gateway/backlog.js';
+import { Backlog, type BacklogCall } from '../src/gateway/requests/backlog.js';
 import { ManualClock, createSeededRandom } from '../src/kernel/index.js';
 
 type Fate = 'begun' | 'refused' | 'dropped';
--- a/test/draining.test.ts
+++ b/test/draining.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
-import { startTargetAttempt } from '../src/gateway/attempt.js';
-import type { ConnectionResult } from '../src/gateway/connections.js';
+import { startTargetAttempt } from '../src/gateway/requests/attempt.js';
+import type { ConnectionResult } from '../src/gateway/targets/connections.js';
 import { pause } from '../src/demo/index.js';
 import { createSystemClock } from '../src/kernel/index.js';
 import { KEYS } from '../src/platform/index.js';
--- a/test/helpers/listener.ts
+++ b/test/helpers/listener.ts
@@ -1,5 +1,5 @@
 /** A listener to targets that does nothing. */
-import type { TargetListener } from '../../src/gateway/target-news.js';
+import type { TargetListener } from '../../src/gateway/targets/target-news.js';
 
 export const quietListener: TargetListener = {
   onRate: () => undefined,
--- a/test/helpers/news-fleet.ts
+++ b/test/helpers/news-fleet.ts
@@ -1,6 +1,6 @@
 /** Daemons that tell each other what the store holds, in one process and on a clock that the test moves. */
 import { setMaxListeners } from 'node:events';
-import { KnowledgeExchange } from '../../src/gateway/knowledge-exchange.js';
+import { KnowledgeExchange } from '../../src/gateway/fleet/knowledge-exchange.js';
 import { ManualClock, createSeededRandom, createSilentLog } from '../../src/kernel/index.js';
 import {
   KEYS,
--- a/test/helpers/targets.ts
+++ b/test/helpers/targets.ts
@@ -1,6 +1,6 @@
 /** Views and sets of targets that tell nobody of their changes. */
 import { WindowBudget } from '../../src/balance/index.js';
-import { TargetSet } from '../../src/gateway/target-set.js';
+import { TargetSet } from '../../src/gateway/targets/target-set.js';
 import { type Clock, createSeededRandom } from '../../src/kernel/index.js';
 import { FleetView } from '../../src/view/index.js';
 import { quietListener } from './listener.js';
--- a/test/homes.test.ts
+++ b/test/homes.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
-import { BusyMeter } from '../src/gateway/busy-meter.js';
-import { HomePlanner } from '../src/gateway/home-planner.js';
+import { BusyMeter } from '../src/gateway/fleet/busy-meter.js';
+import { HomePlanner } from '../src/gateway/fleet/home-planner.js';
 import { ManualClock } from '../src/kernel/index.js';
 import { type BusyHome, HomePlan, Roster } from '../src/peering/index.js';
 
--- a/test/large-fleet.test.ts
+++ b/test/large-fleet.test.ts
@@ -6,8 +6,8 @@
 import net, { type AddressInfo } from 'node:net';
 import { expect } from 'chai';
 import { type Prospect, choosePlace, drawCandidates, estimateTime } from '../src/balance/index.js';
-import { TargetConnections } from '../src/gateway/connections.js';
-import { Prober } from '../src/gateway/prober.js';
+import { TargetConnections } from '../src/gateway/targets/connections.js';
+import { Prober } from '../src/gateway/targets/prober.js';
 import {
   ManualClock,
   createSeededRandom,
--- a/test/lessons.test.ts
+++ b/test/lessons.test.ts
@@ -7,9 +7,9 @@
   parseLessons,
   supersedes,
 } from '../src/gateway/lessons.js';
-import { PoisonDesk } from '../src/gateway/poison-desk.js';
-import { Reception } from '../src/gateway/reception.js';
-import { TargetSet } from '../src/gateway/target-set.js';
+import { PoisonDesk } from '../src/gateway/requests/poison-desk.js';
+import { Reception } from '../src/gateway/requests/reception.js';
+import { TargetSet } from '../src/gateway/targets/target-set.js';
 import {
   ManualClock,
   TextMetrics,
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -13,10 +13,10 @@
   measureCost,
   Standing,
 } from '../src/balance/index.js';
-import { chooseHomes } from '../src/gateway/address-choice.js';
-import { CallerAims } from '../src/gateway/caller-aims.js';
-import { type SlotAnswer, type SlotCall, SlotQueue } from '../src/gateway/slot-queue.js';
-import { GatewayTarget } from '../src/gateway/target.js';
+import { chooseHomes } from '../src/gateway/fleet/address-choice.js';
+import { CallerAims } from '../src/gateway/requests/caller-aims.js';
+import { type SlotAnswer, type SlotCall, SlotQueue } from '../src/gateway/targets/slot-queue.js';
+import { GatewayTarget } from '../src/gateway/targets/target.js';
 import { ManualClock, createLineLog, createSeededRandom } from '../src/kernel/index.js';
 import { type Datagram, decodeDatagram, encodeDatagram } from '../src/peering/index.js';
 import type { Route } from '../src/routing/index.js';
--- a/test/measuring.test.ts
+++ b/test/measuring.test.ts
@@ -2,8 +2,8 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { computeProbeInterval } from '../src/balance/index.js';
-import { LoadSharing } from '../src/gateway/load-sharing.js';
-import { findProber } from '../src/gateway/prober.js';
+import { LoadSharing } from '../src/gateway/targets/load-sharing.js';
+import { findProber } from '../src/gateway/targets/prober.js';
 import { ManualClock } from '../src/kernel/index.js';
 import type { LoadShare } from '../src/peering/index.js';
 import type { TargetRecord } from '../src/platform/index.js';
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { Standing, SlowdownMemory } from '../src/balance/index.js';
-import { type SlotAnswer, type SlotCall, SlotQueue } from '../src/gateway/slot-queue.js';
-import { GatewayTarget } from '../src/gateway/target.js';
+import { type SlotAnswer, type SlotCall, SlotQueue } from '../src/gateway/targets/slot-queue.js';
+import { GatewayTarget } from '../src/gateway/targets/target.js';
 import { ManualClock, createSeededRandom } from '../src/kernel/index.js';
 import { quietListener } from './helpers/listener.js';
 
--- a/test/poison-record.test.ts
+++ b/test/poison-record.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { type PoisonCase, PoisonRecord, type PoisonTerms } from '../src/balance/index.js';
-import { RequestIdentity, type RequestTraits } from '../src/gateway/request-identity.js';
+import { RequestIdentity, type RequestTraits } from '../src/gateway/requests/request-identity.js';
 
 const MINUTE = 60_000;
 const DAY = 24 * 60 * MINUTE;
--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -13,9 +13,9 @@
 import { expect } from 'chai';
 import { WindowBudget } from '../src/balance/index.js';
 import { pause } from '../src/demo/index.js';
-import type { PlaceWish } from '../src/gateway/slot-queue.js';
-import type { TargetService } from '../src/gateway/target-service.js';
-import { TargetSet } from '../src/gateway/target-set.js';
+import type { PlaceWish } from '../src/gateway/targets/slot-queue.js';
+import type { TargetService } from '../src/gateway/targets/target-service.js';
+import { TargetSet } from '../src/gateway/targets/target-set.js';
 import { ManualClock, createSeededRandom } from '../src/kernel/index.js';
 import { KEYS, type TargetRecord } from '../src/platform/index.js';
 import { type Behaviour, type SiteTarget, writeTarget } from '../src/standin/index.js';
