--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,7 +10,7 @@
   logService,
   randomService,
 } from '../kernel/index.js';
-import { type FleetShare, WindowBudget } from '../balance/index.js';
+import { WindowBudget } from '../balance/index.js';
 import {
   FeedClient,
   type MemberInfo,
@@ -30,6 +30,7 @@
 import { LoadSharing } from './targets/load-sharing.js';
 import { HomePlanner } from './fleet/home-planner.js';
 import { KnowledgeExchange } from './fleet/knowledge-exchange.js';
+import { FleetPlace } from './fleet/place.js';
 import { PoisonDesk } from './requests/poison-desk.js';
 import { LessonBook } from './lessons.js';
 import { Prober } from './targets/prober.js';
@@ -41,9 +42,6 @@
 import { TargetNews } from './targets/target-news.js';
 import { TurnWatch, createTurnSource } from './turn-watch.js';
 
-/** Readers of the store: two, so that one may die without anybody noticing late. */
-const READERS = 2;
-
 /** A view that was the newest this shortly ago is proven. */
 const PROVEN_FOR = 1500;
 
@@ -74,9 +72,6 @@
   return seeds[0]?.host === ip ? 0 : FIRST_PATIENCE;
 }
 
-/** Daemons ask homes four times a second; after this long all that are there have asked. */
-const SETTLE_TIME = 1500;
-
 /** How long callers are told to keep an answer, in milliseconds; some keep it three times as long. */
 const ANSWER_TTL = 5000;
 
@@ -159,7 +154,7 @@
   /** Changes of targets since the last refresh, as the fields of their lines. */
   #changes: LogFields[] = [];
 
-  #startedAt = -Infinity;
+  readonly #place: FleetPlace;
 
   readonly #planner: HomePlanner;
 
@@ -187,6 +182,10 @@
       isSenior: this.#isSenior(),
     });
     const selfState = () => this.#state;
+    this.#place = new FleetPlace({
+      ...{ clock, self: gateway.ip, readRoster: () => this.#roster, readLink: () => this.#link },
+      countListed: () => this.#listedMembers,
+    });
     this.#roster = new Roster({
       ...{ clock, self: readSelf(), selfState },
       ...{ homes: tuning.homes, capacity: tuning.home_capacity },
@@ -197,14 +196,16 @@
       countHomes: () => this.#roster.listHomes().length,
       countTellers: () => this.#sharing.countTellers(),
       readColdness: (service) => this.#readColdness(service),
-      readShare: () => this.#readShare(),
+      readShare: () => this.#place.readShare(),
       listener: new TargetNews(log, this.#metrics, (target) =>
         this.#targets.find(target.record.service).rates.refresh(target),
       ),
       createBudget: () =>
         new WindowBudget(clock, () => {
           const { retry_ratio: ratio, retry_window, retry_slack } = this.#settings.promises;
-          const share = this.#isHome() ? retry_slack / (2 * this.#roster.listHomes().length) : 0;
+          const share = this.#place.isHome()
+            ? retry_slack / (2 * this.#roster.listHomes().length)
+            : 0;
           return { ratio, window: retry_window * 1000, slack: share };
         }),
     });
@@ -231,7 +232,7 @@
     this.#duty = new ReaderDuty(
       clock,
       {
-        isAppointed: () => this.#isAppointedReader(),
+        isAppointed: () => this.#place.isAppointedReader(),
         isNearHomes: () => this.#roster.isNearHomes(),
       },
       () => this.#planNews(),
@@ -262,7 +263,7 @@
     });
     this.#poison = new PoisonDesk({
       ...{ clock, log, metrics: this.#metrics },
-      isTrier: () => this.#isFirstHome(),
+      isTrier: () => this.#place.isFirstHome(),
       send: (words) => {
         for (const { ip } of this.#roster.listHomes()) {
           if (ip !== gateway.ip) this.#link.sendCases(ip, words);
@@ -279,16 +280,16 @@
     });
     this.#registry = new MemberRegistry({
       ...{ store, roster: this.#roster, clock, log, isFirstStart: isFirstStart(gateway) },
-      isWriter: () => this.#isFirstHome(),
+      isWriter: () => this.#place.isFirstHome(),
       onFound: (ips) => {
         this.#listedMembers = ips.length;
         this.#link.addSeeds(ips);
       },
     });
     this.#lessons = new LessonBook({
-      ...{ store, clock, log, isHome: () => this.#isHome() },
+      ...{ store, clock, log, isHome: () => this.#place.isHome() },
       isFirstStart: isFirstStart(gateway),
-      isWriter: () => this.#isFirstHome(),
+      isWriter: () => this.#place.isFirstHome(),
       listLessons: () => ({
         services: this.#targets.listLessons(),
         routes: this.#reception.listLessons(),
@@ -317,9 +318,9 @@
       listenQueue: computeListenQueue(capacity),
       serve: (request, response, cameAt) => this.#reception.take(request, response, cameAt),
     });
-    const listHomes = () => this.#roster.listHomes().map(({ ip }) => ip);
     this.#sharing = new LoadSharing({
-      ...{ clock, targets: this.#targets, self: gateway.ip, listHomes },
+      ...{ clock, targets: this.#targets, self: gateway.ip },
+      listHomes: () => this.#place.listHomes(),
       isServing: () => this.#targets.isServing(clock.now()),
       send: (ip, shares) => this.#link.sendShares(ip, shares),
       sendDraining: (ip, shares) => this.#link.sendDraining(ip, shares),
@@ -332,7 +333,7 @@
       readTable: () => this.#view.table,
       readBusy: () => this.#planner.busy,
       readLimit: () => this.#settings.promises.probes_per_second,
-      countDaemons: () => this.#countDaemons(),
+      countDaemons: () => this.#place.countDaemons(),
     });
   }
 
@@ -353,7 +354,7 @@
     const { signal } = this.#running;
     // Every task of this daemon listens for its end, some of them more than once.
     setMaxListeners(0, signal);
-    this.#startedAt = this.#clock.now();
+    this.#place.start();
     this.#log.info('gateway.starting', {
       ...{ callers: formatAddress(gateway.callers), first_start: gateway.first_start },
       seeds: gateway.seeds.map(({ host }) => host).join(','),
@@ -476,46 +477,8 @@
     return { rate, time, overshoot, slack };
   }
 
-  /** What this daemon stands for in the fleet; it has no part of it before it can know the fleet. */
-  #readShare(): FleetShare {
-    const { ip: self } = this.#settings.gateway;
-    const homes = this.#roster.listHomes().map(({ ip }) => ip);
-    const isNew = this.#clock.now() - this.#startedAt < SETTLE_TIME;
-    if (isNew || !this.#link.isInCompany) return { part: 0, homes, self };
-    const members = Math.max(this.#roster.size, this.#listedMembers);
-    return { part: Math.min(1, this.#link.countLookers() / members), homes, self };
-  }
-
-  #isHome(): boolean {
-    const { ip } = this.#settings.gateway;
-    return this.#roster.listHomes().some((home) => home.ip === ip);
-  }
-
-  /** Whether what one daemon does for all falls to this one. */
-  #isFirstHome(): boolean {
-    return this.#roster.listHomes()[0]?.ip === this.#settings.gateway.ip;
-  }
-
   #isSenior(): boolean {
-    const age = this.#clock.now() - this.#startedAt;
-    return isFirstStart(this.#settings.gateway) || age > SENIORITY;
-  }
-
-  /** Everybody is taken for present until all have had the time to ask. */
-  #countDaemons(): { readonly members: number; readonly present: number } {
-    const members = this.#roster.size;
-    const isNew = this.#clock.now() - this.#startedAt < SETTLE_TIME;
-    const present = this.#link.countAskers() + this.#roster.countTheirAskers();
-    return { members, present: isNew ? members : present };
-  }
-
-  /** The first homes read the store for all. */
-  #isAppointedReader(): boolean {
-    const { ip } = this.#settings.gateway;
-    return this.#roster
-      .listHomes()
-      .slice(0, READERS)
-      .some((reader) => reader.ip === ip);
+    return isFirstStart(this.#settings.gateway) || this.#place.age > SENIORITY;
   }
 
   #adopt(table: RouteTable): void {
@@ -567,7 +530,7 @@
   #readAnswerTtl(): number {
     const { promises, tuning } = this.#settings;
     const usual = Math.min(ANSWER_TTL, promises.answer_ttl * 1000);
-    const isNew = this.#clock.now() - this.#startedAt < SETTLE_TIME;
+    const { isNew } = this.#place;
     const isShort = this.#roster.listHomes().length < Math.min(tuning.homes, this.#roster.size);
     return isNew || isShort ? Math.min(usual, UNSETTLED_TTL) : usual;
   }
@@ -580,9 +543,9 @@
   }
 
   #readStatus(): GatewayStatus {
-    const homes = this.#roster.listHomes().map(({ ip }) => ip);
+    const homes = this.#place.listHomes();
     return {
-      ...{ state: this.#state, homes, isHome: this.#isHome(), busy: this.#planner.busy },
+      ...{ state: this.#state, homes, isHome: this.#place.isHome(), busy: this.#planner.busy },
       members: this.#roster.size,
       version: this.#view.table?.version,
       proofAge: this.#clock.now() - this.#view.provenAt,
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -74,7 +74,8 @@
 
 const ANY_REST = Infinity;
 
-const SERVER_ERROR = 500;
+/** Statuses from here on say that the target failed. */
+export const SERVER_ERROR = 500;
 
 class TargetAttempt implements RunningAttempt {
   #request: http.ClientRequest | undefined;
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -20,6 +20,7 @@
 import { type Told, writeAnswer, writeTold } from './answers.js';
 import {
   type AttemptOutcome,
+  SERVER_ERROR,
   type RunningAttempt,
   type Sending,
   type TargetAnswer,
@@ -106,8 +107,6 @@
  */
 const REJECTED_RETURN = 20;
 
-const SERVER_ERROR = 500;
-
 /** Statuses that promise a caller that its request did not run; only we may say so, with proof. */
 const PROMISES = new Set([408, 421, 429, 503]);
 
--- a/src/gateway/targets/target.ts
+++ b/src/gateway/targets/target.ts
@@ -173,14 +173,16 @@
 
   /** Whether new calls may go there. */
   get isUsable(): boolean {
-    if (this.#isLeaving || this.#misdirected || this.#isEvacuated) return false;
-    return !this.isBackedOff;
+    return this.#isOpen && !this.standing.isBackedOff(this.clock.now());
   }
 
   /** Whether it wants nothing from this daemon for a time, and would get calls otherwise. */
   get isBackedOff(): boolean {
-    if (this.#isLeaving || this.#misdirected || this.#isEvacuated) return false;
-    return this.standing.isBackedOff(this.clock.now());
+    return this.#isOpen && this.standing.isBackedOff(this.clock.now());
+  }
+
+  get #isOpen(): boolean {
+    return !this.#isLeaving && !this.#misdirected && !this.#isEvacuated;
   }
 
   /**
