Soak: leaving targets say so in their answers, half of them long before the store; targets that ask for back-offs

Two checks, each shown to fire: nothing reaches a target from a daemon that had passed on its statement 2 s before, unless the daemon was stopped, killed or frozen since; at most two requests within a back-off, half a second after it was asked for.

--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -22,7 +22,15 @@
   | { readonly kind: 'freeze'; readonly daemon: number; readonly lasts: number }
   | { readonly kind: 'configure' }
   | { readonly kind: 'compact' }
-  | { readonly kind: 'drain'; readonly target: number }
+  /** The target says so in its answers at once, and in the store after a time. */
+  | { readonly kind: 'drain'; readonly target: number; readonly toldAfter: number }
+  /** The target rejects what it gets, and asks for a back-off in seconds. */
+  | {
+      readonly kind: 'reject';
+      readonly target: number;
+      readonly lasts: number;
+      readonly backoff: number;
+    }
 );
 
 /** How large the system is and how long the run takes. */
@@ -37,6 +45,13 @@
 const GAP = 700;
 const LONGEST = 4000;
 
+/** The part of leaving targets of which the store is told late, and how late, in milliseconds. */
+const TOLD_LATE = 0.5;
+const LATEST = 8000;
+
+/** Longest back-off, in seconds. */
+const LONGEST_BACKOFF = 3;
+
 function drawLinkFault(random: Random): LinkFault {
   return pickItem<LinkFault>(
     [
@@ -69,7 +84,16 @@
   const kind = pickItem(
     [
       ...(['store', 'store-link', 'target-link', 'target-link', 'stop', 'stop'] as const),
-      ...(['kill', 'freeze', 'configure', 'configure', 'compact', 'drain', 'drain'] as const),
+      ...([
+        'kill',
+        'freeze',
+        'configure',
+        'configure',
+        'compact',
+        'drain',
+        'drain',
+        'reject',
+      ] as const),
     ],
     random,
   );
@@ -89,7 +113,14 @@
     case 'compact':
       return { at, kind };
     case 'drain':
-      return { at, kind, target };
+      return {
+        at,
+        kind,
+        target,
+        toldAfter: random.next() < TOLD_LATE ? LATEST * random.next() : 0,
+      };
+    case 'reject':
+      return { at, kind, target, lasts, backoff: LONGEST_BACKOFF * random.next() };
     default:
       return kind satisfies never;
   }
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -36,6 +36,7 @@
 /** Every run has loopback addresses of its own, so that several may go on at once. */
 const NETWORK = `127.${10 + (process.pid % 200)}.9`;
 const FIRST_IP = 20;
+const SECOND = 1000;
 const START_TIME = 1500;
 const STARTUP = 1000;
 const LEAST_WORK = 10;
@@ -61,6 +62,9 @@
 
   readonly #daemons: DaemonProcess[] = [];
 
+  /** Seconds for which targets that reject what they get want nothing. */
+  readonly #backoffs = new Map<SiteTarget, number>();
+
   readonly #places: Place[] = [];
 
   /** Where the daemons' settings are written. */
@@ -138,8 +142,15 @@
     target.onProbe = () => this.#witness.noteProbe(target.incarnation, this.#now());
     target.behaviour = (request, response) => {
       const id = String(request.headers['attempt-id']);
-      this.#witness.noteRun({ id, service, target: target.incarnation, at: this.#now() });
+      const arrival = { id, target: target.incarnation, at: this.#now() };
+      const backoff = this.#backoffs.get(target);
       request.resume();
+      if (backoff !== undefined) {
+        this.#witness.noteRejection({ ...arrival, backoff: backoff * SECOND });
+        target.reject(response, String(backoff));
+        return;
+      }
+      this.#witness.noteRun({ ...arrival, service, saysDraining: target.draining !== undefined });
       const work = LEAST_WORK + this.#random.next() * (MOST_WORK - LEAST_WORK);
       setTimeout(() => target.answer(request, response, composeBody(id)), work);
     };
@@ -197,14 +208,17 @@
       case 'stop':
         if (!this.#daemons[event.daemon].isRunning) return;
         this.#witness.noteStop(event.daemon, now);
+        this.#witness.noteInterruption(event.daemon, now);
         this.#daemons[event.daemon].stop();
         return;
       case 'kill':
         this.#witness.noteFault(now, now + STARTUP);
+        this.#witness.noteInterruption(event.daemon, now);
         this.#daemons[event.daemon].kill();
         return;
       case 'freeze':
         this.#witness.noteFault(now, now + event.lasts);
+        this.#witness.noteInterruption(event.daemon, now);
         this.#daemons[event.daemon].freeze(event.lasts);
         return;
       case 'configure':
@@ -214,8 +228,14 @@
         this.#store.compact();
         return;
       case 'drain':
-        await this.#drain(event.target);
+        await this.#drain(event.target, event.toldAfter);
         return;
+      case 'reject': {
+        const { target } = this.#places[event.target];
+        this.#backoffs.set(target, Number(event.backoff.toFixed(3)));
+        setTimeout(() => this.#backoffs.delete(target), event.lasts);
+        return;
+      }
       default:
         event satisfies never;
     }
@@ -228,20 +248,27 @@
   }
 
   /** A target leaves as the users' do: it says so, serves on for a while, and another one comes. */
-  async #drain(index: number): Promise<void> {
+  async #drain(index: number, toldAfter: number): Promise<void> {
     const leaving = this.#places[index];
     const { service, target, link } = leaving;
     const entry = KEYS.targets + target.incarnation;
     const text = this.#store.get(entry);
     if (text === undefined) return;
-    this.#store.put(entry, text.replace('"ready"', '"draining"'));
-    this.#witness.noteDrain(target.incarnation, this.#now());
-    this.#places[index] = await this.#openPlace(service);
+    target.draining = '1';
+    target.healthDraining = '1';
     setTimeout(() => {
-      this.#store.remove(entry);
-      link.stop();
-      target.stop();
-    }, AGREEMENT.drainTime * 2);
+      this.#store.put(entry, text.replace('"ready"', '"draining"'));
+      this.#witness.noteDrain(target.incarnation, this.#now());
+    }, toldAfter);
+    this.#places[index] = await this.#openPlace(service);
+    setTimeout(
+      () => {
+        this.#store.remove(entry);
+        link.stop();
+        target.stop();
+      },
+      toldAfter + AGREEMENT.drainTime * 2,
+    );
   }
 
   async #close(): Promise<void> {
--- a/src/soak/witness.ts
+++ b/src/soak/witness.ts
@@ -29,6 +29,16 @@
   readonly target: string;
   readonly service: string;
   readonly at: number;
+  /** Whether its answer says that the target drains. */
+  readonly saysDraining: boolean;
+}
+
+interface Rejection {
+  readonly id: string;
+  readonly target: string;
+  readonly at: number;
+  /** For how long the target wants nothing from the daemon, in milliseconds. */
+  readonly backoff: number;
 }
 
 /** A promise that was broken, and what shows it. */
@@ -38,6 +48,8 @@
     | 'true refusals'
     | 'at most once'
     | 'leaving targets'
+    | 'stated drains'
+    | 'back-offs'
     | 'planned stops'
     | 'configuration in force'
     | 'probes'
@@ -64,6 +76,13 @@
 /** A request that crosses the close of its connection within this time was not read. */
 const CROSSING = 200;
 
+/** A daemon takes some time to start again, or to wake, in milliseconds. */
+const INTERRUPTION = 8000;
+
+/** A rejection is read within this time, in milliseconds; this many requests may come in the back-off all the same. */
+const BACKOFF_READ = 500;
+const MOST_IN_BACKOFF = 2;
+
 /** Probes are counted over this long. */
 const PROBE_SPAN = 5000;
 
@@ -85,6 +104,10 @@
 
   readonly #drains = new Map<string, number>();
 
+  readonly #rejections: Rejection[] = [];
+
+  readonly #interruptions: { readonly daemon: number; readonly at: number }[] = [];
+
   readonly #stops: { readonly daemon: number; readonly at: number }[] = [];
 
   readonly #configured: { readonly service: string; readonly at: number }[] = [];
@@ -112,6 +135,16 @@
     else known.push(at);
   }
 
+  /** A target rejected a request and asked for a back-off. */
+  noteRejection(rejection: Rejection): void {
+    this.#rejections.push(rejection);
+  }
+
+  /** A daemon is stopped, killed or frozen. */
+  noteInterruption(daemon: number, at: number): void {
+    this.#interruptions.push({ daemon, at });
+  }
+
   /** The store holds from now on that a target leaves. */
   noteDrain(target: string, at: number): void {
     this.#drains.set(target, at);
@@ -148,6 +181,8 @@
       ...this.#checkAnswers(),
       ...this.#checkRuns(),
       ...this.#checkDrains(),
+      ...this.#checkStatedDrains(),
+      ...this.#checkBackoffs(),
       ...this.#checkStops(),
       ...this.#checkConfiguration(),
       ...this.#checkProbes(),
@@ -155,6 +190,11 @@
     ];
   }
 
+  /** Whether a daemon was stopped, killed or frozen in a span: what it was told before may be gone. */
+  #isInterrupted(daemon: number, from: number, to: number): boolean {
+    return this.#interruptions.some((it) => it.daemon === daemon && it.at >= from && it.at <= to);
+  }
+
   /** Whether nothing was wrong from some time before a span to its end. */
   #isCalm(from: number, to: number): boolean {
     return this.#faults.every((fault) => fault.from > to || fault.to + CALM_AFTER < from);
@@ -197,6 +237,51 @@
     return breaks;
   }
 
+  /** What callers sent well after their daemon had passed on that a target drains never reaches that one from there. */
+  #checkStatedDrains(): readonly Break[] {
+    const breaks: Break[] = [];
+    const counts = new Map<string, number>();
+    for (const { id } of this.#runs) counts.set(id, (counts.get(id) ?? 0) + 1);
+    const told = new Map<string, number>();
+    for (const { id, target, saysDraining } of this.#runs) {
+      const made = this.#tries.get(id);
+      if (!saysDraining || made?.end?.kind !== 'answered' || made.end.status !== 200) continue;
+      // Of a request that ran twice nobody knows whose answer was passed on.
+      if (counts.get(id) !== 1) continue;
+      const key = `${made.daemon} ${target}`;
+      told.set(key, Math.min(told.get(key) ?? Infinity, made.end.at));
+    }
+    for (const { id, target, at } of this.#runs) {
+      const made = this.#tries.get(id);
+      const toldAt = told.get(`${made?.daemon} ${target}`) ?? Infinity;
+      if (made === undefined || made.sentAt <= toldAt + this.agreement.drainTime) continue;
+      if (this.#isInterrupted(made.daemon, toldAt - INTERRUPTION, at)) continue;
+      breaks.push({ promise: 'stated drains', what: `${id} ran at ${target} after it said so` });
+    }
+    return breaks;
+  }
+
+  #checkBackoffs(): readonly Break[] {
+    const breaks: Break[] = [];
+    const arrivals = [...this.#runs, ...this.#rejections];
+    for (const { id, target, at, backoff } of this.#rejections) {
+      const daemon = this.#tries.get(id)?.daemon ?? -1;
+      const until = at + backoff;
+      if (!this.#isCalm(at, until) || this.#isInterrupted(daemon, at - INTERRUPTION, until))
+        continue;
+      const later = arrivals.filter(
+        (it) =>
+          it.target === target &&
+          it.at > at + BACKOFF_READ &&
+          it.at < until &&
+          this.#tries.get(it.id)?.daemon === daemon,
+      );
+      if (later.length <= MOST_IN_BACKOFF) continue;
+      breaks.push({ promise: 'back-offs', what: `${target} got ${later.length} after ${id}` });
+    }
+    return breaks;
+  }
+
   /** A planned stop cuts nothing that was sent before it or while callers could not know. */
   #checkStops(): readonly Break[] {
     const breaks: Break[] = [];
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -31,8 +31,8 @@
 
   const noteTry = (id: string, sentAt: number, isRepeatable = true) =>
     witness.noteTry({ id, isRepeatable, daemon: 0, sentAt });
-  const noteRun = (id: string, at: number, service = 'alpha') =>
-    witness.noteRun({ id, target: 'i-1', service, at });
+  const noteRun = (id: string, at: number, service = 'alpha', saysDraining = false) =>
+    witness.noteRun({ id, target: 'i-1', service, at, saysDraining });
   const noteAnswer = (id: string, status: number, body = composeBody(id)) =>
     witness.noteEnd(id, { kind: 'answered', status, body, isSigned: true }, 100);
   const listPromises = () => witness.listBreaks().map(({ promise }) => promise);
@@ -57,6 +57,34 @@
     noteRun('c', 10);
     expect(listPromises()).to.deep.equal(['true refusals']);
   });
+  it('fire on a request to a target that had said to the daemon that it drains, unless that started anew', () => {
+    noteTry('a', 0);
+    noteRun('a', 10, 'alpha', true);
+    noteAnswer('a', 200);
+    noteTry('b', 2000);
+    noteRun('b', 2010);
+    noteTry('c', 2200);
+    noteRun('c', 2210);
+    expect(listPromises()).to.deep.equal(['stated drains']);
+    witness.noteInterruption(0, 1000);
+    expect(listPromises()).to.deep.equal([]);
+  });
+  it('fire on more than two requests within a back-off', () => {
+    noteTry('a', 0);
+    witness.noteRejection({ id: 'a', target: 'i-1', at: 10, backoff: 3000 });
+    for (const [id, at] of [
+      ['b', 100],
+      ['c', 1000],
+      ['d', 2000],
+    ] as const) {
+      noteTry(id, at);
+      noteRun(id, at);
+    }
+    expect(listPromises()).to.deep.equal([]);
+    noteTry('e', 2500);
+    noteRun('e', 2500);
+    expect(listPromises()).to.deep.equal(['back-offs']);
+  });
   it('fire on a second run of what may run once', () => {
     for (const id of ['a', 'b']) {
       noteTry(id, 0, id === 'b');
