--- a/src/platform/self-report.ts
+++ b/src/platform/self-report.ts
@@ -41,7 +41,7 @@
   readonly incarnation: string | undefined;
   /** Whether the target did not run the request. */
   readonly isRejected: boolean;
-  /** Whether another incarnation than the expected one answered; the rest is then not about the expected one. */
+  /** Whether another incarnation than the expected one answered; what else it says is not about that one. */
   readonly isMisdirected: boolean;
   /** Whether the target signed its answer. */
   readonly isSigned: boolean;
--- a/src/view/news-times.ts
+++ b/src/view/news-times.ts
@@ -20,7 +20,7 @@
   readonly remoteStale: number;
   /** How often homes and their successors ask one another. */
   readonly nearPace: number;
-  /** How often the others ask those that they look to. */
+  /** How often the others ask the daemons that they report to. */
   readonly remotePace: number;
   /** The longest pause of a daemon that reads, after a call that the store did not answer. */
   readonly longestPause: number;
