The test of the latest back-off sends both requests before either is rejected

Traced in five runs that print what the target got: in the runs that failed or came near only one request was on its way when the target rejected the first, so the second rejection (0.5 s) met the first request after the back-off and put it off again, as it should. Now two requests are sent to the only target, which rejects neither before both have come; the bounds stay, and that both come is checked besides.

--- a/test/backoff.test.ts
+++ b/test/backoff.test.ts
@@ -1,3 +1,4 @@
+import type { ServerResponse } from 'node:http';
 import { expect } from 'chai';
 import { pause } from '../src/demo/index.js';
 import { Standing } from '../src/balance/index.js';
@@ -102,14 +103,26 @@
   });
 
   it('holds to the latest end that it asked for', async () => {
-    await startSite(2);
+    await startSite(0);
+    let first: ServerResponse | undefined;
     rejections.push(
-      (response) => setTimeout(() => target.reject(response, '2'), 30),
-      (response) => setTimeout(() => target.reject(response, '0.5'), 60),
+      (response) => {
+        first = response;
+      },
+      (response) => {
+        if (first !== undefined) target.reject(first, '2');
+        setTimeout(() => target.reject(response, '0.5'), 30);
+      },
     );
-    await Promise.all([sendFor(ips, 3 * SECOND), sendFor(ips, 3 * SECOND)]);
-    expect(countBetween(150, 2000)).to.equal(0);
-    expect(countBetween(2000, 3000)).to.be.greaterThan(1);
+    // Both are sent before either is rejected.
+    await Promise.all([sendTo(ips[0]), sendTo(ips[0])]);
+    expect(arrivals).to.have.length(2);
+    const [, rejectedAt] = arrivals;
+    await sendFor(ips, 3500, 800);
+    const count = (from: number, to: number) =>
+      arrivals.filter((at) => at >= rejectedAt + from && at < rejectedAt + to).length;
+    expect(count(READ, 2000)).to.equal(0);
+    expect(count(2000, 3000)).to.be.greaterThan(1);
   });
 
   it('and is the only one leaves callers told when it is back, at once', async () => {
