Refusals and learned state tell the figures behind them

On call nobody could tell why service did not come back after a loss of power: 'no-room' was told for calls whose turn would come too late and for calls that a free target would answer too late, without the figures compared, and no line told what was read from the store or written there.

A refusal by an estimate now names its expected wait, slowdown, work and spread, whether a target was free, and source, samples and age of the estimate; 'run-time' is a reason of its own. lessons.read is new, lessons.written has the values, the estimates are gauges, and refused_with_free_slots counts refusals beside free slots.

--- a/src/balance/expected-time.ts
+++ b/src/balance/expected-time.ts
@@ -80,6 +80,8 @@
       readonly slowdown: number;
       /** Why targets with free slots take no calls for now; undefined if none refuses them. */
       readonly limit?: LimitReason;
+      /** Whether some target has a free slot, which is slower than waiting for another. */
+      readonly hasFreeSlot?: boolean;
       /** Time until the first target takes calls again, in milliseconds; 0 if undefined. */
       readonly opensIn?: number;
     }
@@ -161,5 +163,5 @@
   const wait =
     ((callsAhead + 1) * Math.max(1, callRatio)) / (busySlotsPerTime * targetsPerCandidate);
   if (best !== undefined && bestTime <= wait + bestBusyCost) return { kind: 'now', ...best };
-  return { kind: 'wait', pace, slowdown: slots / slotsPerTime };
+  return { kind: 'wait', pace, slowdown: slots / slotsPerTime, hasFreeSlot: best !== undefined };
 }
--- a/src/balance/route-time.ts
+++ b/src/balance/route-time.ts
@@ -24,6 +24,21 @@
  */
 const MAX_RATIO = 4;
 
+/** Where an estimate comes from: nowhere, the store, or answers to calls of this daemon. */
+export type EstimateSource = 'assumed' | 'stored' | 'own';
+
+/** The current estimates of a route and what they rest on. */
+export interface RouteTimeState {
+  /** Duration of a call at an idle target of usual speed, in milliseconds. */
+  readonly work: number;
+  readonly spread: number;
+  readonly source: EstimateSource;
+  /** Answers that were recorded here. */
+  readonly samples: number;
+  /** Time since the last of them, in milliseconds; Infinity before the first. */
+  readonly age: number;
+}
+
 /** The work of a route's calls, and how far their durations lie from the expected ones. */
 export class RouteTime {
   readonly #work = new DecayingMean(HALF_LIFE_MS);
@@ -36,6 +51,8 @@
 
   #hasPrior = false;
 
+  #recordedAt = -Infinity;
+
   /** Whether there is an estimate, from answers here or from other daemons. */
   get isKnown(): boolean {
     return this.#answers > 0 || this.#hasPrior;
@@ -56,6 +73,7 @@
   recordWork(work: number, now: number): void {
     this.#work.add(work, now);
     this.#answers += 1;
+    this.#recordedAt = now;
   }
 
   /** Records the ratio of the duration to the expected duration, for the same calls. */
@@ -68,6 +86,19 @@
     return this.#work.read(this.#prior.work);
   }
 
+  /** Describes the estimates, for logs and metrics. */
+  describe(now: number): RouteTimeState {
+    return {
+      ...{ work: this.readWork(), spread: this.readSpread(), source: this.#findSource() },
+      ...{ samples: this.#answers, age: now - this.#recordedAt },
+    };
+  }
+
+  #findSource(): EstimateSource {
+    if (this.#answers > 0) return 'own';
+    return this.#hasPrior ? 'stored' : 'assumed';
+  }
+
   /**
    * Returns the factor by which most calls stay within the expected time, at targets of the
    * expected speed.
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -612,6 +612,7 @@
       targetConnectionsOpened: this.#targets.connectionsOpened,
       storeCalls: this.kernel.find(kvStoreService).counts(),
       services: this.#targets.listServices(),
+      routeTimes: this.#requestHandler.describeRouteTimes(),
     };
   }
 
--- a/src/gateway/learned-state.ts
+++ b/src/gateway/learned-state.ts
@@ -12,7 +12,7 @@
  * after a significant change.
  */
 import type { BlamedRequest } from '../balance/index.js';
-import type { Clock, Log } from '../kernel/index.js';
+import type { Clock, Log, LogFields } from '../kernel/index.js';
 import { KEYS, type KvStore } from '../platform/index.js';
 
 /** Estimates for the targets of one service. */
@@ -147,6 +147,27 @@
   );
 }
 
+/** Longest text of the values of a record in a log line. */
+const MAX_LOGGED_LENGTH = 600;
+
+/** Formats entries as `name:value/value`, shortened to what fits into a line. */
+function describeEntries(entries: Readonly<Record<string, object>>): string {
+  const text = Object.entries(entries)
+    .map(([name, entry]) => {
+      const values = Object.values(entry as Readonly<Record<string, number>>);
+      return `${name}:${values.map((value) => Math.round(value * 100) / 100).join('/')}`;
+    })
+    .join(',');
+  return text.length <= MAX_LOGGED_LENGTH ? text : `${text.slice(0, MAX_LOGGED_LENGTH)}...`;
+}
+
+function describeLearnedState({ services, routes, homes, poison }: LearnedState): LogFields {
+  return {
+    ...{ homes, poison: poison.length },
+    ...{ services: describeEntries(services), routes: describeEntries(routes) },
+  };
+}
+
 /** What the store of learned state works with. */
 export interface LearnedStateStoreOptions {
   readonly store: KvStore;
@@ -194,6 +215,9 @@
     if (answer.kind !== 'item' || answer.item.revision < this.#revision) return;
     this.#revision = answer.item.revision;
     this.#stored = parseLearnedState(answer.item.text);
+    this.options.log.info('lessons.read', {
+      ...{ revision: this.#revision, ...describeLearnedState(this.#stored) },
+    });
     this.options.onRead(this.#stored);
   }
 
@@ -208,7 +232,9 @@
     };
     const text = formatLearnedState(merged);
     const outcome = await store.write({ key: KEYS.learnedState, text, expected: this.#revision });
-    log.info('lessons.written', { outcome: outcome.kind, bytes: text.length });
+    log.info('lessons.written', {
+      ...{ outcome: outcome.kind, bytes: text.length, ...describeLearnedState(merged) },
+    });
     if (outcome.kind === 'done') {
       this.#stored = parseLearnedState(text);
       this.#revision = outcome.revision;
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -26,10 +26,11 @@
   type TargetAnswer,
   startTargetAttempt,
 } from './attempt.js';
-import { RequestLog } from './request-log.js';
+import { type RefusalBasis, RequestLog } from './request-log.js';
 import type { PoisonRegistry } from './poison-registry.js';
 import type { RequestIdentity } from './request-identity.js';
 import type {
+  CallForecast,
   SuspectConstraints,
   PlacementRefusal,
   PlacementResult,
@@ -302,7 +303,7 @@
     this.#queuedCall = undefined;
     const timeLeft = this.request.deadline - this.context.clock.now();
     if (result.kind === 'refused') {
-      this.#giveUp(result.reason, result.wait);
+      this.#giveUp(result.reason, result.wait, result.forecast);
       return;
     }
     if (timeLeft < MIN_ATTEMPT_TIME_MS) {
@@ -547,15 +548,14 @@
   }
 
   /** Ends the request without a target's answer. */
-  #giveUp(reason: GiveUpReason, wait = 0): void {
+  #giveUp(reason: GiveUpReason, wait = 0, forecast?: CallForecast): void {
     for (const attempt of this.#runningAttempts) attempt.abort();
     if (!this.#ledger.mayHaveRun) {
       this.#ledger.assertNotRun();
-      this.#sendLocalAnswer({
-        kind: 'not-run',
-        reason,
-        retryAfter: wait > 0 ? wait : this.#chooseRetryAfter(),
-      });
+      this.#sendLocalAnswer(
+        { kind: 'not-run', reason, retryAfter: wait > 0 ? wait : this.#chooseRetryAfter() },
+        forecast && this.#describeRefusal(forecast),
+      );
       return;
     }
     this.#sendLocalAnswer({ kind: 'unknown', reason: reason === 'timeout' ? 'timeout' : 'lost' });
@@ -571,11 +571,20 @@
     return isRejected ? REJECTED_RETRY_AFTER_MS : this.context.routeTime.readWork();
   }
 
-  #sendLocalAnswer(answer: LocalAnswer): void {
+  #describeRefusal(forecast: CallForecast): RefusalBasis {
+    const { clock, routeTime } = this.context;
+    const now = clock.now();
+    return {
+      ...{ forecast, routeTime: routeTime.describe(now) },
+      timeLeft: this.request.deadline - now,
+    };
+  }
+
+  #sendLocalAnswer(answer: LocalAnswer, basis?: RefusalBasis): void {
     const { counts } = this.context;
     if (answer.kind === 'not-run') counts.notRun += 1;
     else counts.unknown += 1;
-    this.#log.logLocalAnswer(answer);
+    this.#log.logLocalAnswer(answer, basis);
     writeLocalAnswer(this.response, this.request.id, answer);
   }
 }
--- a/src/gateway/requests/request-handler.ts
+++ b/src/gateway/requests/request-handler.ts
@@ -1,7 +1,7 @@
 /** Handles a caller's request from its head until {@link Forwarding} takes over, or answers it. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock, Log, Random, TextMetrics } from '../../kernel/index.js';
-import { RouteTime } from '../../balance/index.js';
+import { RouteTime, type RouteTimeState } from '../../balance/index.js';
 import { HEADERS, readHeader } from '../../platform/index.js';
 import { type Route, type RouteTable, TrafficSplitter } from '../../routing/index.js';
 import { type LocalAnswer, writeLocalAnswer } from './answers.js';
@@ -132,6 +132,14 @@
     return this.#backlog.size;
   }
 
+  /** Describes the estimates of each route, by its name. */
+  describeRouteTimes(): Readonly<Record<string, RouteTimeState>> {
+    const now = this.options.clock.now();
+    return Object.fromEntries(
+      [...this.#routeTimes].map(([name, routeTime]) => [name, routeTime.describe(now)] as const),
+    );
+  }
+
   /** Returns what this daemon has learnt about routes. */
   readLearnedState(): LearnedState['routes'] {
     const learnedRoutes: Record<string, LearnedRouteState> = {};
@@ -216,7 +224,12 @@
     const answer = { kind: 'not-run', reason: 'busy', retryAfter: wait } as const;
     this.counts.notRun += 1;
     const service = { name: admitted.service };
-    new RequestLog(this.options, { ...admitted, service }).logLocalAnswer(answer);
+    const now = this.options.clock.now();
+    new RequestLog(this.options, { ...admitted, service }).logLocalAnswer(answer, {
+      forecast: { turnIn: wait, slowdown: 1, hasFreeSlot: false },
+      routeTime: this.#findRouteTime(admitted.route.name).describe(now),
+      timeLeft: admitted.deadline - now,
+    });
     writeLocalAnswer(response, admitted.id, answer);
   }
 
--- a/src/gateway/requests/request-log.ts
+++ b/src/gateway/requests/request-log.ts
@@ -1,7 +1,8 @@
 /** Log lines and counters of one request: each decision about it, with the figures behind it. */
-import { findLatenessCause } from '../../balance/index.js';
-import type { Clock, Log, TextMetrics } from '../../kernel/index.js';
+import { type RouteTimeState, findLatenessCause } from '../../balance/index.js';
+import type { Clock, Log, LogFields, TextMetrics } from '../../kernel/index.js';
 import type { LocalAnswer } from './answers.js';
+import type { CallForecast } from '../targets/slot-queue.js';
 import type { RunningAttempt } from './attempt.js';
 
 /** The properties of a request that its log lines contain. */
@@ -24,6 +25,24 @@
   readonly metrics: TextMetrics;
 }
 
+/** The figures behind a refusal: what was expected of the call, and of calls of its route. */
+export interface RefusalBasis {
+  readonly forecast: CallForecast;
+  readonly routeTime: RouteTimeState;
+  /** Time until the call would have been given up, in milliseconds. */
+  readonly timeLeft: number;
+}
+
+function describeBasis({ forecast, routeTime, timeLeft }: RefusalBasis): LogFields {
+  const { work, spread, source, samples, age } = routeTime;
+  return {
+    ...{ time_left: Math.round(timeLeft), turn_in: Math.round(forecast.turnIn) },
+    ...{ free: forecast.hasFreeSlot, slowdown: forecast.slowdown.toFixed(2) },
+    ...{ work: Math.round(work), spread: spread.toFixed(2), source, samples },
+    age: age < Infinity ? Math.round(age) : undefined,
+  };
+}
+
 /** Logs one request. */
 export class RequestLog {
   /** When it was first sent to a target; undefined before that. */
@@ -42,13 +61,20 @@
     this.#attemptCount += 1;
   }
 
-  /** Logs an answer that the gateway generated. */
-  logLocalAnswer(answer: LocalAnswer): void {
+  /**
+   * Logs an answer that the gateway generated.
+   *
+   * @param basis the figures behind it, where an estimate refused the request
+   */
+  logLocalAnswer(answer: LocalAnswer, basis?: RefusalBasis): void {
     const { clock, log, metrics } = this.options;
     const { id, route, service, headReadAt } = this.request;
     const now = clock.now();
     const reason = 'reason' in answer ? answer.reason : '';
     metrics.count('request_told', { service: service.name, told: answer.kind, reason });
+    if (basis?.forecast.hasFreeSlot === true) {
+      metrics.count('refused_with_free_slots', { service: service.name, reason });
+    }
     log.info('request.told', {
       ...{ id, route: route.name, service: service.name, told: answer.kind },
       ...{ reason: 'reason' in answer ? answer.reason : undefined, sendings: this.#attemptCount },
@@ -58,6 +84,7 @@
       },
       held: Math.round(now - headReadAt),
       retry_after: 'retryAfter' in answer ? Math.round(answer.retryAfter) : undefined,
+      ...(basis && describeBasis(basis)),
     });
   }
 
--- a/src/gateway/status.ts
+++ b/src/gateway/status.ts
@@ -1,4 +1,5 @@
 /** The status of a gateway daemon, as gauges of the metrics and as a periodic log line. */
+import type { RouteTimeState } from '../balance/index.js';
 import type { LogFields } from '../kernel/index.js';
 import type { MemberState } from '../peering/index.js';
 import type { ForwardingCounts } from './requests/forwarding.js';
@@ -43,6 +44,8 @@
   /** Calls to the store since the start, by kind. */
   readonly storeCalls: Readonly<Record<string, number>>;
   readonly services: readonly TargetService[];
+  /** Estimates of how long calls take, by route. */
+  readonly routeTimes: Readonly<Record<string, RouteTimeState>>;
 }
 
 /** Reported as the age of the proof when there has been none yet. */
@@ -78,6 +81,16 @@
     gauges[`waiting{service="${name}"}`] = queue.size;
     gauges[`targets{service="${name}"}`] = targets.size;
     gauges[`repeats_denied{service="${name}"}`] = retryBudget.counts.denied;
+    const { mean, slow, life } = service.readSlowdownParameters();
+    gauges[`slowdown_mean{service="${name}"}`] = mean;
+    gauges[`slowdown_slow{service="${name}"}`] = slow;
+    gauges[`report_life_ms{service="${name}"}`] = life;
+    gauges[`knee{service="${name}"}`] = service.knee.readFactor();
+  }
+  for (const [route, { work, spread, source, samples }] of Object.entries(status.routeTimes)) {
+    gauges[`route_work_ms{route="${route}",source="${source}"}`] = work;
+    gauges[`route_spread{route="${route}",source="${source}"}`] = spread;
+    gauges[`route_samples{route="${route}"}`] = samples;
   }
   return gauges;
 }
--- a/src/gateway/targets/slot-queue.ts
+++ b/src/gateway/targets/slot-queue.ts
@@ -37,15 +37,33 @@
    * The call is already counted at the target. If it is not sent after all, the slot has to be
    * given back.
    */
-  | { readonly kind: 'target'; readonly target: GatewayTarget }
-  /** `wait` is the time after which the caller may retry, in milliseconds. */
-  | { readonly kind: 'refused'; readonly reason: PlacementRefusal; readonly wait: number };
+  { readonly kind: 'target'; readonly target: GatewayTarget } | PlacementRefused;
+
+/** A call that gets no target. */
+export interface PlacementRefused {
+  readonly kind: 'refused';
+  readonly reason: PlacementRefusal;
+  /** Time after which the caller may retry, in milliseconds. */
+  readonly wait: number;
+  /** What was expected of the call; undefined where nothing was estimated. */
+  readonly forecast?: CallForecast;
+}
+
+/** What was expected of a call when it was refused. */
+export interface CallForecast {
+  /** Time until its turn, in milliseconds. */
+  readonly turnIn: number;
+  /** Slowdown of the target that it would have got. */
+  readonly slowdown: number;
+  /** Whether a target had a free slot. */
+  readonly hasFreeSlot: boolean;
+}
 
 /**
- * Why a call gets no target: none is usable, none has a free slot in time, or those with free slots
- * accept no more calls for now.
+ * Why a call gets no target: none is usable, none has a free slot in time, it would take too long
+ * at the one that has, or those with free slots accept no more calls for now.
  */
-export type PlacementRefusal = 'no-target' | 'no-room' | LimitReason;
+export type PlacementRefusal = 'no-target' | 'no-room' | 'run-time' | LimitReason;
 
 /**
  * Chooses a target for a call of the queue, or advises it to wait. `callsAhead` is the number of
@@ -69,10 +87,13 @@
       readonly pace: number;
       readonly slowdown: number;
       readonly limit?: LimitReason;
+      readonly hasFreeSlot?: boolean;
       readonly opensIn?: number;
     }
   | { readonly kind: 'none'; readonly wait?: number };
 
+type WaitAdvice = Extract<ReturnType<TargetChooser>, { kind: 'wait' }>;
+
 /**
  * How often waiting calls are reconsidered. Reports and ends of calls do so as well; this covers
  * the passing of time.
@@ -93,8 +114,8 @@
 
   #timer: Timer | undefined;
 
-  /** What calls wait for besides a free slot. */
-  #limitReason: LimitReason | undefined;
+  /** The last advice to wait; undefined before the first. */
+  #advice: WaitAdvice | undefined;
 
   /** When a call last had to wait, in milliseconds on this daemon's clock. */
   lastWaitAt = -Infinity;
@@ -153,12 +174,14 @@
     this.#schedulePump();
   }
 
-  #updatePace(
-    { work }: SlotCall,
-    { pace, slowdown, limit, opensIn }: Extract<ReturnType<TargetChooser>, { kind: 'wait' }>,
-  ): void {
-    this.#limitReason = limit;
-    this.#waiting.updatePace(pace * work, slowdown, opensIn);
+  #updatePace({ work }: SlotCall, advice: WaitAdvice): void {
+    this.#advice = advice;
+    this.#waiting.updatePace(advice.pace * work, advice.slowdown, advice.opensIn);
+  }
+
+  /** What calls wait for besides a free slot. */
+  get #limitReason(): LimitReason | undefined {
+    return this.#advice?.limit;
   }
 
   #resolve(call: SlotCall, result: PlacementResult): void {
@@ -175,8 +198,12 @@
   }
 
   #refuse(wait: number): PlacementResult {
-    const reason = this.#limitReason ?? 'no-room';
-    return { kind: 'refused', reason, wait: this.#waiting.chooseRetryDelay(wait) };
+    const { limit, slowdown = 1, hasFreeSlot = false } = this.#advice ?? {};
+    return {
+      ...{ kind: 'refused', reason: limit ?? 'no-room' },
+      wait: this.#waiting.chooseRetryDelay(wait),
+      forecast: { turnIn: wait, slowdown, hasFreeSlot },
+    };
   }
 
   #refuseWithoutTarget(wait: number | undefined): PlacementResult {
@@ -205,9 +232,13 @@
     const now = this.clock.now();
     const duration = call.work * load.slowdown * call.spread;
     if (call.mayBeRefused && call.isWorkKnown && now + duration > call.deadline) {
-      // The slowdown of the free targets does not tell when a fast target becomes free, so it is
-      // left out of the delay.
-      return this.#refuse(call.work);
+      return {
+        ...{ kind: 'refused', reason: 'run-time' },
+        // The slowdown of the free targets does not tell when a fast target becomes free, so it is
+        // left out of the delay.
+        wait: this.#waiting.chooseRetryDelay(call.work),
+        forecast: { turnIn: 0, slowdown: load.slowdown, hasFreeSlot: true },
+      };
     }
     candidate.start(now);
     return { kind: 'target', target: candidate };
--- a/test/lessons.test.ts
+++ b/test/lessons.test.ts
@@ -91,12 +91,8 @@
     ): { readonly found: LearnedState[] } {
       const clock = new ManualClock();
       clocks.push(clock);
-      const log = createRateLimitedLog(
-        clock,
-        'error',
-        {},
-        { writableLength: 0, write: () => true },
-      );
+      const sink = { writableLength: 0, write: (line: string) => lines.push(line) > 0 };
+      const log = createRateLimitedLog(clock, 'info', {}, sink);
       const found: LearnedState[] = [];
       const learnedState = new LearnedStateStore({
         ...{ store, clock, log, isWriter: () => isWriter, isHome: () => isWriter },
@@ -107,6 +103,7 @@
       return { found };
     }
     const clocks: ManualClock[] = [];
+    const lines: string[] = [];
     const advanceClocks = async () => {
       await pause(30);
       for (const clock of clocks) await clock.advance(5000);
@@ -126,6 +123,11 @@
       const { found } = startStore(false, () => EMPTY_LEARNED_STATE);
       await advanceClocks();
       expect(found).to.deep.equal([withReportLife(500)]);
+      for (const event of ['lessons.written', 'lessons.read']) {
+        expect(lines.findLast((line) => line.includes(`event=${event} `))).to.match(
+          /homes=4 poison=1 services=alpha:2\/5\/500\/1.7 routes=r\/a\/:220\/1.35/,
+        );
+      }
     });
     it('is not written by other daemons, and keeps entries that the writer does not know', async () => {
       startStore(false, () => LEARNED);
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -355,7 +355,8 @@
     expect((await ask('nothing is known of', unknown)).kind).to.equal('target');
     target.load.finish();
     const answer = await ask('tight', { deadline: 300, mayBeRefused: true });
-    expect(answer).to.include({ kind: 'refused', reason: 'no-room' });
+    expect(answer).to.include({ kind: 'refused', reason: 'run-time' });
+    expect(answer).to.deep.include({ forecast: { turnIn: 0, slowdown: 7, hasFreeSlot: true } });
     expect(target.load.inFlight).to.equal(0);
     expect((await ask('sent before', { deadline: 300 })).kind).to.equal('target');
     slowdown = 1;
