--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -55,6 +55,8 @@
   readonly agent?: http.Agent;
   readonly signal?: AbortSignal;
   readonly headers?: Readonly<Record<string, string>>;
+  /** The daemon's port; by default that of daemons in this process. */
+  readonly port?: number;
 }
 
 let lastHost = 1;
@@ -212,7 +214,8 @@
   const { path = '/a/1', method = 'GET', id = `try-${lastId}`, deadline = 4000 } = sending;
   return sendRequest(
     {
-      ...{ host: ip, port: PORTS.callers, path, method, agent: sending.agent ?? false },
+      ...{ host: ip, port: sending.port ?? PORTS.callers, path, method },
+      agent: sending.agent ?? false,
       ...{ signal: sending.signal, localAddress: sending.from },
       headers: {
         ...{ host: HOST, 'attempt-id': id, 'request-deadline-ms': String(deadline) },
