Estimates refuse calls only on recent outcomes, and let trials through

Class: an estimate that can refuse every call that would correct it. A refusal for the run time now rests on outcomes that this daemon has seen (RefusalEvidence): a stored estimate refuses nothing, and 0.5 s after the last outcome (1 s for calls that may not be repeated) one call is sent as a trial. A trial that is answered in time replaces the estimate, one that is not confirms it. Waiting calls follow what is learned meanwhile. Calls whose rate limit or back-off is known to outlast them are refused as before, whatever is known of their run time.

Ruled out: list of targets, back-offs, rates, poison (30 ready targets, reason no-room).

--- a/src/balance/route-time.ts
+++ b/src/balance/route-time.ts
@@ -1,5 +1,6 @@
 /** Learns how long the calls of one route take. */
 import { DecayingMean, QuantileEstimate } from './estimate.js';
+import { RefusalEvidence } from './refusal-evidence.js';
 
 const HALF_LIFE_MS = 3000;
 
@@ -41,9 +42,11 @@
 
 /** The work of a route's calls, and how far their durations lie from the expected ones. */
 export class RouteTime {
-  readonly #work = new DecayingMean(HALF_LIFE_MS);
+  #work = new DecayingMean(HALF_LIFE_MS);
 
-  readonly #spread = new QuantileEstimate(SPREAD_QUANTILE);
+  #spread = new QuantileEstimate(SPREAD_QUANTILE);
+
+  readonly #evidence = new RefusalEvidence();
 
   #prior = { work: INITIAL_WORK_MS, spread: INITIAL_SPREAD };
 
@@ -69,11 +72,53 @@
     this.#hasPrior = true;
   }
 
+  /**
+   * Whether the estimates rest on outcomes seen here, so that calls may be refused for them. Stored
+   * estimates don't: nobody here has seen that they hold.
+   */
+  hasEvidence(now: number): boolean {
+    return this.isKnown && this.#evidence.isPresent(now);
+  }
+
+  /** Whether a call that the estimates would refuse is sent, to find out if they still hold. */
+  takeTrial(now: number, isRepeatable: boolean): boolean {
+    return !this.isKnown || this.#evidence.takeTrial(now, isRepeatable);
+  }
+
   /** Records the work of an answered call whose target's slowdown was known, in milliseconds. */
   recordWork(work: number, now: number): void {
     this.#work.add(work, now);
     this.#answers += 1;
     this.#recordedAt = now;
+    this.#evidence.record(now);
+  }
+
+  /**
+   * Corrects the estimates by a trial that was answered in time, so that the next calls are not
+   * refused for them. Work can't be longer than the whole call, as no target is faster than an idle
+   * one of usual speed by much.
+   *
+   * @param time duration of the call in milliseconds
+   * @param slowdown expected slowdown of its target
+   */
+  recordTrialAnswer(time: number, slowdown: number, now: number): void {
+    if (time < this.readWork()) {
+      this.#work = new DecayingMean(HALF_LIFE_MS);
+      this.#work.add(time, now);
+    }
+    const ratio = Math.max(1, time / (this.readWork() * slowdown));
+    if (ratio < this.readSpread()) {
+      this.#spread = new QuantileEstimate(SPREAD_QUANTILE);
+      this.#spread.add(ratio);
+    }
+    this.#answers = Math.max(1, this.#answers);
+    this.#recordedAt = now;
+    this.#evidence.record(now);
+  }
+
+  /** Records that a trial was not answered in time, as the estimates had predicted. */
+  recordTrialTimeout(now: number): void {
+    this.#evidence.record(now);
   }
 
   /** Records the ratio of the duration to the expected duration, for the same calls. */
--- a/src/balance/wait-queue.ts
+++ b/src/balance/wait-queue.ts
@@ -23,8 +23,8 @@
   /** Expected duration at an idle target of usual speed. */
   readonly work: number;
   /**
-   * Whether `work` was learned from calls of the route; no call is refused because of an assumed
-   * duration.
+   * Whether `work` rests on recent outcomes of the route's calls; no call is refused because of a
+   * duration that was assumed, or stored by another daemon.
    */
   readonly isWorkKnown: boolean;
   /** Time after which an answer is late: still wanted, but no longer fully useful. */
@@ -33,7 +33,9 @@
   readonly deadline: number;
   /** Factor by which most calls of the route stay within the expected time. */
   readonly spread: number;
-  /** Whether it may be refused to its caller, because it was not sent to any target. */
+  /**
+   * Whether it may be refused to its caller, because it was not sent to any target and is no trial.
+   */
   readonly mayBeRefused: boolean;
 }
 
@@ -152,9 +154,10 @@
    * Removes the calls whose turn is not expected before their deadline; returns them with their
    * expected wait.
    *
-   * @param includeRepeats whether to remove also those that were sent to a target before
+   * @param isLimited whether calls wait for a rate limit or a back-off. The time of their turn is
+   *   then known, whatever is known of their work, so repeats are removed as well
    */
-  removeHopeless(includeRepeats = false): readonly { readonly call: C; readonly wait: number }[] {
+  removeHopeless(isLimited = false): readonly { readonly call: C; readonly wait: number }[] {
     const ahead = { inTime: 0, late: 0 };
     const removed: { readonly call: C; readonly wait: number }[] = [];
     for (const entry of this.#sortEntries()) {
@@ -164,8 +167,8 @@
         continue;
       }
       const admission = judgeLate(this.#describeTerms(call), this.#describeOutlook(ahead));
-      const mayBeRefused = includeRepeats || call.mayBeRefused;
-      if (admission.kind === 'refuse' && mayBeRefused && call.isWorkKnown) {
+      const mayBeRefused = isLimited || (call.mayBeRefused && call.isWorkKnown);
+      if (admission.kind === 'refuse' && mayBeRefused) {
         removed.push({ call, wait: admission.wait });
         this.remove(call);
       } else ahead.late += 1;
@@ -188,8 +191,8 @@
     };
   }
 
-  #describeTerms({ work, aimAt, deadline, spread }: C): WaitTerms {
-    const duration = work * this.#slowdown;
+  #describeTerms({ work, isWorkKnown, aimAt, deadline, spread }: C): WaitTerms {
+    const duration = isWorkKnown ? work * this.#slowdown : 0;
     return { now: this.clock.now(), aimAt, deadline, duration, spread };
   }
 
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -11,6 +11,7 @@
 import { SendLedger } from '../../proxy/ledger.js';
 import type { Route } from '../../routing/index.js';
 import {
+  CallRunTime,
   type FirstAttempt,
   type RouteTime,
   isQuicker,
@@ -103,9 +104,6 @@
  */
 const HEDGE_CHECK_FRACTION = 0.1;
 
-/** Above this expected slowdown it is not certain that a target was quick. */
-const MAX_CERTAIN_SLOWDOWN = 1.5;
-
 /** No attempt is started with less time left than this, in milliseconds. */
 const MIN_ATTEMPT_TIME_MS = 5;
 
@@ -150,6 +148,8 @@
 
   #isFinished = false;
 
+  readonly #runTime: CallRunTime;
+
   /** The call in the service's queue, while it waits there. */
   #queuedCall: SlotCall | undefined;
 
@@ -165,6 +165,7 @@
   ) {
     this.#ledger = new SendLedger(this.#isRepeatable);
     this.#log = new RequestLog(context, request);
+    this.#runTime = new CallRunTime(context.routeTime, context.clock, this.#isRepeatable);
   }
 
   get #isRepeatable(): boolean {
@@ -246,22 +247,9 @@
   /** Asks the service's queue for a target; the attempt starts when there is one. */
   #askForTarget(): void {
     const { request } = this;
-    const { clock, routeTime } = this.context;
+    const { clock } = this.context;
     if (!this.#mayBeSent()) return;
-    const work = routeTime.readWork();
-    const call: SlotCall = {
-      priority: request.route.priority,
-      aimAt: Math.min(request.aimAt, request.deadline),
-      deadline: request.deadline,
-      work,
-      isWorkKnown: routeTime.isKnown,
-      spread: routeTime.readSpread(),
-      mayBeRefused: this.#attemptCount === 0,
-      tried: this.#triedTargets,
-      bodyBytes: request.bodyBytes,
-      regions: request.route.regions,
-      suspect: this.#suspectConstraints,
-    };
+    const call = this.#createSlotCall();
     if (request.deadline - clock.now() < MIN_ATTEMPT_TIME_MS) {
       this.#giveUp('timeout');
       return;
@@ -280,6 +268,29 @@
       .catch((error: Error) => this.context.log.error('request.broken', { error: error.message }));
   }
 
+  #createSlotCall(): SlotCall {
+    const { route, aimAt, deadline, bodyBytes } = this.request;
+    const runTime = this.#runTime;
+    const isUnsent = this.#attemptCount === 0;
+    return {
+      ...{ priority: route.priority, aimAt: Math.min(aimAt, deadline), deadline, bodyBytes },
+      ...{ tried: this.#triedTargets, regions: route.regions, suspect: this.#suspectConstraints },
+      get work() {
+        return runTime.work;
+      },
+      get spread() {
+        return runTime.spread;
+      },
+      get isWorkKnown() {
+        return runTime.isKnown;
+      },
+      get mayBeRefused() {
+        return isUnsent && !runTime.isTrial;
+      },
+      takeTrial: () => runTime.takeTrial(),
+    };
+  }
+
   /** Whether the request may be sent. Gives it up when it is held out as a poison request. */
   #mayBeSent(): boolean {
     const decision = this.context.poison.check(this.request);
@@ -447,28 +458,27 @@
    * Updates the estimates of the route's call time, and of how much longer calls take at a nearly
    * full target.
    */
-  #learnCallTime(attempt: RunningAttempt): void {
-    const { clock, routeTime } = this.context;
+  #learnCallTime({ target, startedAt, callsAtStart }: RunningAttempt): void {
+    const { clock } = this.context;
     const { service } = this.request;
     const now = clock.now();
-    const { load, record, slowdownHistory } = attempt.target;
-    const pattern = service.readSlowdownParameters();
-    const slowdown = slowdownHistory.estimate(attempt.startedAt, pattern);
-    const time = now - attempt.startedAt;
-    const expectedWork = routeTime.readWork();
-    // Otherwise the slowdown at the start is uncertain, and a slow target would raise the estimate
-    // of the call time.
-    if (slowdown > MAX_CERTAIN_SLOWDOWN) return;
-    routeTime.recordRatio(time / (expectedWork * slowdown));
+    const { load, record, slowdownHistory } = target;
+    const answered = {
+      time: now - startedAt,
+      slowdown: slowdownHistory.estimate(startedAt, service.readSlowdownParameters()),
+    };
     const running = (load.lastReport?.running ?? load.inFlight) + 1;
-    const factor = service.knee.observe(
-      time / slowdown / expectedWork,
-      [attempt.callsAtStart / record.slots, running / record.slots],
-      now,
+    const shares = [callsAtStart / record.slots, running / record.slots] as const;
+    const work = this.#runTime.recordAnswer(answered, (relativeTime) =>
+      service.knee.observe(relativeTime, shares, now),
     );
-    const work = time / slowdown / factor;
-    routeTime.recordWork(work, now);
-    service.recordWork(work);
+    if (work !== undefined) service.recordWork(work);
+    this.#countTrial('answered');
+  }
+
+  #countTrial(outcome: 'answered' | 'timeout'): void {
+    if (!this.#runTime.isTrial) return;
+    this.context.metrics.count('run_time_trials', { service: this.request.service.name, outcome });
   }
 
   /** Retries the request after a failed attempt, or gives it up. */
@@ -549,6 +559,10 @@
 
   /** Ends the request without a target's answer. */
   #giveUp(reason: GiveUpReason, wait = 0, forecast?: CallForecast): void {
+    if (reason === 'timeout' && this.#runningAttempts.size > 0) {
+      this.#runTime.recordTimeout();
+      this.#countTrial('timeout');
+    }
     for (const attempt of this.#runningAttempts) attempt.abort();
     if (!this.#ledger.mayHaveRun) {
       this.#ledger.assertNotRun();
--- a/src/gateway/requests/request-handler.ts
+++ b/src/gateway/requests/request-handler.ts
@@ -162,6 +162,7 @@
       return;
     }
     const { route } = admission;
+    const { clock } = this.options;
     const routeTime = this.#findRouteTime(route.name);
     const times = this.#computeTimes(request, route, estimatedArrivalAt);
     this.#backlog.add({
@@ -171,9 +172,15 @@
         deadline: times.deadline,
         priority: route.priority,
       },
-      // Only the wait in the backlog may cause a refusal here, so an unknown call time counts as 0.
-      ...{ work: routeTime.isKnown ? routeTime.readWork() : 0, isWorkKnown: true },
-      ...{ spread: routeTime.readSpread(), mayBeRefused: true },
+      // Only the wait in the backlog may cause a refusal here, so a call time without evidence
+      // counts as 0.
+      get work() {
+        return routeTime.hasEvidence(clock.now()) ? routeTime.readWork() : 0;
+      },
+      get spread() {
+        return routeTime.readSpread();
+      },
+      ...{ isWorkKnown: true, mayBeRefused: true },
       hasCallerLeft: () => hasCallerLeft(request, response),
       start: () => {
         this.#serve(request, response, { ...admission, ...times }).catch(
--- a/src/gateway/targets/slot-queue.ts
+++ b/src/gateway/targets/slot-queue.ts
@@ -28,8 +28,17 @@
   readonly avoidedReleases: readonly string[];
 }
 
-/** A call that asks the queue for a target. */
-export interface SlotCall extends PlacementRequest, QueuedCall {}
+/**
+ * A call that asks the queue for a target. While it waits, its estimates follow what is learned
+ * meanwhile.
+ */
+export interface SlotCall extends PlacementRequest, QueuedCall {
+  /**
+   * Asked before the call is refused because of its work: whether it is sent all the same, as a
+   * trial of the estimate.
+   */
+  readonly takeTrial: () => boolean;
+}
 
 /** The outcome of a request for a target. */
 export type PlacementResult =
@@ -213,10 +222,11 @@
   }
 
   #tryRefuse(call: SlotCall, admission: Admission): PlacementResult | undefined {
-    if (admission.kind !== 'refuse' || !call.isWorkKnown) return undefined;
-    // A slot may become free sooner than expected, so a retry keeps waiting for one. Rate limits
-    // and back-offs are known, so for them it does not.
-    if (!call.mayBeRefused && this.#limitReason === undefined) return undefined;
+    if (admission.kind !== 'refuse') return undefined;
+    // The end of a rate limit or a back-off is known.
+    if (this.#limitReason !== undefined) return this.#refuse(admission.wait);
+    // A slot may become free sooner than expected, so a retry keeps waiting for one.
+    if (!call.mayBeRefused || !call.isWorkKnown || call.takeTrial()) return undefined;
     return this.#refuse(admission.wait);
   }
 
@@ -231,7 +241,7 @@
   ): PlacementResult {
     const now = this.clock.now();
     const duration = call.work * load.slowdown * call.spread;
-    if (call.mayBeRefused && call.isWorkKnown && now + duration > call.deadline) {
+    if (call.mayBeRefused && now + duration > call.deadline && !call.takeTrial()) {
       return {
         ...{ kind: 'refused', reason: 'run-time' },
         // The slowdown of the free targets does not tell when a fast target becomes free, so it is
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -310,6 +310,7 @@
     isWorkKnown: true,
     ...{ priority: 1, aimAt: 1000, deadline: 4000, work: 50, spread: 1.2, mayBeRefused: false },
     ...{ tried: new Set(), bodyBytes: 0, ...changes },
+    takeTrial: () => changes.isWorkKnown === false,
   });
   const order: string[] = [];
   async function ask(name: string, changes: Partial<SlotCall> = {}): Promise<PlacementResult> {
@@ -378,6 +379,18 @@
     expect(answer).to.include({ kind: 'refused', reason: 'no-room' });
     expect(answer).to.have.property('wait').that.is.greaterThan(0);
   });
+  // Guards against calls that are held to their deadline for a limit whose end is known.
+  it('are refused at once when a back-off outlasts them, whatever is known of their work', async () => {
+    const resting = new SlotQueue(clock, createSeededRandom(7), () => ({
+      ...{ kind: 'wait', pace: 1 / 60_000, slowdown: 1, limit: 'backoff', opensIn: 5000 },
+    }));
+    for (const isWorkKnown of [true, false]) {
+      const answer = await resting.take(makeCall({ isWorkKnown, work: 60_000, deadline: 4000 }));
+      expect(answer).to.include({ kind: 'refused', reason: 'backoff' });
+    }
+    const waiting = resting.take(makeCall({ isWorkKnown: false, work: 60_000, deadline: 9000 }));
+    expect(waiting).to.be.instanceOf(Promise);
+  });
   it('are refused as soon as their turn is no longer expected in time, and removed when the caller leaves', async () => {
     order.length = 0;
     await ask('first');
