Backlog: a pace that nobody measures any more is not used

A pace older than a second is not used, nor does it weigh in the next one; under overload there is a sample every few milliseconds.

--- a/src/gateway/requests/backlog.ts
+++ b/src/gateway/requests/backlog.ts
@@ -68,6 +68,13 @@
 /** Half-life of the mean interval between starts, in milliseconds: some dozens of requests. */
 const PACE_HALF_LIFE_MS = 500;
 
+/**
+ * An older pace is not used, in milliseconds. Only iterations that leave requests waiting measure
+ * it, and it may refuse all requests that would wait; while the daemon is overloaded there is one
+ * every few milliseconds.
+ */
+const PACE_LIFETIME_MS = 1000;
+
 /**
  * Most requests started in one iteration, however cheap they are: each one sends to a target at
  * once.
@@ -84,7 +91,9 @@
   /** Time to start one request: the median, since the CPU may be taken away meanwhile. */
   readonly #startCost = new QuantileEstimate(0.5);
 
-  readonly #pace = new DecayingMean(PACE_HALF_LIFE_MS);
+  #pace = new DecayingMean(PACE_HALF_LIFE_MS);
+
+  #paceMeasuredAt = -Infinity;
 
   #isScheduled = false;
 
@@ -108,7 +117,12 @@
 
   /** Time between two starts while requests wait, in milliseconds. */
   get pace(): number {
-    return this.#pace.read(this.#startCost.read(INITIAL_COST_MS));
+    const startCost = this.#startCost.read(INITIAL_COST_MS);
+    return this.#isPaceRecent ? this.#pace.read(startCost) : startCost;
+  }
+
+  get #isPaceRecent(): boolean {
+    return this.options.clock.now() - this.#paceMeasuredAt < PACE_LIFETIME_MS;
   }
 
   /**
@@ -191,6 +205,8 @@
       if (call.hasCallerLeft()) call.drop();
       else call.refuse(this.#queue.chooseRetryDelay(wait));
     }
+    // The time until the next request is no time between two starts.
+    if (this.size === 0) this.#lastPartialBatch = undefined;
     return startedCount;
   }
 
@@ -198,11 +214,12 @@
   #recordPace(startedCount: number, now: number): void {
     const previous = this.#lastPartialBatch;
     if (previous !== undefined && previous.startedCount > 0) {
+      if (!this.#isPaceRecent) this.#pace = new DecayingMean(PACE_HALF_LIFE_MS);
       this.#pace.add((now - previous.at) / previous.startedCount, now);
+      this.#paceMeasuredAt = now;
       this.#queue.updatePace(this.pace, 1);
     }
-    if (this.size === 0) this.#lastPartialBatch = undefined;
-    else if (previous === undefined || previous.startedCount > 0)
+    if (previous === undefined || previous.startedCount > 0)
       this.#lastPartialBatch = { at: now, startedCount };
     else this.#lastPartialBatch = { at: previous.at, startedCount };
   }
--- a/test/backlog.test.ts
+++ b/test/backlog.test.ts
@@ -148,6 +148,23 @@
     await loop.endIteration();
     expect(loop.list('begun')).to.deep.equal(['a']);
   });
+  // Guards against a pace that refuses every request from which it would be measured again: only
+  // iterations that leave requests waiting measure it.
+  it('starts all requests again soon after this daemon was frozen while requests waited', async () => {
+    for (let index = 0; index < 12; index += 1) loop.add(`waiting ${index}`);
+    await loop.endIteration();
+    expect(loop.backlog.size).to.be.greaterThan(0);
+    await loop.clock.advance(17_000);
+    while (loop.backlog.size > 0) await loop.endIteration();
+    await loop.clock.advance(2000);
+    loop.outcomes.length = 0;
+    for (let turn = 0; turn < 50; turn += 1) {
+      for (let index = 0; index < 8; index += 1) loop.add(`${turn}.${index}`);
+      while (loop.backlog.size > 0) await loop.endIteration();
+      await loop.clock.advance(20);
+    }
+    expect(loop.list('begun').length / 400).to.be.at.least(0.95);
+  });
   it('refuses requests that would start too late, with a Retry-After of at least 100 ms', async () => {
     loop.startCost = 10;
     for (let turn = 0; turn < 200; turn += 1) {
