Learned state: stored only once further samples have confirmed it

One daemon's moment of trouble bound the whole fleet: csepel-1 and sklad-a-3 wrote run times of 17 s and 3 to 4 s five and ten seconds after they had been frozen, without a sample since, and all daemons started with them after the loss of power. Whatever stood in the record was taken over as long as it was positive, up to 1e300 (the hedge checks of such a route then ran every millisecond: TimeoutOverflowWarning in test/recovery.test.ts).

An entry is written when ten further samples agree with it within a factor of two, so a daemon that gets no samples stores nothing. Entries say how many samples they rest on and from when the last one is; older builds read them as before, and records without these fields are read. Values that targets can't have are left out by the writer and by the reader, and homes are bounded.

Before: with the old writer the new test stores 17,000 where 220 is due, with the old bounds 'keeps only values that targets can have' fails (both tried by taking the new lines out). After: lessons, recovery, poison, refusals green.

--- a/src/balance/route-time.ts
+++ b/src/balance/route-time.ts
@@ -26,6 +26,9 @@
  */
 const MAX_RATIO = 4;
 
+/** The largest spread. */
+export const MAX_SPREAD = MAX_RATIO;
+
 /** Where an estimate comes from: nowhere, the store, or answers to calls of this daemon. */
 export type EstimateSource = 'assumed' | 'stored' | 'own';
 
@@ -156,6 +159,6 @@
    * expected speed.
    */
   readSpread(): number {
-    return Math.max(1, this.#spread.read(this.#prior.spread));
+    return Math.min(MAX_SPREAD, Math.max(1, this.#spread.read(this.#prior.spread)));
   }
 }
--- a/src/balance/slowdown-model.ts
+++ b/src/balance/slowdown-model.ts
@@ -108,6 +108,11 @@
     return this.#pairs >= MIN_PAIRS;
   }
 
+  /** Number of samples behind the parameters. */
+  get sampleCount(): number {
+    return this.#pairs;
+  }
+
   /** Sets the parameters used until there are enough samples here, as learned by other daemons. */
   setPrior(prior: SlowdownParameters): void {
     this.#prior = prior;
--- a/src/gateway/learned-state.ts
+++ b/src/gateway/learned-state.ts
@@ -7,16 +7,25 @@
  * where targets slow down and how long a load report stays valid would send that second's calls to
  * targets that are slow or full.
  *
- * The stored values are initial values only. A daemon replaces them by its own observations, so
- * outdated or missing ones do no harm. One daemon writes the record, a few times a day, and only
- * after a significant change.
+ * The stored values are initial values only. A daemon replaces them by its own observations and
+ * refuses no call for them, so wrong, outdated or missing ones do no lasting harm. One daemon
+ * writes the record, a few times a day, and only after a significant change that further samples
+ * have confirmed.
  */
-import type { BlamedRequest } from '../balance/index.js';
+import { type BlamedRequest, MAX_SPREAD } from '../balance/index.js';
 import type { Clock, Log, LogFields } from '../kernel/index.js';
 import { KEYS, type KvStore } from '../platform/index.js';
 
+/** What stored estimates rest on. */
+export interface SampleInfo {
+  /** Number of samples; 0 in records of builds that did not store it. */
+  readonly samples: number;
+  /** When the last one was taken, in milliseconds since 1970. */
+  readonly at: number;
+}
+
 /** Estimates for the targets of one service. */
-export interface LearnedServiceState {
+export interface LearnedServiceState extends SampleInfo {
   /** Mean slowdown of the targets. */
   readonly mean: number;
   /** Mean slowdown of slow targets. */
@@ -28,7 +37,7 @@
 }
 
 /** Estimates for the calls of one route. */
-export interface LearnedRouteState {
+export interface LearnedRouteState extends SampleInfo {
   /** Time of a call at a usual, idle target, in milliseconds. */
   readonly work: number;
   /** Most calls take at most this many times the expected time. */
@@ -65,18 +74,64 @@
 /** Interval at which the daemon checks whether to read or to write the record. */
 const CHECK_INTERVAL_MS = 5000;
 
-const SERVICE_FIELDS = ['mean', 'slow', 'life', 'knee'] as const;
-const ROUTE_FIELDS = ['work', 'spread'] as const;
+/** Samples after which an estimate is compared with what it was before them. */
+const MIN_CONFIRMING_SAMPLES = 10;
 
-/**
- * Keeps the entries that have all fields with positive values; the record may have been written by
- * anybody.
- */
-function filterEntries<T>(value: unknown, fields: readonly string[]): Readonly<Record<string, T>> {
+/** Two estimates agree when neither is more than this many times the other. */
+const MAX_STEADY_RATIO = 2;
+
+type Range = readonly [min: number, max: number];
+
+/** The ranges of the estimates of an entry. */
+type Ranges<T> = Readonly<Record<Exclude<keyof T, keyof SampleInfo>, Range>>;
+
+/** What the targets of a service can have; times in milliseconds. */
+const SERVICE_RANGES: Ranges<LearnedServiceState> = {
+  mean: [0.1, 100],
+  slow: [0.1, 100],
+  life: [10, 60_000],
+  knee: [1, 10],
+};
+
+/** What the calls of a route can have: none is held for longer than a minute. */
+const ROUTE_RANGES: Ranges<LearnedRouteState> = {
+  ...{ work: [0.01, 60_000], spread: [1, MAX_SPREAD] },
+};
+
+const SERVICE_FIELDS = Object.keys(SERVICE_RANGES);
+const ROUTE_FIELDS = Object.keys(ROUTE_RANGES);
+
+/** More homes than any fleet has. */
+const MAX_STORED_HOMES = 1000;
+
+/** Decodes one entry; undefined unless all fields are within their ranges. */
+function decodeEntry<T extends SampleInfo>(value: unknown, ranges: Ranges<T>): T | undefined {
+  const entry = (value ?? {}) as Readonly<Record<string, unknown>>;
+  const { samples, at } = entry;
+  const decoded: Record<string, number> = {
+    samples: typeof samples === 'number' && samples > 0 ? samples : 0,
+    at: typeof at === 'number' && at > 0 ? at : 0,
+  };
+  for (const [field, [min, max]] of Object.entries<Range>(ranges)) {
+    const number = entry[field];
+    if (typeof number !== 'number' || !(number >= min && number <= max)) return undefined;
+    decoded[field] = number;
+  }
+  return decoded as unknown as T;
+}
+
+/** Keeps the valid entries; the record may have been written by anybody. */
+function decodeEntries<T extends SampleInfo>(
+  value: unknown,
+  ranges: Ranges<T>,
+): Readonly<Record<string, T>> {
   if (typeof value !== 'object' || value === null) return {};
-  const isComplete = (entry: unknown) =>
-    fields.every((field) => Number((entry as Record<string, unknown> | null)?.[field]) > 0);
-  return Object.fromEntries(Object.entries(value).filter(([, entry]) => isComplete(entry)));
+  const decoded: Record<string, T> = {};
+  for (const [name, entry] of Object.entries(value)) {
+    const valid = decodeEntry<T>(entry, ranges);
+    if (valid !== undefined) decoded[name] = valid;
+  }
+  return decoded;
 }
 
 function isStoredPoisonRequest(value: unknown): value is StoredPoisonRequest {
@@ -89,14 +144,18 @@
   );
 }
 
+function clampHomes(homes: number): number {
+  return Math.min(MAX_STORED_HOMES, Math.max(0, homes));
+}
+
 /** Parses a record; invalid parts are left out. */
 export function parseLearnedState(text: string): LearnedState {
   try {
     const value = JSON.parse(text) as Partial<LearnedState> | null;
     return {
-      services: filterEntries<LearnedServiceState>(value?.services, SERVICE_FIELDS),
-      routes: filterEntries<LearnedRouteState>(value?.routes, ROUTE_FIELDS),
-      homes: Number.isInteger(value?.homes) ? Math.max(0, value?.homes ?? 0) : 0,
+      services: decodeEntries<LearnedServiceState>(value?.services, SERVICE_RANGES),
+      routes: decodeEntries<LearnedRouteState>(value?.routes, ROUTE_RANGES),
+      homes: Number.isInteger(value?.homes) ? clampHomes(value?.homes ?? 0) : 0,
       poison: Array.isArray(value?.poison) ? value.poison.filter(isStoredPoisonRequest) : [],
     };
   } catch {
@@ -112,12 +171,17 @@
   return JSON.stringify({ services, routes: storedRoutes, homes, poison }, round);
 }
 
-function hasValueChanged<T extends object>(stored: T | undefined, next: T): boolean {
+function hasValueChanged<T extends object>(
+  stored: T | undefined,
+  next: T,
+  fields: readonly string[],
+): boolean {
   if (stored === undefined) return true;
   const storedValues = stored as Readonly<Record<string, number>>;
-  return Object.entries(next).some(
-    ([field, value]) =>
-      Math.abs(value - storedValues[field]) > MIN_CHANGE_RATIO * storedValues[field],
+  const nextValues = next as Readonly<Record<string, number>>;
+  return fields.some(
+    (field) =>
+      Math.abs(nextValues[field] - storedValues[field]) > MIN_CHANGE_RATIO * storedValues[field],
   );
 }
 
@@ -136,14 +200,14 @@
  */
 export function hasSignificantChange(next: LearnedState, stored: LearnedState): boolean {
   return (
-    hasValueChanged({ homes: stored.homes }, { homes: next.homes }) ||
+    hasValueChanged({ homes: stored.homes }, { homes: next.homes }, ['homes']) ||
     hasPoisonChanged(next.poison, stored.poison) ||
     Object.entries(next.services).some(([name, entry]) =>
-      hasValueChanged(stored.services[name], entry),
+      hasValueChanged(stored.services[name], entry, SERVICE_FIELDS),
     ) ||
     Object.entries(next.routes)
       .slice(0, MAX_STORED_ROUTES)
-      .some(([name, entry]) => hasValueChanged(stored.routes[name], entry))
+      .some(([name, entry]) => hasValueChanged(stored.routes[name], entry, ROUTE_FIELDS))
   );
 }
 
@@ -168,6 +232,45 @@
   };
 }
 
+/** Whether two states of an estimate agree in all their values. */
+function isSteady<T extends SampleInfo>(before: T, now: T, fields: readonly string[]): boolean {
+  const previous = before as unknown as Readonly<Record<string, number>>;
+  const current = now as unknown as Readonly<Record<string, number>>;
+  return fields.every((field) => {
+    const ratio = current[field] / previous[field];
+    return ratio <= MAX_STEADY_RATIO && ratio >= 1 / MAX_STEADY_RATIO;
+  });
+}
+
+/**
+ * Selects the estimates that are fit to be stored: those that further samples have confirmed, so
+ * that a moment of trouble, or a daemon that gets no samples any more, stores nothing.
+ */
+class SteadyEntries<T extends SampleInfo> {
+  /** The states with which the next ones are compared. */
+  readonly #baselines = new Map<string, T>();
+
+  readonly #fields: readonly string[];
+
+  constructor(private readonly ranges: Ranges<T>) {
+    this.#fields = Object.keys(ranges);
+  }
+
+  /** Returns the entries that agree with their state some samples ago. */
+  select(entries: Readonly<Record<string, T>>): Readonly<Record<string, T>> {
+    const selected: Record<string, T> = {};
+    for (const [name, entry] of Object.entries(entries)) {
+      const baseline = this.#baselines.get(name);
+      if (baseline !== undefined && entry.samples - baseline.samples < MIN_CONFIRMING_SAMPLES)
+        continue;
+      this.#baselines.set(name, entry);
+      if (baseline === undefined || !isSteady(baseline, entry, this.#fields)) continue;
+      if (decodeEntry<T>(entry, this.ranges) !== undefined) selected[name] = entry;
+    }
+    return selected;
+  }
+}
+
 /** What the store of learned state works with. */
 export interface LearnedStateStoreOptions {
   readonly store: KvStore;
@@ -192,6 +295,10 @@
 export class LearnedStateStore {
   #stored = EMPTY_LEARNED_STATE;
 
+  readonly #steadyServices = new SteadyEntries<LearnedServiceState>(SERVICE_RANGES);
+
+  readonly #steadyRoutes = new SteadyEntries<LearnedRouteState>(ROUTE_RANGES);
+
   #revision = 0;
 
   constructor(private readonly options: LearnedStateStoreOptions) {}
@@ -223,7 +330,12 @@
 
   async #write(): Promise<void> {
     const { store, log, readLearnedState } = this.options;
-    const learned = readLearnedState();
+    const { services, routes, homes, poison } = readLearnedState();
+    const learned: LearnedState = {
+      services: this.#steadyServices.select(services),
+      routes: this.#steadyRoutes.select(routes),
+      ...{ homes: clampHomes(homes), poison },
+    };
     if (!hasSignificantChange(learned, this.#stored)) return;
     const merged = {
       services: { ...this.#stored.services, ...learned.services },
--- a/src/gateway/requests/request-handler.ts
+++ b/src/gateway/requests/request-handler.ts
@@ -143,10 +143,12 @@
 
   /** Returns what this daemon has learnt about routes. */
   readLearnedState(): LearnedState['routes'] {
+    const { clock } = this.options;
     const learnedRoutes: Record<string, LearnedRouteState> = {};
     for (const [name, routeTime] of this.#routeTimes) {
       if (!routeTime.hasEnoughSamples) continue;
-      learnedRoutes[name] = { work: routeTime.readWork(), spread: routeTime.readSpread() };
+      const { work, spread, samples, age } = routeTime.describe(clock.now());
+      learnedRoutes[name] = { work, spread, samples, at: clock.wall() - age };
     }
     return learnedRoutes;
   }
--- a/src/gateway/targets/target-service.ts
+++ b/src/gateway/targets/target-service.ts
@@ -135,7 +135,11 @@
    */
   readLearnedState(): LearnedServiceState | undefined {
     if (!this.slowdownModel.hasEnoughSamples) return undefined;
-    return { ...this.readSlowdownParameters(), knee: this.knee.readFactor() };
+    return {
+      ...this.readSlowdownParameters(),
+      knee: this.knee.readFactor(),
+      ...{ samples: this.slowdownModel.sampleCount, at: this.options.clock.wall() },
+    };
   }
 
   /** Applies learned state of other daemons, used until enough has been observed here. */
