Slowdowns that no target can have, and load reports from the future

Found while looking for the same cause elsewhere. A load report of another daemon with a negative age was newer than all that came later, the target's own included (test/load.test.ts, before: age -1e9).

Slowdowns are moved into the range that targets can have when they are decoded, in a target's own report as in those of daemons; the stored state uses the same range. Ages are 0 at least, as those of the other datagrams are.

--- a/src/gateway/learned-state.ts
+++ b/src/gateway/learned-state.ts
@@ -14,7 +14,7 @@
  */
 import { type BlamedRequest, MAX_SPREAD } from '../balance/index.js';
 import type { Clock, Log, LogFields } from '../kernel/index.js';
-import { KEYS, type KvStore } from '../platform/index.js';
+import { KEYS, type KvStore, MAX_SLOWDOWN, MIN_SLOWDOWN } from '../platform/index.js';
 
 /** What stored estimates rest on. */
 export interface SampleInfo {
@@ -85,10 +85,12 @@
 /** The ranges of the estimates of an entry. */
 type Ranges<T> = Readonly<Record<Exclude<keyof T, keyof SampleInfo>, Range>>;
 
+const SLOWDOWN_RANGE: Range = [MIN_SLOWDOWN, MAX_SLOWDOWN];
+
 /** What the targets of a service can have; times in milliseconds. */
 const SERVICE_RANGES: Ranges<LearnedServiceState> = {
-  mean: [0.1, 100],
-  slow: [0.1, 100],
+  mean: SLOWDOWN_RANGE,
+  slow: SLOWDOWN_RANGE,
   life: [10, 60_000],
   knee: [1, 10],
 };
--- a/src/peering/datagram.ts
+++ b/src/peering/datagram.ts
@@ -4,6 +4,7 @@
  */
 import { decode, encode } from '@msgpack/msgpack';
 import type { BlamedRequest } from '../balance/poison.js';
+import { MAX_SLOWDOWN, MIN_SLOWDOWN } from '../platform/index.js';
 import type { KnownRevisions, ViewPosition } from '../view/index.js';
 import type { MemberState, MemberStatus, Presence } from './roster.js';
 
@@ -329,6 +330,12 @@
   return rates;
 }
 
+/** Decodes a slowdown; undefined when none was sent, or one that no target has. */
+function decodeSlowdown(steps: number): number | undefined {
+  const slowdown = steps / SLOWDOWN_STEPS;
+  return slowdown >= MIN_SLOWDOWN && slowdown <= MAX_SLOWDOWN ? slowdown : undefined;
+}
+
 function decodeLoad(fields: readonly unknown[]): Datagram | undefined {
   const last = fields.at(-1);
   const numbers = Array.isArray(last) ? fields.slice(0, -1) : fields;
@@ -338,13 +345,10 @@
   const loadReports: TargetLoadReport[] = [];
   for (let at = 0; at < numbers.length; at += LOAD_REPORT_LENGTH) {
     const [target, inFlight, steps, age] = numbers.slice(at, at + LOAD_REPORT_LENGTH);
-    const slowdown = steps === 0 ? undefined : steps / SLOWDOWN_STEPS;
     const rate = rates.get(loadReports.length);
     loadReports.push({
-      target,
-      inFlight,
-      slowdown,
-      age,
+      ...{ target, inFlight, slowdown: decodeSlowdown(steps) },
+      age: Math.max(0, age),
       ...(rate && { advertisedRate: rate }),
     });
   }
--- a/src/platform/self-report.ts
+++ b/src/platform/self-report.ts
@@ -55,6 +55,13 @@
 
 const NORMAL_PERCENT = 100;
 
+/**
+ * The slowdowns that a target can have. Beyond them a single report would displace the mean of all
+ * targets for minutes.
+ */
+export const MIN_SLOWDOWN = 0.1;
+export const MAX_SLOWDOWN = 100;
+
 const UNAVAILABLE_STATUS = 503;
 
 const MS_PER_SECOND = 1000;
@@ -79,14 +86,18 @@
   return { kind: 'unreadable', text: text.slice(0, MAX_NUMBER_LENGTH) };
 }
 
-/** Parses the load header: running, waiting, slots, and the slowdown in hundredths. */
+/**
+ * Parses the load header: running, waiting, slots, and the slowdown in hundredths, which is moved
+ * into its range.
+ */
 export function parseLoad(text: string | undefined): LoadReport | undefined {
   if (text === undefined) return undefined;
   const [running, waiting, slots, percent = NORMAL_PERCENT] = text.split(',').map(Number);
   if (![running, waiting, slots, percent].every((value) => Number.isFinite(value) && value >= 0)) {
     return undefined;
   }
-  return { running, waiting, slots, slowdown: percent / NORMAL_PERCENT };
+  const slowdown = Math.min(MAX_SLOWDOWN, Math.max(MIN_SLOWDOWN, percent / NORMAL_PERCENT));
+  return { running, waiting, slots, slowdown };
 }
 
 /**
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -546,6 +546,19 @@
       expect(decodeDatagram(encodeDatagram(sample))).to.deep.equal(sample);
     });
   }
+  // Guards against a report from the future, which all later ones would be too old to replace.
+  it('a load report is from now at the latest, and without a slowdown that no target has', () => {
+    const report = { target: 17, inFlight: 0 };
+    const decodeReport = (slowdown: number, age: number) => {
+      const loadReports = [{ ...report, slowdown, age }];
+      const datagram = decodeDatagram(encodeDatagram({ kind: 'load', loadReports }));
+      return datagram?.kind === 'load' ? datagram.loadReports[0] : undefined;
+    };
+    expect(decodeReport(2, -1e9)).to.deep.equal({ ...report, slowdown: 2, age: 0 });
+    for (const slowdown of [1e300, Infinity, NaN, -5]) {
+      expect(decodeReport(slowdown, 5)?.slowdown, `${slowdown}`).to.equal(undefined);
+    }
+  });
   it('an unknown age stays unknown', () => {
     const [, tell] = samples;
     if (tell.kind !== 'tell') throw new Error('expected tell');
--- a/test/recovery.test.ts
+++ b/test/recovery.test.ts
@@ -183,6 +183,17 @@
     }
   }).timeout(60_000);
 
+  // Guards against a mean that one report has raised beyond all that later ones can lower.
+  it('serves within two seconds after a target reported a slowdown that no target has', async () => {
+    const ip = await site.addGateway();
+    checkServed(await measureServed(ip));
+    site.targets[0].slowdown = 1e300;
+    await measureServed(ip);
+    site.targets[0].slowdown = 100;
+    await wait(2 * RECOVERY_MS);
+    checkServed(await measureServed(ip));
+  }).timeout(60_000);
+
   // Guards against estimates from slow targets that go on refusing after the targets have recovered.
   it('serves within two seconds after its targets were too slow', async () => {
     const ip = await site.addGateway();
--- a/test/routing.test.ts
+++ b/test/routing.test.ts
@@ -63,6 +63,9 @@
     for (const [text, report] of [
       ['3,1,8', { running: 3, waiting: 1, slots: 8, slowdown: 1 }],
       ['0,0,6,700', { running: 0, waiting: 0, slots: 6, slowdown: 7 }],
+      ['0,0,6,1e300', { running: 0, waiting: 0, slots: 6, slowdown: 100 }],
+      ['0,0,6,0', { running: 0, waiting: 0, slots: 6, slowdown: 0.1 }],
+      ['0,0,6,Infinity', undefined],
       ['x', undefined],
       ['-1,0,6', undefined],
     ] as const) {
