--- a/src/balance/call-run-time.ts
+++ b/src/balance/call-run-time.ts
@@ -5,6 +5,7 @@
  * Times are in milliseconds.
  */
 import type { Clock } from '../kernel/index.js';
+import type { TrialDecision } from './refusal-evidence.js';
 import type { RouteTime } from './route-time.js';
 
 /** An answered call. */
@@ -31,7 +32,7 @@
 
 /** The run time of one call. Its estimates follow what is learned while it waits. */
 export class CallRunTime {
-  #isTrial = false;
+  #trial: TrialDecision = 'refuse';
 
   constructor(
     private readonly routeTime: RouteTime,
@@ -54,15 +55,22 @@
     return this.routeTime.hasEvidence(this.clock.now());
   }
 
-  /** Whether the call is sent to find out if the estimates that would have refused it still hold. */
+  /** Whether the call is sent although the estimates would have refused it. */
   get isTrial(): boolean {
-    return this.#isTrial;
+    return this.#trial !== 'refuse';
   }
 
   /** Whether the call is, or now becomes, a trial. Asked before it is refused. */
   takeTrial(): boolean {
-    this.#isTrial ||= this.routeTime.takeTrial(this.clock.now(), this.isRepeatable);
-    return this.#isTrial;
+    if (!this.isTrial) {
+      this.#trial = this.routeTime.decideTrial(this.clock.now(), this.isRepeatable);
+    }
+    return this.isTrial;
+  }
+
+  /** Records that the call has ended, whatever its outcome. */
+  finish(): void {
+    if (this.#trial === 'trial') this.routeTime.finishTrial();
   }
 
   /**
@@ -78,7 +86,7 @@
     if (lateness > time * MAX_LATENESS_SHARE) return undefined;
     const { routeTime } = this;
     const now = this.clock.now();
-    if (this.#isTrial) routeTime.recordTrialAnswer(time, slowdown, now);
+    if (this.isTrial) routeTime.recordTrialAnswer(time, slowdown, now);
     if (slowdown > MAX_CERTAIN_SLOWDOWN) return undefined;
     const relativeTime = time / (routeTime.readWork() * slowdown);
     routeTime.recordRatio(relativeTime);
@@ -89,6 +97,6 @@
 
   /** Records that the call was running when its time was up. */
   recordTimeout(): void {
-    if (this.#isTrial) this.routeTime.recordTrialTimeout(this.clock.now());
+    if (this.isTrial) this.routeTime.recordTrialTimeout(this.clock.now());
   }
 }
--- a/src/balance/route-time.ts
+++ b/src/balance/route-time.ts
@@ -1,6 +1,6 @@
 /** Learns how long the calls of one route take. */
 import { DecayingMean, QuantileEstimate } from './estimate.js';
-import { RefusalEvidence } from './refusal-evidence.js';
+import { RefusalEvidence, type TrialDecision } from './refusal-evidence.js';
 
 const HALF_LIFE_MS = 3000;
 
@@ -84,9 +84,14 @@
     return this.isKnown && this.#evidence.isPresent(now);
   }
 
-  /** Whether a call that the estimates would refuse is sent, to find out if they still hold. */
-  takeTrial(now: number, isRepeatable: boolean): boolean {
-    return !this.isKnown || this.#evidence.takeTrial(now, isRepeatable);
+  /** Decides on a call that the estimates would refuse. A trial has to be finished. */
+  decideTrial(now: number, isRepeatable: boolean): TrialDecision {
+    return this.isKnown ? this.#evidence.decideTrial(now, isRepeatable) : 'no-evidence';
+  }
+
+  /** Records that a trial has ended, whatever its outcome. */
+  finishTrial(): void {
+    this.#evidence.finishTrial();
   }
 
   /** Records the work of an answered call whose target's slowdown was known, in milliseconds. */
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -188,6 +188,7 @@
       await this.#handleEvents();
     } finally {
       this.#isFinished = true;
+      this.#runTime.finish();
       for (const event of this.#events) {
         if (event.kind === 'placed') releaseSlot(event.placement);
       }
