An overload that nobody measures any more is over

Found while looking for the same cause elsewhere. How long an overload has lasted is added to the expected wait of late calls; its start was kept until the next call that had to wait, and if calls came together then, a minute without any waiting counted as overload: a late call with two seconds left was refused for a turn 60 s away.

Without an update of the outlook for 200 ms the overload has ended; while calls wait there is one every few milliseconds.

Before: test/refusals.test.ts 'of how long an overload lasts' 'refuse' where 'late' is due. After: green; overload, load and backlog too.

--- a/src/balance/wait-queue.ts
+++ b/src/balance/wait-queue.ts
@@ -76,6 +76,12 @@
  */
 const OVERLOAD_DEMAND = 0.95;
 
+/**
+ * Without an update of the outlook for this long, in milliseconds, no call has had to wait, so an
+ * overload has ended. While calls wait there is one every few milliseconds.
+ */
+const MAX_OUTLOOK_AGE_MS = 200;
+
 /** A queue of waiting calls. */
 export class WaitQueue<C extends QueuedCall> {
   readonly #entries = new Map<C, QueueEntry<C>>();
@@ -91,6 +97,8 @@
 
   #opensAt = -Infinity;
 
+  #updatedAt = -Infinity;
+
   constructor(
     private readonly clock: Pick<Clock, 'now'>,
     private readonly random: Random,
@@ -117,6 +125,8 @@
     this.#pace = pace;
     this.#slowdown = slowdown;
     const now = this.clock.now();
+    if (now - this.#updatedAt > MAX_OUTLOOK_AGE_MS) this.#overloadStart = undefined;
+    this.#updatedAt = now;
     this.#opensAt = now + opensIn;
     if (this.#arrivals.read(now) * this.#pace < OVERLOAD_DEMAND) this.#overloadStart = undefined;
     else this.#overloadStart ??= now;
--- a/test/refusals.test.ts
+++ b/test/refusals.test.ts
@@ -1,5 +1,11 @@
 import { expect } from 'chai';
-import { Availability, CallRunTime, RouteTime, SlowdownModel } from '../src/balance/index.js';
+import {
+  Availability,
+  CallRunTime,
+  RouteTime,
+  SlowdownModel,
+  WaitQueue,
+} from '../src/balance/index.js';
 import { type PlacementResult, SlotQueue } from '../src/gateway/targets/slot-queue.js';
 import { GatewayTarget } from '../src/gateway/targets/target.js';
 import { ManualClock, createSeededRandom } from '../src/kernel/index.js';
@@ -232,6 +238,25 @@
     });
   });
 
+  // Guards against an overload that lasts on in the estimate while nobody has to wait.
+  it('of how long an overload lasts counts none that has ended', async () => {
+    const clock = new ManualClock();
+    const queue = new WaitQueue(clock, createSeededRandom(1));
+    const arrive = () => {
+      const now = clock.now();
+      const call = {
+        ...{ priority: 1, work: 100, isWorkKnown: true, spread: 1.4, mayBeRefused: true },
+        ...{ aimAt: now + 200, deadline: now + 2000 },
+      };
+      for (let count = 0; count < 20; count += 1) queue.recordArrival(call);
+      queue.updatePace(50, 1);
+      return queue.judge({ ...call, aimAt: now });
+    };
+    expect(arrive().kind).to.equal('late');
+    await clock.advance(60_000);
+    expect(arrive().kind).to.equal('late');
+  });
+
   // Guards against an estimate made by a few calls that met a fault.
   it('is hardly changed by a few answers that took long', () => {
     const simulation = new Simulation();
