Soak: all daemons lost at once, with stored state that is far off

--lose-all ends a soak with all daemons killed at once while the learned state in the store is wrong by factors of 30, 1000, 1e300 or zero, drawn by the seed, and checks that 95 of 100 requests are served from recovery_s (15 s) on.

--- a/src/bin/soak.ts
+++ b/src/bin/soak.ts
@@ -10,6 +10,7 @@
     daemons: { type: 'string', default: '5' },
     targets: { type: 'string', default: '8' },
     callers: { type: 'string', default: '20' },
+    'lose-all': { type: 'boolean' },
     verbose: { type: 'boolean' },
   },
 });
@@ -20,6 +21,7 @@
   const report = await runSoak({
     ...{ seed, duration: Number(values.seconds) * 1000, daemons: Number(values.daemons) },
     ...{ targets: Number(values.targets), callers: Number(values.callers) },
+    endsWithLossOfAll: values['lose-all'] === true,
     onEvent: values.verbose === true ? (text) => process.stderr.write(`${text}\n`) : undefined,
   });
   breaks += report.breaks.length;
--- a/src/soak/checker.ts
+++ b/src/soak/checker.ts
@@ -53,7 +53,8 @@
     | 'planned stops'
     | 'configuration in force'
     | 'probes'
-    | 'repeats';
+    | 'repeats'
+    | 'recovery';
   readonly what: string;
 }
 
@@ -69,6 +70,8 @@
   readonly retryRatio: number;
   readonly retryWindow: number;
   readonly retrySlack: number;
+  /** Time in which service is back after all daemons were lost at once. */
+  readonly recoveryTime: number;
 }
 
 /**
@@ -98,6 +101,9 @@
 /** The window in which probes are counted, in milliseconds. */
 const PROBE_WINDOW_MS = 5000;
 
+/** The smallest share of the requests that counts as service. */
+const MIN_SERVED_SHARE = 0.95;
+
 /** Statuses that promise that a request has not run and will not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
@@ -129,6 +135,8 @@
 
   readonly #faults: { readonly from: number; readonly to: number }[] = [];
 
+  #allLostAt: number | undefined;
+
   constructor(private readonly limits: PromisedLimits) {}
 
   /** Records that a caller is about to send a request. */
@@ -186,6 +194,11 @@
     this.#faults.push({ from, to });
   }
 
+  /** Records that all daemons were killed at once; no other fault follows. */
+  recordLossOfAll(at: number): void {
+    this.#allLostAt = at;
+  }
+
   /** Counts the requests by outcome: the status of the answer, or the kind of failure. */
   countOutcomes(): Readonly<Record<string, number>> {
     const counts: Record<string, number> = {};
@@ -209,6 +222,7 @@
       ...this.#checkConfiguration(),
       ...this.#checkProbes(),
       ...this.#checkRepeats(),
+      ...this.#checkRecovery(),
     ];
   }
 
@@ -388,6 +402,24 @@
     return [];
   }
 
+  #checkRecovery(): readonly Violation[] {
+    if (this.#allLostAt === undefined) return [];
+    const since = this.#allLostAt + this.limits.recoveryTime;
+    const finished = [...this.#requests.values()].filter(
+      ({ sentAt, outcome }) => sentAt > since && outcome !== undefined && outcome.kind !== 'left',
+    );
+    const served = finished.filter(
+      ({ outcome }) => outcome?.kind === 'answered' && outcome.status === 200,
+    );
+    if (finished.length > 0 && served.length / finished.length >= MIN_SERVED_SHARE) return [];
+    return [
+      {
+        promise: 'recovery',
+        what: `${served.length} of ${finished.length} requests were served after all daemons were lost`,
+      },
+    ];
+  }
+
   #checkRepeats(): readonly Violation[] {
     const { retryRatio, retryWindow, retrySlack } = this.limits;
     const seen = new Set<string>();
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -5,7 +5,7 @@
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { createSeededRandom } from '../kernel/index.js';
+import { type Random, createSeededRandom, pickItem } from '../kernel/index.js';
 import { KEYS } from '../platform/index.js';
 import { KvServer, RecordingTarget, writeConfiguration, writeTarget } from '../standin/index.js';
 import { Caller } from './caller.js';
@@ -18,6 +18,8 @@
 export interface SoakOptions extends SoakSize {
   readonly seed: number;
   readonly callers: number;
+  /** Whether all daemons are killed at the end, with a stored learned state that is far off. */
+  readonly endsWithLossOfAll?: boolean;
   readonly onEvent?: (text: string) => void;
 }
 
@@ -31,7 +33,7 @@
 
 const LIMITS: PromisedLimits = {
   ...{ drainTime: 2000, applyTime: 2000, probesPerSecond: 60 },
-  ...{ retryRatio: 0.2, retryWindow: 10_000, retrySlack: 20 },
+  ...{ retryRatio: 0.2, retryWindow: 10_000, retrySlack: 20, recoveryTime: 15_000 },
 };
 
 const GRACE_S = 6;
@@ -54,6 +56,28 @@
   link: Link;
 }
 
+/** How long requests are observed after the time in which service has to be back. */
+const OBSERVED_MS = 3000;
+
+/** Factors by which stored estimates are wrong. */
+const STATE_ERRORS = [30, 1 / 30, 1000, 1e300, 0] as const;
+
+/** Composes a stored learned state whose values are far off. */
+function composeWrongState(random: Random): string {
+  const distort = (value: number) => value * pickItem<number>(STATE_ERRORS, random);
+  const [service, route] = [
+    () => ({ mean: distort(2), slow: distort(5), life: distort(500), knee: distort(1.2) }),
+    () => ({ work: distort(MAX_WORK_MS), spread: distort(1.4) }),
+  ];
+  return JSON.stringify({
+    services: { alpha: service(), beta: service() },
+    routes: Object.fromEntries(
+      ['safe', 'once', 'moving'].map((name) => [`r/${name}/`, route()] as const),
+    ),
+    ...{ homes: distort(2), poison: [] },
+  });
+}
+
 /** One running soak. */
 class Soak {
   readonly #startedAt = performance.now();
@@ -117,6 +141,7 @@
       await this.#applyEvent(event);
     }
     await this.#wait(startedAt + duration - this.#now());
+    if (this.options.endsWithLossOfAll === true) await this.#loseAll();
     stopped.abort();
     await Promise.all(callerRuns);
     await this.#close();
@@ -256,6 +281,21 @@
     }
   }
 
+  /** Kills all daemons at once and waits until service has to be back. */
+  async #loseAll(): Promise<void> {
+    const now = this.#now();
+    const text = composeWrongState(this.#random);
+    this.#store.put(KEYS.learnedState, text);
+    this.options.onEvent?.(text);
+    this.#checker.recordFault(now, now + DAEMON_RESTART_MS);
+    this.#checker.recordLossOfAll(now);
+    for (const [index, daemon] of this.#daemons.entries()) {
+      this.#checker.recordInterruption(index, now);
+      daemon.kill();
+    }
+    await this.#wait(LIMITS.recoveryTime + OBSERVED_MS);
+  }
+
   #scheduleFaultEnd(duration: number, end: () => void): void {
     const now = this.#now();
     this.#checker.recordFault(now, now + duration);
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -18,7 +18,7 @@
 
 const LIMITS: PromisedLimits = {
   ...{ drainTime: 2000, applyTime: 2000, probesPerSecond: 10 },
-  ...{ retryRatio: 0.2, retryWindow: 10_000, retrySlack: 2 },
+  ...{ retryRatio: 0.2, retryWindow: 10_000, retrySlack: 2, recoveryTime: 500 },
 };
 
 /** Promises without a time limit hold however busy the machine is. */
@@ -40,6 +40,14 @@
     checker.recordOutcome(id, { kind: 'answered', status, body, isSigned: true }, 100);
   const listBrokenPromises = () => checker.listViolations().map(({ promise }) => promise);
 
+  it('report service that is not back after all daemons were lost', () => {
+    checker.recordLossOfAll(0);
+    for (let index = 0; index < 20; index += 1) recordRequest(`r${index}`, 400 + index * 20);
+    for (let index = 0; index < 19; index += 1) recordAnswer(`r${index}`, index < 6 ? 503 : 200);
+    expect(listBrokenPromises()).to.deep.equal([]);
+    recordAnswer('r19', 503);
+    expect(listBrokenPromises()).to.deep.equal(['recovery']);
+  });
   it('report an answer that belongs to another request or is incomplete', () => {
     for (const [id, body] of [
       ['a', composeBody('a')],
@@ -203,6 +211,11 @@
     expect(draw(5)).to.not.deep.equal(draw(6));
     expect(new Set(draw(5).map(({ kind }) => kind)).size).to.be.at.least(6);
   });
+  // Guards against a fleet that refuses what it could serve, because of stored estimates.
+  it('that ends with the loss of all daemons sees service again in time', async () => {
+    const report = await runSoak({ ...size, ...{ seed: 4, callers: 8, endsWithLossOfAll: true } });
+    expect(report.breaks.filter(({ promise }) => promise === 'recovery')).to.deep.equal([]);
+  }).timeout(60_000);
   it('of a few seconds breaks no promise without a time limit', async () => {
     const report = await runSoak({ ...size, seed: 11, callers: 8 });
     expect(report.ends['200']).to.be.at.least(20);
