Waiting calls are compared at their place in the queue

No call behind it ever took a free target that was dearer than the wait of the first one, whatever its own wait. It is not only about failures: a free slow target was not used either, however long the queue.

Change: the pump tells each call its place. The choice tells from which place on the free target would be quicker, so that the calls between need no comparison of their own. A call behind others that would be too late at the free target waits on and isn't refused.

--- a/src/balance/expected-time.ts
+++ b/src/balance/expected-time.ts
@@ -82,6 +82,8 @@
       readonly limit?: LimitReason;
       /** Whether some target has a free slot, which is slower than waiting for another. */
       readonly hasFreeSlot?: boolean;
+      /** With this many calls ahead, a call would take the free slot; 0 if undefined. */
+      readonly startsBehind?: number;
       /** Time until the first target takes calls again, in milliseconds; 0 if undefined. */
       readonly opensIn?: number;
     }
@@ -160,8 +162,11 @@
   if (slotsPerTime === 0) return { kind: 'none' };
   const pace = Math.max(1, callRatio) / (slotsPerTime * targetsPerCandidate);
   // A call that waits although some targets are free waits for one of the busy ones.
-  const wait =
-    ((callsAhead + 1) * Math.max(1, callRatio)) / (busySlotsPerTime * targetsPerCandidate);
+  const busyPace = Math.max(1, callRatio) / (busySlotsPerTime * targetsPerCandidate);
+  const wait = (callsAhead + 1) * busyPace;
   if (best !== undefined && bestTime <= wait + bestBusyCost) return { kind: 'now', ...best };
-  return { kind: 'wait', pace, slowdown: slots / slotsPerTime, hasFreeSlot: best !== undefined };
+  const slowdown = slots / slotsPerTime;
+  if (best === undefined) return { kind: 'wait', pace, slowdown };
+  const startsBehind = Math.ceil((bestTime - bestBusyCost) / busyPace) - 1;
+  return { kind: 'wait', pace, slowdown, hasFreeSlot: true, startsBehind };
 }
--- a/src/gateway/targets/slot-queue.ts
+++ b/src/gateway/targets/slot-queue.ts
@@ -97,10 +97,13 @@
       readonly slowdown: number;
       readonly limit?: LimitReason;
       readonly hasFreeSlot?: boolean;
+      readonly startsBehind?: number;
       readonly opensIn?: number;
     }
   | { readonly kind: 'none'; readonly wait?: number };
 
+type StartAdvice = Extract<ReturnType<TargetChooser>, { kind: 'now' }>;
+
 type WaitAdvice = Extract<ReturnType<TargetChooser>, { kind: 'wait' }>;
 
 /**
@@ -115,6 +118,11 @@
  */
 const NO_TARGET_WAIT_MS = 250;
 
+/** Whether other calls may get targets that this one may not get. */
+function isConstrained({ tried, regions, suspect }: PlacementRequest): boolean {
+  return tried.size > 0 || regions !== undefined || suspect !== undefined;
+}
+
 /** The queue of one service in this daemon. */
 export class SlotQueue {
   readonly #waiting: WaitQueue<SlotCall>;
@@ -168,17 +176,30 @@
     this.#resolvers.delete(call);
   }
 
-  /** Starts waiting calls while targets have free slots. */
+  /**
+   * Starts waiting calls while targets have free slots. Each call is compared at its place: a free
+   * target that is too slow for the first call may be the quickest one for a call behind many.
+   */
   pump(): void {
     if (this.size === 0) return;
+    let callsAhead = 0;
+    let startsBehind = 0;
     for (const call of this.#waiting.list()) {
-      const choice = this.chooseTarget(call, 0);
-      if (choice.kind === 'wait') {
-        this.#updatePace(call, choice);
-        break;
+      if (callsAhead >= startsBehind) {
+        const choice = this.chooseTarget(call, callsAhead);
+        if (choice.kind === 'wait') {
+          if (callsAhead === 0) this.#updatePace(call, choice);
+          if (choice.hasFreeSlot !== true && !isConstrained(call)) break;
+          startsBehind = choice.startsBehind ?? 0;
+        } else if (choice.kind === 'none') {
+          this.#resolve(call, this.#refuseWithoutTarget(choice.wait));
+          continue;
+        } else if (callsAhead === 0 || !this.#isTooSlow(call, choice)) {
+          this.#resolve(call, this.#start(call, choice));
+          continue;
+        }
       }
-      if (choice.kind === 'now') this.#resolve(call, this.#start(call, choice));
-      else this.#resolve(call, this.#refuseWithoutTarget(choice.wait));
+      callsAhead += 1;
     }
     this.#schedulePump();
   }
@@ -235,13 +256,9 @@
    * late would waste a slot; it is refused instead, with the work of a call as retry delay. Counts
    * the call at once, so that the next one sees the slot taken.
    */
-  #start(
-    call: SlotCall,
-    { candidate, load }: Extract<ReturnType<TargetChooser>, { kind: 'now' }>,
-  ): PlacementResult {
-    const now = this.clock.now();
-    const duration = call.work * load.slowdown * call.spread;
-    if (call.mayBeRefused && now + duration > call.deadline && !call.takeTrial()) {
+  #start(call: SlotCall, choice: StartAdvice): PlacementResult {
+    const { candidate, load } = choice;
+    if (this.#isTooSlow(call, choice) && !call.takeTrial()) {
       return {
         ...{ kind: 'refused', reason: 'run-time' },
         // The slowdown of the free targets does not tell when a fast target becomes free, so it is
@@ -250,10 +267,16 @@
         forecast: { turnIn: 0, slowdown: load.slowdown, hasFreeSlot: true },
       };
     }
-    candidate.start(now);
+    candidate.start(this.clock.now());
     return { kind: 'target', target: candidate };
   }
 
+  /** Whether a call that may be refused is not expected to be answered in time by a target. */
+  #isTooSlow(call: SlotCall, { load }: StartAdvice): boolean {
+    const duration = call.work * load.slowdown * call.spread;
+    return call.mayBeRefused && this.clock.now() + duration > call.deadline;
+  }
+
   #wait(call: SlotCall, isInTime: boolean): Promise<PlacementResult> {
     this.lastWaitAt = this.clock.now();
     return new Promise((resolve) => {
--- a/test/helpers/targets.ts
+++ b/test/helpers/targets.ts
@@ -16,14 +16,14 @@
 }
 
 /** Creates the target set of the only home, in failure domain d1. */
-export function createTargets(clock: Clock): TargetSet {
+export function createTargets(clock: Clock, { seed = 1, retrySlack = 5 } = {}): TargetSet {
   return new TargetSet({
-    ...{ clock, random: createSeededRandom(1), domain: 'd1' },
+    ...{ clock, random: createSeededRandom(seed), domain: 'd1' },
     ...{ countHomes: () => 1, countReportingHomes: () => 0, findRegion: () => undefined },
     listener: noopListener,
     readColdStartLimits: () => ({ rate: Infinity, overshoot: 1, slack: 0, duration: 0 }),
     readShare: () => ({ part: 1, homes: ['127.0.0.1'], self: '127.0.0.1' }),
     createRetryBudget: () =>
-      new WindowBudget(clock, () => ({ ratio: 0.2, window: 10_000, slack: 5 })),
+      new WindowBudget(clock, () => ({ ratio: 0.2, window: 10_000, slack: retrySlack })),
   });
 }
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -391,6 +391,30 @@
     const waiting = resting.take(makeCall({ isWorkKnown: false, work: 60_000, deadline: 9000 }));
     expect(waiting).to.be.instanceOf(Promise);
   });
+  // Guards against comparing every waiting call as if it were first, so that no free target that is
+  // slow is ever used.
+  it('take a free slow target once enough others are ahead', async () => {
+    const slow = { ...IDLE, slowdown: 3 };
+    const full = { ...IDLE, calls: 3 };
+    const asked: number[] = [];
+    const slowQueue = new SlotQueue(clock, createSeededRandom(7), (_, callsAhead) => {
+      asked.push(callsAhead);
+      const choice = chooseTarget([full, slow], (load) => load, {
+        ...{ callsAhead, callRatio: 1, targetsPerCandidate: 1, bodyBytes: 0 },
+        random: createSeededRandom(7),
+      });
+      return choice.kind === 'now' ? { ...choice, candidate: target } : choice;
+    });
+    for (let call = 0; call < 12; call += 1) {
+      expect(slowQueue.take(makeCall())).to.be.instanceOf(Promise);
+    }
+    expect(slowQueue.size).to.equal(12);
+    asked.length = 0;
+    slowQueue.pump();
+    expect(slowQueue.size).to.be.within(1, 11);
+    // The place from which the free target is used is computed, not searched for.
+    expect(asked).to.not.include(1);
+  });
   it('are refused as soon as their turn is no longer expected in time, and removed when the caller leaves', async () => {
     order.length = 0;
     await ask('first');
