Targets that failed get calls as trials, and few others while they fail

Callers saw long requests refused or answered seconds late beside idle targets; and after half of a service's targets had failed for four seconds, these got not one call in the seconds 2 to 5 after they were well.

Cause: every free target is preferred to one with failures, and only calls to it correct its record (half forgotten after 6 s, failures without bound). At the same time the record of earlier successes, some hundreds at a busy target, hid that it failed every call, so that calls went on being sent there: 800 failures were needed for a ratio of four.

Change: a target that fails nearly all calls gets only trials, as long as another one doesn't; a target with few failures is tried as well. Trials are real calls, limited to shares of all calls; those go first whose callers would not see a failure. A target is forgiven when the successes in a row are improbable for the recorded rate, and three failures in a row end what earlier successes tell.

--- a/src/balance/expected-time.ts
+++ b/src/balance/expected-time.ts
@@ -70,7 +70,13 @@
 
 /** The decision for a call that asks for a target. */
 export type TargetChoice<T> =
-  | { readonly kind: 'now'; readonly candidate: T; readonly load: CandidateLoad }
+  | {
+      readonly kind: 'now';
+      readonly candidate: T;
+      readonly load: CandidateLoad;
+      /** Whether the call finds out about a target that gets no other calls. */
+      readonly isTrial?: boolean;
+    }
   /** Every free target is slower than waiting for a busy one. */
   | {
       readonly kind: 'wait';
--- a/src/balance/index.ts
+++ b/src/balance/index.ts
@@ -29,4 +29,5 @@
 export * from './rate-ramp.js';
 export * from './availability.js';
 export * from './failure-rate.js';
+export * from './failure-trial.js';
 export * from './poison.js';
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -278,6 +278,7 @@
     return {
       ...{ priority: route.priority, aimAt: Math.min(aimAt, deadline), deadline, bodyBytes },
       ...{ tried: this.#triedTargets, regions: route.regions, suspect: this.#suspectConstraints },
+      trial: isUnsent ? { isRepeatable: this.#isRepeatable } : undefined,
       get work() {
         return runTime.work;
       },
@@ -382,7 +383,7 @@
       case 'not-connected':
         this.#ledger.recordNotRun();
         this.#attemptCount -= 1;
-        target.recordFailure();
+        target.recordFailure(false);
         this.#log.logFailure(attempt, outcome.kind, outcome.reason);
         if (this.#runningAttempts.size === 0) this.#askForTarget();
         return;
@@ -394,12 +395,12 @@
         return;
       case 'not-run':
         this.#ledger.recordNotRun();
-        target.recordFailure();
+        target.recordFailure(false);
         this.#log.logFailure(attempt, outcome.kind, outcome.cause);
         this.#tryAgain('no-room');
         return;
       case 'lost':
-        target.recordFailure();
+        target.recordFailure(true);
         this.#log.logFailure(attempt, outcome.kind, outcome.reason, {
           ended: outcome.hasTargetEnded,
           fingerprints: this.request.identity.fingerprints,
@@ -435,7 +436,7 @@
     // request.
     if (!isFailure && answer.rest === undefined) this.context.poison.recordAnswer(this.request);
     if (isFailure) {
-      target.recordFailure();
+      target.recordFailure(true);
       this.#log.logFailure(attempt, 'failed', `status ${answer.status}`);
       if (this.#isRepeatable && this.#runningAttempts.size > 0) return;
       if (this.#isRepeatable && this.#spendRetry()) {
--- a/src/gateway/targets/slot-queue.ts
+++ b/src/gateway/targets/slot-queue.ts
@@ -3,6 +3,7 @@
   type Admission,
   type QueuedCall,
   type LimitReason,
+  type TrialCall,
   WaitQueue,
 } from '../../balance/index.js';
 import type { Clock, Random, Timer } from '../../kernel/index.js';
@@ -18,6 +19,8 @@
   readonly bodyBytes: number;
   /** The regions in which it may run; undefined when it may run anywhere. */
   readonly regions?: readonly string[];
+  /** The call as a trial of a target that has failed; undefined when it may not be one. */
+  readonly trial?: TrialCall;
   /** Further constraints on a suspected poison request; undefined for other calls. */
   readonly suspect?: SuspectConstraints;
 }
@@ -86,6 +89,7 @@
       readonly kind: 'now';
       readonly candidate: GatewayTarget;
       readonly load: { readonly slowdown: number };
+      readonly isTrial?: boolean;
     }
   /**
    * `pace` is the time between two starts in this daemon, as a multiple of a call's work;
@@ -159,7 +163,9 @@
       case 'none':
         return this.#refuseWithoutTarget(choice.wait);
       case 'now':
-        return callsAhead === 0 ? this.#start(call, choice) : this.#wait(call, true);
+        // The calls ahead would not get the target of a trial.
+        if (callsAhead === 0 || choice.isTrial === true) return this.#start(call, choice);
+        return this.#wait(call, true);
       case 'wait': {
         this.#updatePace(call, choice);
         const admission = this.#waiting.judge(call);
--- a/src/gateway/targets/target-events.ts
+++ b/src/gateway/targets/target-events.ts
@@ -35,6 +35,10 @@
   onBackoff(target: GatewayTarget, time: number): void;
   onBackoffEnd(target: GatewayTarget): void;
   onUnreadableHeader(target: GatewayTarget, header: UnreadableHeader): void;
+  /** Nearly all recent calls failed there, so it gets only trials. */
+  onFailing(target: GatewayTarget): void;
+  /** A target that had been failing for some time, in milliseconds, has answered a call. */
+  onRecovered(target: GatewayTarget, time: number): void;
   /** The service has no usable target any more. */
   onServiceUnavailable(service: TargetService): void;
   /** The service has usable targets again. */
@@ -84,6 +88,19 @@
     this.log.info('target.resumed', { target: incarnation, service });
   }
 
+  onFailing({ record }: GatewayTarget): void {
+    const { incarnation, service } = record;
+    this.log.info('target.failing', { target: incarnation, service });
+    this.metrics.count('target_failing', { service });
+  }
+
+  onRecovered({ record }: GatewayTarget, time: number): void {
+    const { incarnation, service } = record;
+    this.log.info('target.recovered', {
+      ...{ target: incarnation, service, time: Math.round(time) },
+    });
+  }
+
   onServiceUnavailable(service: TargetService): void {
     this.log.warn('service.deserted', {
       ...{ service: service.name, targets: service.targets.size },
--- a/src/gateway/targets/target-service.ts
+++ b/src/gateway/targets/target-service.ts
@@ -2,6 +2,7 @@
 import type { Clock, Random } from '../../kernel/index.js';
 import {
   type TargetChoice,
+  type CandidateLoad,
   type CandidatePool,
   type FleetShare,
   MAX_CANDIDATES,
@@ -10,6 +11,8 @@
   RateMeter,
   SlowdownModel,
   type SlowdownParameters,
+  TrialBudget,
+  type TrialCall,
   WindowBudget,
   chooseTarget,
   drawCandidates,
@@ -17,7 +20,7 @@
 import type { LearnedServiceState } from '../learned-state.js';
 import { type ColdStartLimits, LocalRateLimits } from './local-rate-limits.js';
 import { type PlacementRequest, SlotQueue } from './slot-queue.js';
-import { type GatewayTarget, readRelease } from './target.js';
+import { type CandidateContext, type GatewayTarget, readRelease } from './target.js';
 
 const MS_PER_SECOND = 1000;
 
@@ -68,6 +71,12 @@
   /** Limits retries to a share of the calls. */
   readonly retryBudget: WindowBudget;
 
+  /** Limits trials of targets that have failed to a share of the calls. */
+  readonly #trialBudget = new TrialBudget();
+
+  /** Calls sent to targets that are avoided because of their failures, since the start. */
+  failureTrials = 0;
+
   /** Calls that wait for a target. */
   readonly queue: SlotQueue;
 
@@ -114,6 +123,7 @@
     this.lastCallAt = this.options.clock.now();
     this.callRate.add(this.lastCallAt);
     this.retryBudget.recordRequest();
+    this.#trialBudget.recordCall();
   }
 
   /** Returns the typical slowdowns of the service's targets, and how long a report stays valid. */
@@ -169,6 +179,11 @@
     return this.#countTargets(({ availability }) => availability.isBackedOff(now));
   }
 
+  /** Counts the targets that fail nearly all calls. */
+  countFailing(): number {
+    return this.#countTargets(({ isFailing }) => isFailing);
+  }
+
   #countTargets(isCounted: (target: GatewayTarget) => boolean): number {
     let count = 0;
     for (const target of this.targets.values()) if (isCounted(target)) count += 1;
@@ -299,29 +314,80 @@
     return remaining;
   }
 
+  /**
+   * Chooses among the targets that are not failing, or among all if there is no other. Now and then
+   * a call goes to one that is avoided because of its failures, to find out whether it has
+   * recovered.
+   */
   #chooseAmong(
     isUsable: (target: GatewayTarget) => boolean,
-    { bodyBytes }: PlacementRequest,
+    request: PlacementRequest,
     callsAhead: number,
   ): TargetChoice<GatewayTarget> {
-    const { random, domain } = this.options;
-    const candidates = drawCandidates(this.#getCandidatePool(), { random, isUsable });
-    const homes = this.options.countHomes();
-    const reportingHomes = this.options.countReportingHomes();
-    const context = {
+    const { trial } = request;
+    const isOffered = (target: GatewayTarget) =>
+      isUsable(target) && (!target.isFailing || (trial !== undefined && target.isTrialDue(trial)));
+    const offered = this.#drawCandidates(isOffered);
+    const reliable = offered.filter((target) => !target.isFailing);
+    const candidates = reliable.length > 0 ? reliable : this.#drawCandidates(isUsable);
+    const choice = this.#compare(candidates, request, callsAhead);
+    if (trial === undefined || reliable.length === 0) return choice;
+    return this.#chooseTrial(offered, trial, choice) ?? choice;
+  }
+
+  #drawCandidates(isUsable: (target: GatewayTarget) => boolean): readonly GatewayTarget[] {
+    const { random } = this.options;
+    return drawCandidates(this.#getCandidatePool(), { random, isUsable });
+  }
+
+  /**
+   * Chooses a free target of which a trial is due, preferably one without a success yet, as far as
+   * the share of trials in all calls allows it.
+   */
+  #chooseTrial(
+    candidates: readonly GatewayTarget[],
+    trial: TrialCall,
+    { kind }: TargetChoice<GatewayTarget>,
+  ): TargetChoice<GatewayTarget> | undefined {
+    const context = this.#createCandidateContext();
+    let best: { readonly candidate: GatewayTarget; readonly load: CandidateLoad } | undefined;
+    for (const candidate of candidates) {
+      if (!candidate.isTrialDue(trial)) continue;
+      const { successesInRow } = candidate.failureRate;
+      if (best !== undefined && best.candidate.failureRate.successesInRow <= successesInRow)
+        continue;
+      const load = candidate.createCandidateLoad(context);
+      // A slow target would answer late, and tell late.
+      if (load.calls >= load.slots || load.slowdown > context.slowdownParameters.mean) continue;
+      best = { candidate, load };
+    }
+    if (best === undefined) return undefined;
+    const trialKind = best.candidate.failureTrial.findKind(trial, kind === 'wait');
+    if (!this.#trialBudget.spend(trialKind)) return undefined;
+    this.failureTrials += 1;
+    return { kind: 'now', ...best, isTrial: true };
+  }
+
+  #createCandidateContext(): CandidateContext {
+    return {
       slowdownParameters: this.readSlowdownParameters(),
-      domain,
-      homes,
-      reportingHomes,
+      domain: this.options.domain,
+      homes: this.options.countHomes(),
+      reportingHomes: this.options.countReportingHomes(),
       knee: this.knee,
     };
+  }
+
+  #compare(
+    candidates: readonly GatewayTarget[],
+    { bodyBytes }: PlacementRequest,
+    callsAhead: number,
+  ): TargetChoice<GatewayTarget> {
+    const { random } = this.options;
+    const context = this.#createCandidateContext();
+    const callRatio = this.#measureCallRatio(context.homes, context.reportingHomes);
     return chooseTarget(candidates, (target) => target.createCandidateLoad(context), {
-      ...{
-        callsAhead,
-        callRatio: this.#measureCallRatio(homes, reportingHomes),
-        random,
-        bodyBytes,
-      },
+      ...{ callsAhead, callRatio, random, bodyBytes },
       targetsPerCandidate: Math.max(1, this.targets.size / MAX_CANDIDATES),
     });
   }
--- a/src/gateway/targets/target.ts
+++ b/src/gateway/targets/target.ts
@@ -3,6 +3,7 @@
  */
 import {
   FailureRate,
+  FailureTrial,
   type KneeEstimate,
   LoadEstimate,
   AdvertisedRate,
@@ -14,6 +15,7 @@
   type SlowdownModel,
   type SlowdownParameters,
   type Availability,
+  type TrialCall,
   WarmUpState,
 } from '../../balance/index.js';
 import type { Clock } from '../../kernel/index.js';
@@ -119,6 +121,9 @@
   /** Failure rate of recent calls. */
   readonly failureRate = new FailureRate();
 
+  /** When the target gets a call although it is avoided because of its failures. */
+  readonly failureTrial = new FailureTrial();
+
   /** The request rate that the target advertises. */
   readonly advertisedRate = new AdvertisedRate();
 
@@ -138,6 +143,8 @@
 
   #isUnhealthy = false;
 
+  #failingSince = -Infinity;
+
   #avoidedUntil = -Infinity;
 
   #noReuseUntil = -Infinity;
@@ -280,23 +287,55 @@
       failureRatio: this.failureRate.read(now),
       // Calls that run beside a suspected poison request may be lost with it, so other calls prefer
       // other targets.
-      isSuspect: this.#isUnhealthy || now < this.#avoidedUntil || this.suspectCalls > 0,
+      isSuspect: this.#isSuspect(now),
       isOtherDomain: this.record.domain !== domain,
     };
   }
 
+  #isSuspect(now: number): boolean {
+    return this.#isUnhealthy || now < this.#avoidedUntil || this.suspectCalls > 0;
+  }
+
+  /** Whether nearly all recent calls failed. */
+  get isFailing(): boolean {
+    return this.failureRate.isFailing(this.clock.now());
+  }
+
+  /** Whether a call should go there although the target is avoided because of its failures. */
+  isTrialDue(call: TrialCall): boolean {
+    const now = this.clock.now();
+    if (!this.failureRate.isAvoided(now)) return false;
+    const { successesInRow } = this.failureRate;
+    const { inFlight } = this.load;
+    const { isFailing } = this;
+    const terms = { ...call, successesInRow, inFlight, isFailing, isSuspect: this.#isSuspect(now) };
+    return this.failureTrial.isDue(terms, now);
+  }
+
   /**
    * Records a failed call. During a back-off failures don't count: the back-off alone keeps calls
    * away.
+   *
+   * @param mayHaveRun whether the target may have run the call
    */
-  recordFailure(): void {
-    if (this.availability.isBackedOff(this.clock.now())) return;
-    this.failureRate.recordFailure(this.clock.now());
+  recordFailure(mayHaveRun: boolean): void {
+    const now = this.clock.now();
+    if (this.availability.isBackedOff(now)) return;
+    const wasFailing = this.isFailing;
+    this.failureRate.recordFailure(now);
+    this.failureTrial.recordFailure(now, mayHaveRun);
+    if (wasFailing || !this.isFailing) return;
+    this.#failingSince = now;
+    this.options.listener.onFailing(this);
   }
 
   /** Records a successful call. */
   recordSuccess(): void {
-    this.failureRate.recordSuccess(this.clock.now());
+    const now = this.clock.now();
+    const wasFailing = this.isFailing;
+    this.failureRate.recordSuccess(now);
+    if (!wasFailing || this.isFailing) return;
+    this.options.listener.onRecovered(this, now - this.#failingSince);
   }
 
   /** Records that a call has been running far too long. */
--- a/test/failed-targets.test.ts
+++ b/test/failed-targets.test.ts
@@ -88,6 +88,14 @@
   return calls.filter(({ outcome }) => outcome === 'answered').length / calls.length;
 }
 
+const GOING_ON_MS = 10_000;
+
+/** Trials are limited to a tenth of the calls, or to one in fifty where callers would notice. */
+const MAX_FAILING_SHARE = 0.12;
+
+/** Share of calls whose callers may see that targets go on failing. */
+const MAX_NOTICED_SHARE = 0.02;
+
 /** Runs calls until targets have had time to be used again, and returns the later ones. */
 async function runUntilRecovered(
   simulation: ServiceSimulation,
@@ -100,10 +108,26 @@
   return simulation.calls.filter(({ at }) => at >= from);
 }
 
+/** Returns the first target that has not answered a call within the time after it was well again. */
+function findIdleTarget({ attempts }: ServiceSimulation, trouble: Trouble): number | undefined {
+  for (let target = 0; target < TARGETS; target += 1) {
+    const from = trouble(target)?.to ?? BEGIN_MS;
+    const hasAnswered = attempts.some(
+      ({ at, end, ...sent }) =>
+        sent.target === target &&
+        end.kind === 'answered' &&
+        at >= from &&
+        at + end.time < from + RECOVERY_MS,
+    );
+    if (!hasAnswered) return target;
+  }
+  return undefined;
+}
+
 describe('targets that failed and are well again', () => {
-  // Guards against calls that wait for the first targets that have recovered, or are refused, while
-  // others are idle.
-  describe('serve nearly all calls after two seconds', () => {
+  // Guards against targets that get no call although only calls show that they have recovered, and
+  // against calls that wait for the first of them, or are refused, while others are idle.
+  describe('have each answered a call within two seconds, and serve nearly all from then on', () => {
     for (const [who, trouble] of ENDING_TROUBLES) {
       for (const [how, fail] of FAILURES) {
         for (const { load, kinds } of LOADS) {
@@ -112,6 +136,7 @@
               const simulation = createSimulation(seed, trouble, fail);
               const calls = await runUntilRecovered(simulation, trouble, kinds);
               expect(measureServedShare(calls), `seed ${seed}`).to.be.at.least(MIN_SERVED_SHARE);
+              expect(findIdleTarget(simulation, trouble), `seed ${seed}`).to.equal(undefined);
             }
           });
         }
@@ -119,3 +144,31 @@
     }
   });
 });
+
+describe('targets that go on failing', () => {
+  const failForever = { from: BEGIN_MS, to: Infinity };
+  const measure = async (seed: number, count: number, fail: Failure, load = LOADS[0].kinds) => {
+    const trouble = (target: number) => (target < count ? failForever : undefined);
+    const simulation = createSimulation(seed, trouble, fail);
+    const from = BEGIN_MS + RECOVERY_MS;
+    await simulation.runUntil(from + GOING_ON_MS, load);
+    await simulation.clock.advance(LONG.timeout);
+    const calls = simulation.calls.filter(({ at }) => at >= from);
+    const failed = simulation.attempts.filter(({ at, target }) => at >= from && target < count);
+    return { calls, failed };
+  };
+
+  // Guards against trials that use up the calls, or reach callers.
+  for (const [how, fail] of FAILURES.slice(0, 3)) {
+    for (const count of [2, 6]) {
+      it(`get few calls, of which callers see next to nothing: ${count} of 8 ${how}`, async () => {
+        for (const seed of SEEDS) {
+          const { calls, failed } = await measure(seed, count, fail);
+          const reached = calls.filter(({ outcome }) => outcome !== 'answered');
+          expect(failed.length / calls.length, `seed ${seed}`).to.be.at.most(MAX_FAILING_SHARE);
+          expect(reached.length / calls.length, `seed ${seed}`).to.be.at.most(MAX_NOTICED_SHARE);
+        }
+      });
+    }
+  }
+});
--- a/test/failure-rate.test.ts
+++ b/test/failure-rate.test.ts
@@ -105,4 +105,25 @@
     expect(rate.read(0)).to.equal(0.1);
     expect(rate.read(60_000)).to.be.below(0.01);
   });
+  it('are failing after a few failures in a row, however many calls they had answered', () => {
+    const rate = new FailureRate();
+    for (let call = 0; call < 500; call += 1) rate.recordSuccess(0);
+    rate.recordFailure(0);
+    rate.recordFailure(0);
+    expect(rate.isAvoided(0)).to.equal(false);
+    for (let call = 0; call < 2; call += 1) rate.recordFailure(0);
+    expect(rate.isFailing(0)).to.equal(true);
+  });
+  it('are forgiven as soon as their answers are improbable for targets that fail', () => {
+    const isForgivenAfter = (failures: number, successes: number) => {
+      const rate = new FailureRate();
+      for (let call = 0; call < failures; call += 1) rate.recordFailure(0);
+      for (let call = 0; call < successes; call += 1) rate.recordSuccess(0);
+      return !rate.isAvoided(0);
+    };
+    expect(isForgivenAfter(50, 1)).to.equal(true);
+    expect(isForgivenAfter(5, 1)).to.equal(false);
+    expect(isForgivenAfter(5, 2)).to.equal(true);
+    expect(isForgivenAfter(1, 5)).to.equal(false);
+  });
 });
--- a/test/helpers/listener.ts
+++ b/test/helpers/listener.ts
@@ -7,6 +7,8 @@
   onBackoff: () => undefined,
   onBackoffEnd: () => undefined,
   onUnreadableHeader: () => undefined,
+  onFailing: () => undefined,
+  onRecovered: () => undefined,
   onServiceUnavailable: () => undefined,
   onServiceAvailable: () => undefined,
 };
--- a/test/helpers/simulated-service.ts
+++ b/test/helpers/simulated-service.ts
@@ -122,6 +122,7 @@
     const slotCall: SlotCall = {
       ...{ priority: 1, aimAt: deadline, deadline, tried, bodyBytes: 0, work, spread: 1.4 },
       ...{ isWorkKnown: true, mayBeRefused, takeTrial: () => false },
+      trial: mayBeRefused ? { isRepeatable: call.kind.isRepeatable } : undefined,
     };
     const receive = (result: PlacementResult) => {
       if (result.kind === 'refused') this.#finish(call, 'refused', result.reason);
@@ -163,7 +164,7 @@
         this.#finish(call, 'answered');
         return;
       }
-      target.recordFailure();
+      target.recordFailure(end.kind === 'failed');
       const mayRepeat = call.kind.isRepeatable || end.kind === 'not-run';
       if (mayRepeat && call.attempts < MAX_ATTEMPTS && service.retryBudget.spend())
         this.#place(call, tried);
--- a/test/strange.test.ts
+++ b/test/strange.test.ts
@@ -154,7 +154,7 @@
     const before = targets.getService('alpha').targets.get('i-1');
     before?.load.start(0);
     before?.recordLoad({ running: 4, waiting: 2, slots: 4, slowdown: 7 }, 0);
-    before?.recordFailure();
+    before?.recordFailure(true);
     before?.recordMisdirected();
     view.putTarget({ ...record, born: 2000 }, 6, 0);
     targets.update(view);
