Only failures are compared by the position in the queue, slow targets as before

Calls far behind in the queue took free slow targets (seven times slower, for half a second) and held their slots when these were fast again.

Cause: compared every waiting call at its position with every free target, slow ones included. For a slow target waiting is right for all of them: whichever target is fast when the turn comes is quicker, and a call that has begun can't be moved.

Change: a free target has to be worth it for a first call but for its failures; the position counts for the failures alone.

--- a/src/balance/expected-time.ts
+++ b/src/balance/expected-time.ts
@@ -88,8 +88,11 @@
       readonly limit?: LimitReason;
       /** Whether some target has a free slot, which is slower than waiting for another. */
       readonly hasFreeSlot?: boolean;
-      /** With this many calls ahead, a call would take the free slot; 0 if undefined. */
-      readonly startsBehind?: number;
+      /**
+       * Position in the queue from which on a call would take a free slot; undefined if there is
+       * none.
+       */
+      readonly startsAt?: number;
       /** Time until the first target takes calls again, in milliseconds; 0 if undefined. */
       readonly opensIn?: number;
     }
@@ -109,6 +112,8 @@
 export interface ChoiceTerms {
   /** Calls that wait already and go first. */
   readonly callsAhead: number;
+  /** Position in the queue of a call that waits, 0 for the first; `callsAhead` if undefined. */
+  readonly position?: number;
   /** Length of the call's body in bytes, which makes targets in other failure domains cost more. */
   readonly bodyBytes: number;
   /** Calls of all daemons at the targets per call of this daemon. */
@@ -123,6 +128,30 @@
   return computeDelayCost({ ...load, calls: 0 });
 }
 
+/** A target with a free slot, as a call compares it. */
+interface FreeTarget<T> {
+  readonly candidate: T;
+  readonly load: CandidateLoad;
+  /** Cost compared with other free targets. */
+  readonly cost: number;
+  /** Cost compared with waiting. */
+  readonly delayCost: number;
+  /** The same for a target without failures. */
+  readonly reliableDelayCost: number;
+}
+
+function findCheapest<T>(
+  free: readonly FreeTarget<T>[],
+  maxReliableDelayCost: number,
+): FreeTarget<T> | undefined {
+  let cheapest: FreeTarget<T> | undefined;
+  for (const target of free) {
+    if (target.reliableDelayCost > maxReliableDelayCost) continue;
+    if (cheapest === undefined || target.cost < cheapest.cost) cheapest = target;
+  }
+  return cheapest;
+}
+
 /**
  * Chooses the cheapest target with a free slot, or decides that the call waits for a better one.
  *
@@ -131,17 +160,19 @@
  * time.
  *
  * The body size only decides between free targets and never makes a call wait. Recent failures make
- * a call wait only for as long as the extra attempts would take: a higher weight delayed calls by
- * seconds for the few targets without failures, while the others had recovered and were idle.
+ * a call wait only for as long as the extra attempts would take.
+ *
+ * Waiting calls are compared with a slow target as if each were first: a call that runs there holds
+ * the slot beyond the time at which the target is fast again. For recent failures the position
+ * counts, because the target may have recovered.
  */
 export function chooseTarget<T>(
   candidates: readonly T[],
   readLoad: (candidate: T) => CandidateLoad,
-  { callsAhead, callRatio, targetsPerCandidate, random, bodyBytes }: ChoiceTerms,
+  terms: ChoiceTerms,
 ): TargetChoice<T> {
-  let best: { readonly candidate: T; readonly load: CandidateLoad } | undefined;
-  let bestCost = Infinity;
-  let bestTime = Infinity;
+  const { callsAhead, position = callsAhead, callRatio, targetsPerCandidate } = terms;
+  const free: FreeTarget<T>[] = [];
   let bestBusyCost = Infinity;
   let slots = 0;
   let slotsPerTime = 0;
@@ -153,26 +184,36 @@
     if (load.calls >= load.slots) {
       bestBusyCost = Math.min(bestBusyCost, computeIdleCost(load));
       busySlotsPerTime += load.slots / (load.slowdown * load.coldFactor);
-      continue;
-    }
-    const noise = 1 + NOISE * random.next();
-    const cost =
-      computeCost(load) *
-      noise *
-      (load.isOtherDomain ? 1 + bodyBytes / OTHER_DOMAIN_DOUBLING_BYTES : 1);
-    if (cost >= bestCost) continue;
-    best = { candidate, load };
-    bestCost = cost;
-    bestTime = computeDelayCost(load) * noise;
+    } else free.push(describeFreeTarget(candidate, load, terms));
   }
   if (slotsPerTime === 0) return { kind: 'none' };
-  const pace = Math.max(1, callRatio) / (slotsPerTime * targetsPerCandidate);
+  const share = Math.max(1, callRatio) / targetsPerCandidate;
   // A call that waits although some targets are free waits for one of the busy ones.
-  const busyPace = Math.max(1, callRatio) / (busySlotsPerTime * targetsPerCandidate);
-  const wait = (callsAhead + 1) * busyPace;
-  if (best !== undefined && bestTime <= wait + bestBusyCost) return { kind: 'now', ...best };
-  const slowdown = slots / slotsPerTime;
-  if (best === undefined) return { kind: 'wait', pace, slowdown };
-  const startsBehind = Math.ceil((bestTime - bestBusyCost) / busyPace) - 1;
-  return { kind: 'wait', pace, slowdown, hasFreeSlot: true, startsBehind };
+  const busyPace = share / busySlotsPerTime;
+  const best = findCheapest(free, (callsAhead + 1) * busyPace + bestBusyCost);
+  if (best !== undefined && best.delayCost <= (position + 1) * busyPace + bestBusyCost) {
+    return { kind: 'now', candidate: best.candidate, load: best.load };
+  }
+  return {
+    ...{ kind: 'wait', pace: share / slotsPerTime, slowdown: slots / slotsPerTime },
+    hasFreeSlot: free.length > 0,
+    startsAt: best && Math.ceil((best.delayCost - bestBusyCost) / busyPace) - 1,
+  };
+}
+
+function describeFreeTarget<T>(
+  candidate: T,
+  load: CandidateLoad,
+  { random, bodyBytes }: ChoiceTerms,
+): FreeTarget<T> {
+  const noise = 1 + NOISE * random.next();
+  const delayCost = computeDelayCost(load) * noise;
+  return {
+    ...{ candidate, load, delayCost },
+    cost:
+      computeCost(load) *
+      noise *
+      (load.isOtherDomain ? 1 + bodyBytes / OTHER_DOMAIN_DOUBLING_BYTES : 1),
+    reliableDelayCost: delayCost / (1 + load.failureRatio),
+  };
 }
--- a/src/balance/failure-rate.ts
+++ b/src/balance/failure-rate.ts
@@ -22,7 +22,7 @@
 const PRIOR_SUCCESSES = 1;
 
 /** A series of successes of a lower probability shows that the target has recovered. */
-const MIN_SERIES_PROBABILITY = 0.05;
+const MIN_SERIES_PROBABILITY = 0.1;
 
 /** So many failures in a row show that a target fails, however many calls it had answered before. */
 const FAILURES_IN_ROW = 3;
@@ -77,6 +77,7 @@
 
   /** Returns the failures per success: 0 without failures, 1 after a first call that failed. */
   read(now: number): number {
+    if (this.#failures === 0) return 0;
     this.#decay(now);
     return this.#failures / (this.#successes + PRIOR_SUCCESSES);
   }
--- a/src/gateway/targets/slot-queue.ts
+++ b/src/gateway/targets/slot-queue.ts
@@ -79,11 +79,12 @@
 
 /**
  * Chooses a target for a call of the queue, or advises it to wait. `callsAhead` is the number of
- * calls that go first.
+ * calls that go first, `position` that of calls before a waiting call in the queue.
  */
 export type TargetChooser = (
   call: SlotCall,
   callsAhead: number,
+  position?: number,
 ) =>
   | {
       readonly kind: 'now';
@@ -101,7 +102,7 @@
       readonly slowdown: number;
       readonly limit?: LimitReason;
       readonly hasFreeSlot?: boolean;
-      readonly startsBehind?: number;
+      readonly startsAt?: number;
       readonly opensIn?: number;
     }
   | { readonly kind: 'none'; readonly wait?: number };
@@ -122,11 +123,6 @@
  */
 const NO_TARGET_WAIT_MS = 250;
 
-/** Whether other calls may get targets that this one may not get. */
-function isConstrained({ tried, regions, suspect }: PlacementRequest): boolean {
-  return tried.size > 0 || regions !== undefined || suspect !== undefined;
-}
-
 /** The queue of one service in this daemon. */
 export class SlotQueue {
   readonly #waiting: WaitQueue<SlotCall>;
@@ -183,29 +179,29 @@
   }
 
   /**
-   * Starts waiting calls while targets have free slots. Each call is compared at its place: a free
-   * target that is too slow for the first call may be the quickest one for a call behind many.
+   * Starts waiting calls while targets have free slots. A free target that has failed may be too
+   * dear for the first call and still be worth its risk for a call behind many.
    */
   pump(): void {
     if (this.size === 0) return;
-    let callsAhead = 0;
-    let startsBehind = 0;
+    let position = 0;
+    let startsAt = 0;
     for (const call of this.#waiting.list()) {
-      if (callsAhead >= startsBehind) {
-        const choice = this.chooseTarget(call, callsAhead);
+      if (position >= startsAt) {
+        const choice = this.chooseTarget(call, 0, position);
         if (choice.kind === 'wait') {
-          if (callsAhead === 0) this.#updatePace(call, choice);
-          if (choice.hasFreeSlot !== true && !isConstrained(call)) break;
-          startsBehind = choice.startsBehind ?? 0;
+          if (position === 0) this.#updatePace(call, choice);
+          if (choice.startsAt === undefined) break;
+          startsAt = choice.startsAt;
         } else if (choice.kind === 'none') {
           this.#resolve(call, this.#refuseWithoutTarget(choice.wait));
           continue;
-        } else if (callsAhead === 0 || !this.#isTooSlow(call, choice)) {
+        } else if (position === 0 || !this.#isTooSlow(call, choice)) {
           this.#resolve(call, this.#start(call, choice));
           continue;
         }
       }
-      callsAhead += 1;
+      position += 1;
     }
     this.#schedulePump();
   }
--- a/src/gateway/targets/target-service.ts
+++ b/src/gateway/targets/target-service.ts
@@ -4,6 +4,7 @@
   type TargetChoice,
   type CandidateLoad,
   type CandidatePool,
+  type ChoiceTerms,
   type FleetShare,
   MAX_CANDIDATES,
   DecayingMean,
@@ -58,6 +59,9 @@
  */
 const MIN_LONG_RUNNING_AGE_MS = 20_000;
 
+/** Where a call is in the queue, as far as its choice of a target depends on it. */
+type QueuePlace = Pick<ChoiceTerms, 'callsAhead' | 'position'>;
+
 /** One service as this daemon uses it: its targets, waiting calls and learned state. */
 export class TargetService {
   readonly targets = new Map<string, GatewayTarget>();
@@ -113,8 +117,8 @@
       ...{ clock: options.clock, readShare: options.readShare },
       readColdStartLimits: () => options.readColdStartLimits(name),
     });
-    this.queue = new SlotQueue(options.clock, options.random, (call, callsAhead) =>
-      this.chooseTarget(call, callsAhead),
+    this.queue = new SlotQueue(options.clock, options.random, (call, callsAhead, position) =>
+      this.chooseTarget(call, callsAhead, position),
     );
   }
 
@@ -216,8 +220,14 @@
    * where no other suspect runs, preferably to one that has run for long.
    *
    * @param callsAhead calls that go first
+   * @param position number of calls before a waiting call in the queue
    */
-  chooseTarget(request: PlacementRequest, callsAhead: number): TargetChoice<GatewayTarget> {
+  chooseTarget(
+    request: PlacementRequest,
+    callsAhead: number,
+    position = callsAhead,
+  ): TargetChoice<GatewayTarget> {
+    const place = { callsAhead, position };
     const { suspect } = request;
     let isLimited = false;
     let isBackedOff = false;
@@ -231,7 +241,7 @@
       return !isExhausted;
     };
     if (suspect === undefined) {
-      const choice = this.#chooseAmong(mayGetCall, request, callsAhead);
+      const choice = this.#chooseAmong(mayGetCall, request, place);
       if (isLimited && choice.kind === 'now') this.rateLimitDiversions += 1;
       if (isBackedOff && choice.kind === 'now') this.backoffDiversions += 1;
       return choice.kind === 'none' ? this.#planRateLimitWait(request) : choice;
@@ -243,11 +253,11 @@
     const isLongRunning = (target: GatewayTarget) =>
       hasNoSuspects(target) && now - target.record.born > MIN_LONG_RUNNING_AGE_MS;
     for (const isPreferred of [isLongRunning, hasNoSuspects]) {
-      const choice = this.#chooseAmong(isPreferred, request, callsAhead);
+      const choice = this.#chooseAmong(isPreferred, request, place);
       // A suspect that waited for one of few targets would delay the calls queued behind it.
       if (choice.kind === 'now') return choice;
     }
-    const choice = this.#chooseAmong(isAllowed, request, callsAhead);
+    const choice = this.#chooseAmong(isAllowed, request, place);
     return choice.kind === 'none' ? { kind: 'none', wait: this.readBackoffRemaining() } : choice;
   }
 
@@ -322,15 +332,15 @@
   #chooseAmong(
     isUsable: (target: GatewayTarget) => boolean,
     request: PlacementRequest,
-    callsAhead: number,
+    place: QueuePlace,
   ): TargetChoice<GatewayTarget> {
-    const { trial } = request;
+    const trial = request.suspect === undefined ? request.trial : undefined;
     const isOffered = (target: GatewayTarget) =>
       isUsable(target) && (!target.isFailing || (trial !== undefined && target.isTrialDue(trial)));
     const offered = this.#drawCandidates(isOffered);
     const reliable = offered.filter((target) => !target.isFailing);
     const candidates = reliable.length > 0 ? reliable : this.#drawCandidates(isUsable);
-    const choice = this.#compare(candidates, request, callsAhead);
+    const choice = this.#chooseByCost(candidates, request, place);
     if (trial === undefined || reliable.length === 0) return choice;
     return this.#chooseTrial(offered, trial, choice) ?? choice;
   }
@@ -364,6 +374,7 @@
     if (best === undefined) return undefined;
     const trialKind = best.candidate.failureTrial.findKind(trial, kind === 'wait');
     if (!this.#trialBudget.spend(trialKind)) return undefined;
+    best.candidate.failureTrial.recordStart(this.options.clock.now());
     this.failureTrials += 1;
     return { kind: 'now', ...best, isTrial: true };
   }
@@ -378,16 +389,16 @@
     };
   }
 
-  #compare(
+  #chooseByCost(
     candidates: readonly GatewayTarget[],
     { bodyBytes }: PlacementRequest,
-    callsAhead: number,
+    place: QueuePlace,
   ): TargetChoice<GatewayTarget> {
     const { random } = this.options;
     const context = this.#createCandidateContext();
     const callRatio = this.#measureCallRatio(context.homes, context.reportingHomes);
     return chooseTarget(candidates, (target) => target.createCandidateLoad(context), {
-      ...{ callsAhead, callRatio, random, bodyBytes },
+      ...{ ...place, callRatio, random, bodyBytes },
       targetsPerCandidate: Math.max(1, this.targets.size / MAX_CANDIDATES),
     });
   }
