Half of the retry budget is kept while all targets of a service fail

Callers: when all targets of a service failed for seconds, retries that failed as well used up the budget of ten seconds, so that requests which failed on a single target after that got no second attempt.

Cause: a retry was sent as long as the budget allowed it, whatever is known of the targets that are left.

Change: where only targets are left that fail nearly all calls, a retry is sent only while half of the budget is left: one of them may have recovered, which the retry would show.

--- a/src/balance/window-budget.ts
+++ b/src/balance/window-budget.ts
@@ -49,9 +49,27 @@
     this.#findCurrentSlice().requests += 1;
   }
 
+  /** Whether at least half of the retries of the last window are left. */
+  isHalfLeft(): boolean {
+    const { repeats, allowed } = this.#sumWindow();
+    return repeats + 1 <= allowed / 2;
+  }
+
   /** Takes one retry; false if the budget of the last window does not allow it. */
   spend(): boolean {
     const slice = this.#findCurrentSlice();
+    const { repeats, allowed } = this.#sumWindow();
+    if (repeats + 1 > allowed) {
+      this.counts.denied += 1;
+      return false;
+    }
+    slice.repeats += 1;
+    this.counts.spent += 1;
+    return true;
+  }
+
+  /** Counts the retries of the last window, and how many it allows. */
+  #sumWindow(): { readonly repeats: number; readonly allowed: number } {
     const { ratio, slack } = this.readTerms();
     let requests = 0;
     let repeats = 0;
@@ -59,13 +77,7 @@
       requests += past.requests;
       repeats += past.repeats;
     }
-    if (repeats + 1 > SAFETY_SHARE * ratio * requests + slack) {
-      this.counts.denied += 1;
-      return false;
-    }
-    slice.repeats += 1;
-    this.counts.spent += 1;
-    return true;
+    return { repeats, allowed: SAFETY_SHARE * ratio * requests + slack };
   }
 
   #findCurrentSlice(): Slice {
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -505,7 +505,7 @@
     const { route, service, body } = this.request;
     if (this.#attemptCount >= route.maxAttempts) return false;
     if (body !== undefined && !Buffer.isBuffer(body)) return false;
-    return service.retryBudget.spend();
+    return service.spendRetry(this.#triedTargets);
   }
 
   #scheduleHedgeCheck(): void {
--- a/src/gateway/targets/target-service.ts
+++ b/src/gateway/targets/target-service.ts
@@ -188,6 +188,22 @@
     return this.#countTargets(({ isFailing }) => isFailing);
   }
 
+  /**
+   * Takes a retry from the budget; false if none is allowed. Where only failing targets are left,
+   * half of the budget is kept for the time when one has recovered.
+   */
+  spendRetry(tried: ReadonlySet<GatewayTarget>): boolean {
+    if (!this.#hasReliableTarget(tried) && !this.retryBudget.isHalfLeft()) return false;
+    return this.retryBudget.spend();
+  }
+
+  #hasReliableTarget(tried: ReadonlySet<GatewayTarget>): boolean {
+    for (const target of this.targets.values()) {
+      if (target.isUsable && !target.isFailing && !tried.has(target)) return true;
+    }
+    return false;
+  }
+
   #countTargets(isCounted: (target: GatewayTarget) => boolean): number {
     let count = 0;
     for (const target of this.targets.values()) if (isCounted(target)) count += 1;
--- a/test/failed-targets.test.ts
+++ b/test/failed-targets.test.ts
@@ -171,4 +171,14 @@
       });
     }
   }
+  // Guards against a retry budget that is used up by retries that fail as well, when targets recover.
+  it('leave half of the retry budget if all targets of the service fail', async () => {
+    for (const seed of SEEDS) {
+      const simulation = createSimulation(seed, () => failForever, FAILURES[0][1]);
+      await simulation.runUntil(BEGIN_MS + 10_000, LOADS[0].kinds);
+      const { retryBudget } = simulation.service;
+      expect(retryBudget.counts.spent, `seed ${seed}`).to.be.greaterThan(0);
+      expect(retryBudget.counts.denied, `seed ${seed}`).to.equal(0);
+    }
+  });
 });
--- a/test/helpers/simulated-service.ts
+++ b/test/helpers/simulated-service.ts
@@ -166,7 +166,7 @@
       }
       target.recordFailure(end.kind === 'failed');
       const mayRepeat = call.kind.isRepeatable || end.kind === 'not-run';
-      if (mayRepeat && call.attempts < MAX_ATTEMPTS && service.retryBudget.spend())
+      if (mayRepeat && call.attempts < MAX_ATTEMPTS && service.spendRetry(tried))
         this.#place(call, tried);
       else this.#finish(call, end.kind === 'failed' ? 'failed' : 'refused', 'no-room');
     });
