Successes are forgotten evenly while a target has no failures

Found by reading again before the landing: its shortcut for targets without failures left out the decay, so that all successes were forgotten at once with the first failure, and one failure after a minute of successes counted as one of one. Callers would have lost a good target to every single error for as long as trials take.

--- a/src/balance/failure-rate.ts
+++ b/src/balance/failure-rate.ts
@@ -77,7 +77,6 @@
 
   /** Returns the failures per success: 0 without failures, 1 after a first call that failed. */
   read(now: number): number {
-    if (this.#failures === 0) return 0;
     this.#decay(now);
     return this.#failures / (this.#successes + PRIOR_SUCCESSES);
   }
--- a/test/failure-rate.test.ts
+++ b/test/failure-rate.test.ts
@@ -114,6 +114,13 @@
     for (let call = 0; call < 2; call += 1) rate.recordFailure(0);
     expect(rate.isFailing(0)).to.equal(true);
   });
+  // Guards against counts that are not decayed while there are no failures, and all at once later.
+  it('are not avoided for a single failure after a minute of successes', () => {
+    const rate = new FailureRate();
+    for (let now = 0; now < 60_000; now += 20) rate.recordSuccess(now);
+    rate.recordFailure(60_000);
+    expect(rate.isAvoided(60_000)).to.equal(false);
+  });
   it('are forgiven as soon as their answers are improbable for targets that fail', () => {
     const isForgivenAfter = (failures: number, successes: number) => {
       const rate = new FailureRate();
