A daemon finds out whether it reaches any target, and says so

Logs could not tell a partition of a daemon from failures of single targets: attempt.failed names one target each, and nothing said which daemons reach none, or since when.

Lines targets.lost, targets.regained, daemon.partitioned, daemon.reconnected; gauges is_reached, is_partitioned. Nothing acts on it yet.

Sockets to targets are a service of the kernel now, so that a test can put a partition in their place.

--- a/src/balance/index.ts
+++ b/src/balance/index.ts
@@ -31,3 +31,4 @@
 export * from './failure-rate.js';
 export * from './failure-trial.js';
 export * from './poison.js';
+export * from './target-reach.js';
--- a/src/bin/gateway.ts
+++ b/src/bin/gateway.ts
@@ -10,7 +10,9 @@
   createSystemClock,
   createSystemRandom,
   logService,
+  openTcpSocket,
   randomService,
+  targetSocketService,
 } from '../kernel/index.js';
 import { Gateway, type GatewaySettings, checkGatewaySettings } from '../gateway/index.js';
 import { createKvStore, kvStoreService } from '../platform/index.js';
@@ -65,6 +67,7 @@
     .provide(clockService, clock)
     .provide(randomService, createSystemRandom())
     .provide(logService, log)
+    .provide(targetSocketService, openTcpSocket)
     .provide(kvStoreService, createKvStore(address, timeout));
   const gateway = new Gateway(kernel, settings);
   let isStopping = false;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,8 +9,9 @@
   formatAddress,
   logService,
   randomService,
+  targetSocketService,
 } from '../kernel/index.js';
-import { WindowBudget } from '../balance/index.js';
+import { WindowBudget, planReachTimes } from '../balance/index.js';
 import {
   FeedClient,
   type MemberInfo,
@@ -33,6 +34,7 @@
 import { FleetRole } from './fleet/fleet-role.js';
 import { PoisonRegistry } from './requests/poison-registry.js';
 import { LearnedStateStore } from './learned-state.js';
+import { ReachMonitor } from './targets/reach-monitor.js';
 import { Prober } from './targets/prober.js';
 import { RequestHandler } from './requests/request-handler.js';
 import type { GatewaySettings } from './settings.js';
@@ -141,6 +143,8 @@
 
   readonly #callerServer: CallerServer;
 
+  readonly #reachMonitor: ReachMonitor;
+
   readonly #prober: Prober;
 
   readonly #loadExchange: LoadExchange;
@@ -206,8 +210,16 @@
       ...{ clock, self: readSelf(), readSelfState },
       ...{ minHomes: tuning.homes, minHomeCapacity: tuning.home_capacity },
     });
+    this.#reachMonitor = new ReachMonitor({
+      ...{ clock, random, log, metrics: this.#metrics },
+      listServices: () => this.#targets.listServices(),
+    });
     this.#targets = new TargetSet({
       ...{ clock, random, domain: gateway.domain },
+      openSocket: kernel.find(targetSocketService),
+      reachTimes: planReachTimes(promises.contact),
+      onContact: (service) => this.#reachMonitor.recordContact(service),
+      onConnectionFailed: (service, target) => this.#reachMonitor.recordFailure(service, target),
       findRegion: (domain) => this.#findRegion(domain),
       countHomes: () => this.#roster.listHomes().length,
       countReportingHomes: () => this.#loadExchange.countReportingHomes(),
@@ -421,6 +433,7 @@
       this.#readStoreOnce(signal),
       this.#storeReader.run(signal),
       this.#prober.run(signal),
+      this.#reachMonitor.run(signal),
       this.#loadExchange.run(signal),
       this.#runTargetChecks(signal),
       this.#homePlanner.run(signal),
@@ -609,6 +622,8 @@
       evacuatedDomains: this.#view.evacuations.domains,
       heldOutRequests: this.#poisonRegistry.heldOutCount,
       probes: this.#prober.sent,
+      isPartitioned: this.#reachMonitor.isPartitioned,
+      reachChecks: this.#reachMonitor.checks,
       targetConnectionsOpened: this.#targets.connectionsOpened,
       storeCalls: this.kernel.find(kvStoreService).counts(),
       services: this.#targets.listServices(),
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -84,6 +84,10 @@
   retry_ratio: describeNumber('Repeats allowed for each request, over all daemons', [0, 100]),
   retry_window: describeInteger('Seconds over which repeats are counted', COUNT_RANGE),
   retry_slack: describeNumber('Repeats allowed besides, over all daemons', COUNT_RANGE),
+  contact: describeDuration(
+    'Time from a partition between a daemon and all targets until its callers are served again',
+    3000,
+  ),
   cold_overshoot: describeNumber(
     'What a cold target may get in a second, as a multiple of what its service says that one bears',
     [0, 1000],
--- a/src/gateway/status.ts
+++ b/src/gateway/status.ts
@@ -39,6 +39,10 @@
   readonly heldOutRequests: number;
   /** Probes sent since the start. */
   readonly probes: number;
+  /** Whether this daemon reaches no target of any service. */
+  readonly isPartitioned: boolean;
+  /** Checks since the start whether targets of a service are reached. */
+  readonly reachChecks: number;
   /** Connections to targets opened since the start. */
   readonly targetConnectionsOpened: number;
   /** Calls to the store since the start, by kind. */
@@ -63,6 +67,7 @@
     ...{ lookups: status.lookups, connections: status.connections, busy: status.utilisation },
     backlog: status.backlog,
     ...{ targets_unreadable: status.unreadableEntries, poison_held_out: status.heldOutRequests },
+    ...{ is_partitioned: Number(status.isPartitioned), reach_checks: status.reachChecks },
     domains_evacuated: status.evacuatedDomains.length,
     ...{ probes: status.probes, target_connections_opened: status.targetConnectionsOpened },
     rss_bytes: process.memoryUsage.rss(),
@@ -73,6 +78,7 @@
   }
   for (const service of status.services) {
     const { name, queue, retryBudget, targets } = service;
+    gauges[`is_reached{service="${name}"}`] = Number(service.isReached);
     gauges[`targets_limited{service="${name}"}`] = service.countLimited();
     gauges[`targets_draining{service="${name}"}`] = service.countDraining();
     gauges[`targets_backed_off{service="${name}"}`] = service.countBackedOff();
@@ -101,7 +107,7 @@
 export function describeStatus(status: GatewayStatus): LogFields {
   const { state, homes, requests, services, storeCalls } = status;
   return {
-    ...{ state, homes: homes.join(','), ...requests },
+    ...{ state, partitioned: status.isPartitioned, homes: homes.join(','), ...requests },
     ...{
       members: status.members,
       version: status.configurationVersion,
--- a/src/gateway/targets/connections.ts
+++ b/src/gateway/targets/connections.ts
@@ -5,8 +5,13 @@
  * "not sent". Bytes that arrive on an idle connection belong to no call; the connection is closed.
  */
 import http from 'node:http';
-import net from 'node:net';
-import { type Address, type Clock, scheduleLagTolerantTimeout } from '../../kernel/index.js';
+import type net from 'node:net';
+import {
+  type Address,
+  type Clock,
+  type OpenSocket,
+  scheduleLagTolerantTimeout,
+} from '../../kernel/index.js';
 
 /** An open connection to a target. */
 export interface TargetConnection {
@@ -35,7 +40,7 @@
 const REFUSED = 'ECONNREFUSED';
 
 /** A hundred times the usual time of a connect, and too short for callers to notice. */
-const CONNECT_TIMEOUT_MS = 250;
+export const CONNECT_TIMEOUT_MS = 250;
 
 /** Used when the target states no keep-alive timeout. */
 const DEFAULT_IDLE_LIMIT_MS = 4000;
@@ -58,6 +63,15 @@
   }
 }
 
+/** What the connections depend on and report to. */
+export interface ConnectionOptions {
+  readonly clock: Clock;
+  readonly openSocket: OpenSocket;
+  readonly onOpened: () => void;
+  /** Called when no connection could be opened. */
+  readonly onFailed: () => void;
+}
+
 /** The connections to one target. */
 export class TargetConnections {
   readonly #idle: TargetConnection[] = [];
@@ -68,8 +82,7 @@
 
   constructor(
     private readonly address: Address,
-    private readonly clock: Clock,
-    private readonly onConnectionOpened: () => void,
+    private readonly options: ConnectionOptions,
   ) {}
 
   /** Connections open now, idle or in use. */
@@ -101,7 +114,7 @@
 
   /** Closes connections that have been idle longer than they may. */
   closeExpired(): void {
-    const now = this.clock.now();
+    const now = this.options.clock.now();
     for (const connection of [...this.#idle]) {
       if (now - connection.idleSince > connection.idleLimit) connection.socket.destroy();
     }
@@ -120,7 +133,7 @@
   }
 
   #takeIdle(maxIdle: number): TargetConnection | undefined {
-    const now = this.clock.now();
+    const now = this.options.clock.now();
     for (;;) {
       const connection = this.#idle.pop();
       if (connection === undefined) return undefined;
@@ -141,12 +154,12 @@
 
   #connect(): Promise<ConnectionResult> {
     return new Promise((resolve) => {
-      const { host, port } = this.address;
-      const socket = net.connect({ host, port, noDelay: true });
+      const socket = this.options.openSocket(this.address);
       const timer = scheduleLagTolerantTimeout(CONNECT_TIMEOUT_MS, () =>
         socket.destroy(new Error('timeout')),
       );
       let reason = 'closed';
+      let isOpened = false;
       socket.on('error', (error: NodeJS.ErrnoException) => {
         reason = error.code ?? error.message;
       });
@@ -154,11 +167,13 @@
       socket.once('close', () => {
         timer.cancel();
         this.#openCount -= 1;
+        if (!isOpened) this.options.onFailed();
         resolve({ kind: 'not-connected', reason });
       });
       socket.once('connect', () => {
         timer.cancel();
-        this.onConnectionOpened();
+        isOpened = true;
+        this.options.onOpened();
         const agent = new SocketAgent(socket);
         const connection: TargetConnection = {
           ...{ socket, agent, isReused: false, idleSince: 0, idleLimit: DEFAULT_IDLE_LIMIT_MS },
@@ -179,7 +194,7 @@
       socket.destroy();
       return;
     }
-    connection.idleSince = this.clock.now();
+    connection.idleSince = this.options.clock.now();
     socket.on('data', () => socket.destroy());
     this.#idle.push(connection);
   }
--- /dev/null
+++ b/src/gateway/targets/reach-monitor.ts
@@ -0,0 +1,150 @@
+/**
+ * Finds out whether this daemon is partitioned from the targets of a service, or from all targets,
+ * by the connections of its calls and by checks of its own.
+ */
+import { REACH_DECISION_INTERVAL_MS } from '../../balance/index.js';
+import type { Clock, Log, Random, TextMetrics } from '../../kernel/index.js';
+import type { GatewayTarget } from './target.js';
+import type { TargetService } from './target-service.js';
+
+/** Options of the monitor. */
+export interface ReachMonitorOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly metrics: TextMetrics;
+  readonly listServices: () => readonly TargetService[];
+}
+
+/**
+ * Services checked per decision at most. A partition from hundreds of services is found within a
+ * second or two, without a burst of connections.
+ */
+const MAX_CHECKS_PER_DECISION = 8;
+
+/** Monitors the connections of one daemon. */
+export class ReachMonitor {
+  /** Since when calls of a service have been in flight without a break. */
+  readonly #inFlightSince = new Map<TargetService, number>();
+
+  #partitionedAt: number | undefined;
+
+  /** The service at which the next decision begins. */
+  #nextIndex = 0;
+
+  /** Checks started since the start. */
+  checks = 0;
+
+  constructor(private readonly options: ReachMonitorOptions) {}
+
+  /** Whether this daemon reaches no target of any service. */
+  get isPartitioned(): boolean {
+    return this.#partitionedAt !== undefined;
+  }
+
+  /** Records that a target answered or accepted a connection. */
+  recordContact(service: TargetService): void {
+    const { clock } = this.options;
+    const lostTime = service.reach.readLostTime(clock.now());
+    if (service.reach.recordContact(clock.now()) === 'regained') {
+      this.#handleRegained(service, lostTime);
+    }
+  }
+
+  /** Records that a target accepted no connection. */
+  recordFailure(service: TargetService, target: GatewayTarget): void {
+    service.reach.recordFailure(target.record.incarnation);
+  }
+
+  /** Decides on checks and runs them until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.options;
+    while (!signal.aborted) {
+      await clock.sleep(REACH_DECISION_INTERVAL_MS, signal);
+      this.#startDueChecks();
+      this.#updatePartition();
+    }
+  }
+
+  #startDueChecks(): void {
+    const { clock, listServices } = this.options;
+    const now = clock.now();
+    const services = listServices();
+    let started = 0;
+    const first = this.#nextIndex;
+    for (let step = 0; step < services.length; step += 1) {
+      const index = (first + step) % services.length;
+      const service = services[index];
+      if (!service.reach.isCheckDue(now, this.#updateInFlight(service, now))) continue;
+      if (started >= MAX_CHECKS_PER_DECISION) {
+        this.#nextIndex = index;
+        return;
+      }
+      started += 1;
+      this.#check(service).catch(() => undefined);
+    }
+  }
+
+  #updateInFlight(service: TargetService, now: number): number | undefined {
+    if (!service.hasCallInFlight) {
+      this.#inFlightSince.delete(service);
+      return undefined;
+    }
+    const since = this.#inFlightSince.get(service) ?? now;
+    this.#inFlightSince.set(service, since);
+    return since;
+  }
+
+  async #check(service: TargetService): Promise<void> {
+    const { clock } = this.options;
+    if (service.countUsable() === 0) return;
+    const targets = this.#drawTargets(service, service.reach.recordCheckStart(clock.now()));
+    this.checks += 1;
+    await Promise.all(targets.map((target) => target.connections.checkListening()));
+    const change = service.reach.recordCheckEnd(clock.now(), service.countUsable());
+    if (change === 'lost') this.#handleLost(service);
+  }
+
+  #drawTargets(service: TargetService, count: number): readonly GatewayTarget[] {
+    const usable = [...service.targets.values()].filter(({ isUsable }) => isUsable);
+    const start = Math.floor(this.options.random.next() * usable.length);
+    return [...usable.slice(start), ...usable.slice(0, start)].slice(0, count);
+  }
+
+  #requestChecks(services: readonly TargetService[]): void {
+    for (const service of services) service.reach.requestCheck();
+  }
+
+  #handleLost(service: TargetService): void {
+    const { clock, log, metrics, listServices } = this.options;
+    const now = clock.now();
+    const contactAge = service.reach.readContactAge(now);
+    log.warn('targets.lost', {
+      ...{ service: service.name, targets: service.countUsable() },
+      failed: service.reach.failedTargets,
+      ...{ contact_age: Number.isFinite(contactAge) ? Math.round(contactAge) : 'never' },
+    });
+    metrics.count('targets_lost', { service: service.name });
+    this.#requestChecks(listServices().filter((other) => !other.reach.isLost(now)));
+  }
+
+  #handleRegained(service: TargetService, lostTime: number): void {
+    const { log, listServices, clock } = this.options;
+    log.info('targets.regained', { service: service.name, after: Math.round(lostTime) });
+    const now = clock.now();
+    this.#requestChecks(listServices().filter((other) => other.reach.isLost(now)));
+  }
+
+  #updatePartition(): void {
+    const { clock, log, listServices } = this.options;
+    const now = clock.now();
+    const services = listServices().filter((service) => service.countUsable() > 0);
+    const isPartitioned =
+      services.length > 0 && services.every((service) => service.reach.isLost(now));
+    if (isPartitioned === this.isPartitioned) return;
+    const lostTime = now - (this.#partitionedAt ?? now);
+    this.#partitionedAt = isPartitioned ? now : undefined;
+    if (isPartitioned) log.warn('daemon.partitioned', { services: services.length });
+    else log.info('daemon.reconnected', { after: Math.round(lostTime) });
+  }
+}
--- a/src/gateway/targets/target-service.ts
+++ b/src/gateway/targets/target-service.ts
@@ -12,6 +12,8 @@
   RateMeter,
   SlowdownModel,
   type SlowdownParameters,
+  ReachEstimate,
+  type ReachTimes,
   TrialBudget,
   type TrialCall,
   WindowBudget,
@@ -42,6 +44,7 @@
   readonly readShare: () => FleetShare;
   /** Creates the retry budget of one service. */
   readonly createRetryBudget: () => WindowBudget;
+  readonly reachTimes: ReachTimes;
 }
 
 /** Half-life of the ratio of all daemons' calls to this daemon's: the time of a few calls. */
@@ -90,6 +93,9 @@
   /** Rate limits of its targets for this daemon. */
   readonly rateLimits: LocalRateLimits;
 
+  /** Whether this daemon reaches any of the targets. */
+  readonly reach: ReachEstimate;
+
   /** Slowdown model, which learns from the reports of its targets. */
   readonly slowdownModel = new SlowdownModel();
 
@@ -113,6 +119,7 @@
   ) {
     this.callRate = new RateMeter(options.clock.now());
     this.retryBudget = options.createRetryBudget();
+    this.reach = new ReachEstimate(options.reachTimes);
     this.rateLimits = new LocalRateLimits({
       ...{ clock: options.clock, readShare: options.readShare },
       readColdStartLimits: () => options.readColdStartLimits(name),
@@ -122,6 +129,17 @@
     );
   }
 
+  /** Whether this daemon reaches a target of the service, as far as it knows. */
+  get isReached(): boolean {
+    return !this.reach.isLost(this.options.clock.now());
+  }
+
+  /** Whether this daemon has a call in flight to any target. */
+  get hasCallInFlight(): boolean {
+    for (const { load } of this.targets.values()) if (load.inFlight > 0) return true;
+    return false;
+  }
+
   /** Counts a call that arrives. */
   recordCall(): void {
     this.lastCallAt = this.options.clock.now();
--- a/src/gateway/targets/target-set.ts
+++ b/src/gateway/targets/target-set.ts
@@ -1,4 +1,5 @@
 /** The targets in use, by service, kept in sync with the fleet view. */
+import type { OpenSocket } from '../../kernel/index.js';
 import type { FleetView } from '../../view/index.js';
 import type { LearnedState, LearnedServiceState } from '../learned-state.js';
 import { AvailabilityCache } from './availability-cache.js';
@@ -12,6 +13,12 @@
 /** Options of the set of targets. */
 export interface TargetSetOptions extends TargetServiceOptions {
   readonly listener: TargetListener;
+  /** Opens connections to targets. */
+  readonly openSocket: OpenSocket;
+  /** Called when a target of the service answered or accepted a connection. */
+  readonly onContact: (service: TargetService) => void;
+  /** Called when a target of the service accepted no connection. */
+  readonly onConnectionFailed: (service: TargetService, target: GatewayTarget) => void;
 }
 
 /** All targets of a daemon, by service. */
@@ -107,16 +114,16 @@
         existing.update(entry, isEvacuated);
         continue;
       }
+      const { clock, listener, openSocket, onContact, onConnectionFailed } = this.options;
       const onConnectionOpened = () => {
         this.connectionsOpened += 1;
+        onContact(service);
       };
-      const { clock, listener } = this.options;
       const availability = this.#availabilityCache.find(entry.record);
       const target = new GatewayTarget(entry, clock, {
-        slowdownModel,
-        onConnectionOpened,
-        listener,
-        availability,
+        ...{ slowdownModel, listener, availability, openSocket, onConnectionOpened },
+        onConnectionFailed: (failed) => onConnectionFailed(service, failed),
+        onContact: () => onContact(service),
       });
       target.update(entry, isEvacuated);
       targets.set(incarnation, target);
--- a/src/gateway/targets/target.ts
+++ b/src/gateway/targets/target.ts
@@ -18,7 +18,7 @@
   type TrialCall,
   WarmUpState,
 } from '../../balance/index.js';
-import type { Clock } from '../../kernel/index.js';
+import type { Clock, OpenSocket } from '../../kernel/index.js';
 import type {
   LoadReport,
   SelfReport,
@@ -93,8 +93,14 @@
 export interface GatewayTargetOptions {
   /** Slowdown model of the target's service, which learns from the target's reports. */
   readonly slowdownModel: SlowdownModel;
+  /** Opens connections to the target. */
+  readonly openSocket: OpenSocket;
   /** Called for each connection that is opened. */
   readonly onConnectionOpened: () => void;
+  /** Called for each connection that could not be opened. */
+  readonly onConnectionFailed: (target: GatewayTarget) => void;
+  /** Called when bytes of the target arrived. */
+  readonly onContact: () => void;
   readonly listener: TargetListener;
   /** What this incarnation stated earlier about its availability. */
   readonly availability: Availability;
@@ -174,13 +180,16 @@
     private readonly clock: Clock,
     private readonly options: GatewayTargetOptions,
   ) {
-    const { slowdownModel, onConnectionOpened, availability } = options;
+    const { slowdownModel, openSocket, availability } = options;
     this.availability = availability;
     this.#entry = entry;
     this.warmUp.suspectCold(entry.coldUntil);
     this.slowdownHistory = new SlowdownHistory(slowdownModel);
     this.hash = hashIncarnation(entry.record.incarnation, entry.record.born);
-    this.connections = new TargetConnections(entry.record.address, clock, onConnectionOpened);
+    this.connections = new TargetConnections(entry.record.address, {
+      ...{ clock, openSocket, onOpened: options.onConnectionOpened },
+      onFailed: () => options.onConnectionFailed(this),
+    });
   }
 
   /** The target's entry in the fleet view. */
@@ -366,6 +375,7 @@
 
   /** Applies what the head of a response states about the target. */
   receiveReport(report: SelfReport, { sentAt, ownCalls, isSuccess }: ReportOrigin): void {
+    this.options.onContact();
     const { incarnation = this.record.incarnation } = report;
     if (report.isMisdirected || incarnation !== this.record.incarnation) {
       this.recordMisdirected();
--- a/src/kernel/network.ts
+++ b/src/kernel/network.ts
@@ -42,6 +42,17 @@
 /** The key of the socket service. */
 export const networkService = createServiceKey<Network>('network');
 
+/** Begins to open a TCP connection; the socket emits `connect`, or `error` and `close`. */
+export type OpenSocket = (address: Address) => net.Socket;
+
+/** The key of the service that opens connections to targets. */
+export const targetSocketService = createServiceKey<OpenSocket>('target-sockets');
+
+/** Opens a TCP connection of the machine. */
+export function openTcpSocket({ host, port }: Address): net.Socket {
+  return net.connect({ host, port, noDelay: true });
+}
+
 /** Formats an address as `host:port`. */
 export function formatAddress(address: Address): string {
   return `${address.host}:${address.port}`;
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -12,11 +12,14 @@
   createSystemClock,
   createSystemRandom,
   logService,
+  openTcpSocket,
   randomService,
+  targetSocketService,
 } from '../../src/kernel/index.js';
 import { Gateway, checkGatewaySettings } from '../../src/gateway/index.js';
 import { KEYS, type KvStore, createKvStore, kvStoreService } from '../../src/platform/index.js';
 import { KvServer } from '../../src/standin/index.js';
+import { type PartitionFault, TargetNetwork } from './target-network.js';
 import {
   HOST,
   type RuleOptions,
@@ -74,9 +77,14 @@
 
   readonly #cutOff = new Set<string>();
 
+  readonly #targetNetworks = new Map<string, TargetNetwork>();
+
   /** Setting `probes_per_second` of daemons that are created from now on. */
   probesPerSecond = 60;
 
+  /** Whether daemons that are created from now on can be partitioned from the targets. */
+  isPartitionable = false;
+
   /** Setting `first_start` of daemons that are created from now on. */
   isFirstStart = false;
 
@@ -129,6 +137,11 @@
     };
   }
 
+  /** Sets the fault between a gateway and all targets. */
+  partition(ip: string, fault: PartitionFault): void {
+    this.#targetNetworks.get(ip)?.setFault(fault);
+  }
+
   /** Creates a gateway without starting it. */
   createGateway(
     seeds: readonly string[] = [],
@@ -158,10 +171,13 @@
     const write = (event: string, fields: LogFields = {}) =>
       this.events.push({ ip, event, fields });
     const log: Log = { debug: () => undefined, info: write, warn: write, error: write };
+    const network = new TargetNetwork();
+    this.#targetNetworks.set(ip, network);
     const kernel = new Kernel()
       .provide(clockService, createSystemClock())
       .provide(randomService, createSystemRandom())
       .provide(logService, log)
+      .provide(targetSocketService, this.isPartitionable ? network.open : openTcpSocket)
       .provide(
         kvStoreService,
         this.#createStore(ip, settings.platform.address, settings.platform.timeout),
@@ -180,6 +196,7 @@
 
   stop(): void {
     for (const { gateway } of this.gateways) gateway.destroy();
+    for (const network of this.#targetNetworks.values()) network.stop();
     for (const target of this.targets) target.stop();
     this.store.stop();
   }
--- a/test/helpers/targets.ts
+++ b/test/helpers/targets.ts
@@ -1,7 +1,7 @@
 /** Fleet views and target sets that report their changes to no one. */
-import { WindowBudget } from '../../src/balance/index.js';
+import { WindowBudget, planReachTimes } from '../../src/balance/index.js';
 import { TargetSet } from '../../src/gateway/targets/target-set.js';
-import { type Clock, createSeededRandom } from '../../src/kernel/index.js';
+import { type Clock, createSeededRandom, openTcpSocket } from '../../src/kernel/index.js';
 import { FleetView } from '../../src/view/index.js';
 import { noopListener } from './listener.js';
 
@@ -15,11 +15,20 @@
   });
 }
 
+/** Options of target sets whose connections nobody watches. */
+export const UNWATCHED_CONNECTIONS = {
+  openSocket: openTcpSocket,
+  reachTimes: planReachTimes(3000),
+  onContact: () => undefined,
+  onConnectionFailed: () => undefined,
+} as const;
+
 /** Creates the target set of the only home, in failure domain d1. */
 export function createTargets(clock: Clock, { seed = 1, retrySlack = 5 } = {}): TargetSet {
   return new TargetSet({
     ...{ clock, random: createSeededRandom(seed), domain: 'd1' },
     ...{ countHomes: () => 1, countReportingHomes: () => 0, findRegion: () => undefined },
+    ...UNWATCHED_CONNECTIONS,
     listener: noopListener,
     readColdStartLimits: () => ({ rate: Infinity, overshoot: 1, slack: 0, duration: 0 }),
     readShare: () => ({ part: 1, homes: ['127.0.0.1'], self: '127.0.0.1' }),
--- a/test/large-fleet.test.ts
+++ b/test/large-fleet.test.ts
@@ -17,6 +17,7 @@
   ManualClock,
   createSeededRandom,
   createSystemClock,
+  openTcpSocket,
   scheduleLagTolerantTimeout,
 } from '../src/kernel/index.js';
 import { decodeConfiguration } from '../src/platform/index.js';
@@ -168,8 +169,10 @@
     const { port } = server.address() as AddressInfo;
     const connections = new TargetConnections(
       { host: '127.0.0.1', port },
-      createSystemClock(),
-      () => undefined,
+      {
+        ...{ clock: createSystemClock(), openSocket: openTcpSocket },
+        ...{ onOpened: () => undefined, onFailed: () => undefined },
+      },
     );
     const taken = connections.take(0);
     blockEventLoop(300);
--- a/test/lessons.test.ts
+++ b/test/lessons.test.ts
@@ -20,6 +20,7 @@
 import { WindowBudget } from '../src/balance/index.js';
 import { KvServer } from '../src/standin/index.js';
 import { noopListener } from './helpers/listener.js';
+import { UNWATCHED_CONNECTIONS } from './helpers/targets.js';
 
 const LEARNED: LearnedState = {
   services: { alpha: { mean: 2, slow: 5, life: 150, knee: 1.7, samples: 400, at: 7000 } },
@@ -219,6 +220,7 @@
     const targets = new TargetSet({
       ...{ clock, random, domain: 'd', countHomes: () => 1, countReportingHomes: () => 0 },
       findRegion: () => undefined,
+      ...UNWATCHED_CONNECTIONS,
       listener: noopListener,
       readColdStartLimits: () => ({ rate: Infinity, overshoot: 1, slack: 0, duration: 0 }),
       readShare: () => ({ part: 1, homes: ['127.0.0.1'], self: '127.0.0.1' }),
--- a/test/load.test.ts
+++ b/test/load.test.ts
@@ -25,6 +25,7 @@
 import { type Datagram, decodeDatagram, encodeDatagram } from '../src/peering/index.js';
 import type { Route } from '../src/routing/index.js';
 import { noopListener } from './helpers/listener.js';
+import { UNWATCHED_CONNECTIONS } from './helpers/targets.js';
 
 const IDLE: CandidateLoad = {
   ...{
@@ -294,6 +295,7 @@
       clock,
       {
         slowdownModel: new SlowdownModel(),
+        ...UNWATCHED_CONNECTIONS,
         onConnectionOpened: () => undefined,
         listener: noopListener,
         availability: new Availability(),
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -8,6 +8,7 @@
 import { GatewayTarget } from '../src/gateway/targets/target.js';
 import { ManualClock, createSeededRandom } from '../src/kernel/index.js';
 import { noopListener } from './helpers/listener.js';
+import { UNWATCHED_CONNECTIONS } from './helpers/targets.js';
 
 const SLOTS = 26;
 const WORK_MS = 220;
@@ -57,6 +58,7 @@
     clock,
     {
       slowdownModel: new SlowdownModel(),
+      ...UNWATCHED_CONNECTIONS,
       onConnectionOpened: () => undefined,
       listener: noopListener,
       availability: new Availability(),
--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -21,6 +21,7 @@
 import { waitUntil } from './helpers/fleet.js';
 import { type CallerReply, Site, sendTo } from './helpers/gateways.js';
 import { noopListener } from './helpers/listener.js';
+import { UNWATCHED_CONNECTIONS } from './helpers/targets.js';
 
 const POISON = '/a/poison?page=3';
 
@@ -255,6 +256,7 @@
     const targets = new TargetSet({
       ...{ clock, random: createSeededRandom(5), domain: 'd', countHomes: () => 1 },
       ...{ countReportingHomes: () => 0, findRegion: () => undefined },
+      ...UNWATCHED_CONNECTIONS,
       listener: noopListener,
       readColdStartLimits: () => ({ rate: Infinity, overshoot: 1, slack: 0, duration: 0 }),
       readShare: () => ({ part: 1, homes: ['127.0.0.1'], self: '127.0.0.1' }),
--- a/test/refusals.test.ts
+++ b/test/refusals.test.ts
@@ -10,6 +10,7 @@
 import { GatewayTarget } from '../src/gateway/targets/target.js';
 import { ManualClock, createSeededRandom } from '../src/kernel/index.js';
 import { noopListener } from './helpers/listener.js';
+import { UNWATCHED_CONNECTIONS } from './helpers/targets.js';
 
 const SLOTS = 24;
 const WORK_MS = 100;
@@ -54,6 +55,7 @@
       this.clock,
       {
         slowdownModel: new SlowdownModel(),
+        ...UNWATCHED_CONNECTIONS,
         onConnectionOpened: () => undefined,
         listener: noopListener,
         availability: new Availability(),
