Daemons that reach no target are no homes

Callers were sent to daemons that could serve nobody: a home was ranked by its presence on the internal network, and every directory went on naming it for as long as the partition lasted (test/partition.test.ts, "are not named to callers", listed as failing before this commit).

A daemon that reaches no target of any service tells the others so with its state, in polls and replies. Such daemons are neither homes nor carriers; the next in rank take their place and their duties, unless no daemon reaches a target: then the homes stay. It is named again after it has reached targets for the time of the setting contact, and ranks behind its successors for a minute, as after a restart, so callers don't move twice and a link that comes and goes moves nobody. When one daemon reports it, the others check their own connections within 200 ms instead of finding out one after the other, as each becomes a home.

Builds that don't know the state take it for starting, which excludes the daemon from the homes as well (test/partitioned-members.test.ts); datagrams are unchanged while no daemon is partitioned.

The answers to lookups have moved to a file of their own.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,10 +22,10 @@
   Roster,
   serveFeed,
 } from '../peering/index.js';
-import { type ResolveQuery, kvStoreService } from '../platform/index.js';
+import { kvStoreService } from '../platform/index.js';
 import type { RouteTable } from '../routing/index.js';
 import { FleetView, type PropagationTimes, StoreReader, planPropagation } from '../view/index.js';
-import { chooseHomes } from './fleet/address-choice.js';
+import { AddressDirectory } from './fleet/address-directory.js';
 import { CallerServer, computeListenQueue } from './requests/caller-server.js';
 import { serveDirectory, serveMetrics, serveReadiness } from './directory.js';
 import { LoadExchange } from './targets/load-exchange.js';
@@ -65,8 +65,8 @@
 const FIRST_START_WAIT_MS = 3000;
 
 /**
- * Age from which a daemon is senior and preferred as a home. Callers cache an answer for at most a
- * quarter of this time.
+ * Time since its start, or since it last reached no target, from which a daemon is senior and
+ * preferred as a home. Callers cache an answer for at most a quarter of this time.
  */
 const SENIOR_AGE_MS = 60_000;
 
@@ -81,16 +81,6 @@
   return seeds[0]?.host === ip ? 0 : FIRST_START_WAIT_MS;
 }
 
-/** Longest time for which callers are told to cache an answer. Some keep it three times as long. */
-const MAX_ANSWER_TTL_MS = 5000;
-
-/**
- * Cache time for callers while this daemon doesn't know all the others yet. After a restart of many
- * daemons, the first one that is ready knows only itself. With the usual time, all callers of those
- * seconds would stay with it, and it would queue most of their requests until they are late.
- */
-const UNSETTLED_ANSWER_TTL_MS = 1000;
-
 /**
  * Parts of the grace period in which a stopping daemon accepts requests, and in which it waits for
  * those in flight. A request accepted in the first half may run until 86 % of the period are over;
@@ -115,8 +105,6 @@
 
   readonly #clock;
 
-  readonly #random;
-
   readonly #log;
 
   readonly #view: FleetView;
@@ -168,9 +156,9 @@
 
   readonly #fleetRole: FleetRole;
 
-  readonly #homePlanner: HomePlanner;
+  readonly #directory: AddressDirectory;
 
-  #lookups = 0;
+  readonly #homePlanner: HomePlanner;
 
   /**
    * Number of daemons in the member list of the store when this daemon read it. The roster may have
@@ -189,14 +177,18 @@
     const store = kernel.find(kvStoreService);
     const { gateway, machine, promises, tuning } = settings;
     this.#clock = clock;
-    this.#random = random;
     this.#log = log;
     const capacity = machine.cpu_share * machine.core_speed;
+    this.#reachMonitor = new ReachMonitor({
+      ...{ clock, random, log, metrics: this.#metrics },
+      listServices: () => this.#targets.listServices(),
+      countPartitionedPeers: () => this.#roster.countPartitioned(),
+    });
     const readSelf = (): MemberInfo => ({
       ...{ ip: gateway.ip, domain: gateway.domain, capacity },
       isSenior: this.#isSenior(),
     });
-    const readSelfState = () => this.#state;
+    const readSelfState = () => this.#readMemberState();
     this.#fleetRole = new FleetRole({
       ...{
         clock,
@@ -210,9 +202,10 @@
       ...{ clock, self: readSelf(), readSelfState },
       ...{ minHomes: tuning.homes, minHomeCapacity: tuning.home_capacity },
     });
-    this.#reachMonitor = new ReachMonitor({
-      ...{ clock, random, log, metrics: this.#metrics },
-      listServices: () => this.#targets.listServices(),
+    this.#directory = new AddressDirectory({
+      ...{ roster: this.#roster, fleetRole: this.#fleetRole, random },
+      ...{ ownAddress: gateway.callers, findRegion: (domain) => this.#findRegion(domain) },
+      ...{ isReady: () => this.#state === 'ready', readSettings: () => this.#settings },
     });
     this.#targets = new TargetSet({
       ...{ clock, random, domain: gateway.domain },
@@ -416,8 +409,8 @@
       })),
       await serveDirectory(
         gateway.directory,
-        (query) => this.#listAddresses(query),
-        () => this.#readAnswerTtl(),
+        (query) => this.#directory.listAddresses(query),
+        () => this.#directory.readAnswerTtl(),
       ),
     );
     if (gateway.metrics !== 'none') {
@@ -532,9 +525,20 @@
   }
 
   #isSenior(): boolean {
+    if (this.#reachMonitor.readTimeSincePartition() <= SENIOR_AGE_MS) return false;
     return isFirstStart(this.#settings.gateway) || this.#fleetRole.age > SENIOR_AGE_MS;
   }
 
+  #readMemberState(): MemberState {
+    const isPartitioned = this.#reachMonitor.readTimeSincePartition() < this.#reconnectHold;
+    return this.#state === 'ready' && isPartitioned ? 'partitioned' : this.#state;
+  }
+
+  /** How long a daemon has to reach targets again before callers are sent to it. */
+  get #reconnectHold(): number {
+    return this.#settings.promises.contact;
+  }
+
   #applyTable(table: RouteTable): void {
     this.#callerServer.setLimits(table.limits);
     // At that moment the store held no newer configuration, so this is the longest time for which
@@ -573,27 +577,6 @@
     this.#log.info('targets.changed', { changed: changes.length, revision });
   }
 
-  #listAddresses(query: ResolveQuery): readonly string[] {
-    this.#lookups += 1;
-    const { port } = this.#settings.gateway.callers;
-    const homes = this.#roster.listHomes();
-    // A caller is not sent to another region while its own region has a home.
-    const local = homes.filter(({ domain }) => this.#findRegion(domain) === query.region);
-    const { domain } = query;
-    const chosen = chooseHomes(local.length > 0 ? local : homes, domain, this.#random);
-    if (chosen.length > 0) return chosen.map(({ ip }) => `${ip}:${port}`);
-    return this.#state === 'ready' ? [formatAddress(this.#settings.gateway.callers)] : [];
-  }
-
-  #readAnswerTtl(): number {
-    const { promises, tuning } = this.#settings;
-    const usualTtl = Math.min(MAX_ANSWER_TTL_MS, promises.answer_ttl * 1000);
-    const { isNew } = this.#fleetRole;
-    const hasTooFewHomes =
-      this.#roster.listHomes().length < Math.min(tuning.homes, this.#roster.size);
-    return isNew || hasTooFewHomes ? Math.min(usualTtl, UNSETTLED_ANSWER_TTL_MS) : usualTtl;
-  }
-
   async #runTargetChecks(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.#clock.sleep(TARGET_CHECK_INTERVAL_MS, signal);
@@ -614,7 +597,7 @@
       configurationVersion: this.#view.table?.version,
       proofAge: this.#clock.now() - this.#view.provenAt,
       requests: this.#requestHandler.counts,
-      lookups: this.#lookups,
+      lookups: this.#directory.lookups,
       connectionsAccepted: this.#callerServer.accepted,
       connections: this.#callerServer.countConnections(),
       backlog: this.#requestHandler.backlogSize,
--- a/src/gateway/targets/reach-monitor.ts
+++ b/src/gateway/targets/reach-monitor.ts
@@ -14,6 +14,8 @@
   readonly log: Log;
   readonly metrics: TextMetrics;
   readonly listServices: () => readonly TargetService[];
+  /** Counts the other daemons that reach no target. */
+  readonly countPartitionedPeers: () => number;
 }
 
 /**
@@ -22,6 +24,12 @@
  */
 const MAX_CHECKS_PER_DECISION = 8;
 
+/**
+ * Checks that another daemon's partition causes start up to this much later, so that not all
+ * daemons check at once.
+ */
+const MAX_CHECK_DELAY_MS = 200;
+
 /** Monitors the connections of one daemon. */
 export class ReachMonitor {
   /** Since when calls of a service have been in flight without a break. */
@@ -29,6 +37,13 @@
 
   #partitionedAt: number | undefined;
 
+  #lastPartitionedAt = -Infinity;
+
+  #partitionedPeers = 0;
+
+  /** When all services are checked because of another daemon; Infinity when they are not. */
+  #checkAllAt = Infinity;
+
   /** The service at which the next decision begins. */
   #nextIndex = 0;
 
@@ -42,6 +57,11 @@
     return this.#partitionedAt !== undefined;
   }
 
+  /** Time since this daemon last reached no target, in milliseconds; Infinity if it always did. */
+  readTimeSincePartition(): number {
+    return this.isPartitioned ? 0 : this.options.clock.now() - this.#lastPartitionedAt;
+  }
+
   /** Records that a target answered or accepted a connection. */
   recordContact(service: TargetService): void {
     const { clock } = this.options;
@@ -61,11 +81,26 @@
     const { clock } = this.options;
     while (!signal.aborted) {
       await clock.sleep(REACH_DECISION_INTERVAL_MS, signal);
+      this.#observePeers();
       this.#startDueChecks();
       this.#updatePartition();
     }
   }
 
+  /** Schedules checks of all services when another daemon has lost its targets. */
+  #observePeers(): void {
+    const { clock, random, listServices, countPartitionedPeers } = this.options;
+    const now = clock.now();
+    const peers = countPartitionedPeers();
+    if (peers > this.#partitionedPeers && this.#checkAllAt === Infinity) {
+      this.#checkAllAt = now + random.next() * MAX_CHECK_DELAY_MS;
+    }
+    this.#partitionedPeers = peers;
+    if (now < this.#checkAllAt) return;
+    this.#checkAllAt = Infinity;
+    this.#requestChecks(listServices());
+  }
+
   #startDueChecks(): void {
     const { clock, listServices } = this.options;
     const now = clock.now();
@@ -141,6 +176,7 @@
     const services = listServices().filter((service) => service.countUsable() > 0);
     const isPartitioned =
       services.length > 0 && services.every((service) => service.reach.isLost(now));
+    if (isPartitioned) this.#lastPartitionedAt = now;
     if (isPartitioned === this.isPartitioned) return;
     const lostTime = now - (this.#partitionedAt ?? now);
     this.#partitionedAt = isPartitioned ? now : undefined;
--- a/src/peering/datagram.ts
+++ b/src/peering/datagram.ts
@@ -99,7 +99,19 @@
   | { readonly kind: 'cases'; readonly poisonReports: readonly PoisonReport[] }
   | { readonly kind: 'draining'; readonly targets: readonly DrainingReport[] };
 
-const STATES: readonly MemberState[] = ['starting', 'ready', 'stopping'];
+/** The states on the wire. */
+const STATES = ['starting', 'ready', 'stopping'] as const;
+
+type EncodedState = (typeof STATES)[number];
+
+/**
+ * Encodes a state. Builds that know no partitioned daemons take one for a daemon that does not
+ * serve yet; the others find it in a field at the end, which earlier builds ignore.
+ */
+function encodeState(state: MemberState): number {
+  const encoded: EncodedState = state === 'partitioned' ? 'starting' : state;
+  return STATES.indexOf(encoded);
+}
 
 const POLL = 0;
 const REPLY = 1;
@@ -137,14 +149,14 @@
 function encodeSelf(self: SelfStatus): readonly unknown[] {
   const { domain, capacity, isSenior, state, utilisation, pollers } = self;
   return [
-    ...[domain, capacity, STATES.indexOf(state), isSenior],
+    ...[domain, capacity, encodeState(state), isSenior],
     ...[Math.round(utilisation * UTILISATION_STEPS), Math.round(pollers * POLLER_STEPS)],
   ];
 }
 
 function encodePresences(presences: readonly Presence[]): readonly number[] {
   return presences.flatMap(({ ip, state, age }) => [
-    ...[encodeIp(ip), STATES.indexOf(state), Math.max(0, Math.round(age))],
+    ...[encodeIp(ip), encodeState(state), Math.max(0, Math.round(age))],
   ]);
 }
 
@@ -171,21 +183,36 @@
   return rates.length === 0 ? [] : [rates];
 }
 
+function isPartitioned({ state }: { readonly state: MemberState }): boolean {
+  return state === 'partitioned';
+}
+
+/** Encodes which of the daemons are partitioned; nothing when none is. */
+function encodePartitioned(self: SelfStatus, presences: readonly Presence[]): readonly unknown[] {
+  const ips = presences.filter(isPartitioned).map(({ ip }) => encodeIp(ip));
+  return isPartitioned(self) || ips.length > 0 ? [isPartitioned(self), ips] : [];
+}
+
 /** Encodes a datagram. */
 export function encodeDatagram(datagram: Datagram): Uint8Array {
   switch (datagram.kind) {
     case 'ask':
-      return encode([POLL, ...encodeSelf(datagram.self), datagram.polledCount]);
+      return encode([
+        ...[POLL, ...encodeSelf(datagram.self), datagram.polledCount],
+        ...(isPartitioned(datagram.self) ? [true] : []),
+      ]);
     case 'tell': {
       const { position, proofAge, lastRead, known, membersFingerprint, desiredHomes } =
         datagram.knowledge;
+      const presences = datagram.knowledge.presences.slice(0, MAX_PRESENCES);
       return encode([
         ...[REPLY, ...encodeSelf(datagram.self), position.targets, position.configuration],
         ...[encodeAge(proofAge), known.targets, membersFingerprint, desiredHomes],
         ...[lastRead === undefined ? null : [encodeIp(lastRead.reader), encodeAge(lastRead.age)]],
-        encodePresences(datagram.knowledge.presences.slice(0, MAX_PRESENCES)),
+        encodePresences(presences),
         encodePoisonReports(datagram.knowledge.poisonReports),
         ...[position.evacuations, known.operators],
+        ...encodePartitioned(datagram.self, presences),
       ]);
     }
     case 'load':
@@ -254,6 +281,10 @@
   return presences;
 }
 
+function markPartitioned<T extends { readonly state: MemberState }>(member: T): T {
+  return { ...member, state: 'partitioned' };
+}
+
 function isStrings(values: readonly unknown[]): values is readonly string[] {
   return values.every((value) => typeof value === 'string');
 }
@@ -286,7 +317,7 @@
     encodedPresences,
     encodedReports,
   ] = rest;
-  const [evacuations, knownOperators] = rest.slice(6);
+  const [evacuations, knownOperators, isSelfPartitioned, partitioned = []] = rest.slice(6);
   const numbers = [
     ...[targets, configuration, knownTargets, membersFingerprint, desiredHomes],
     ...[evacuations, knownOperators],
@@ -297,14 +328,18 @@
   const poisonReports = decodePoisonReports(encodedReports);
   if (lastRead === undefined || presences === undefined || poisonReports === undefined)
     return undefined;
+  if (!Array.isArray(partitioned) || !isNumbers(partitioned)) return undefined;
+  const partitionedIps = new Set(partitioned.map(decodeIp));
   return {
-    ...{ kind: 'tell', self },
+    ...{ kind: 'tell', self: isSelfPartitioned === true ? markPartitioned(self) : self },
     knowledge: {
       position: { targets: numbers[0], configuration: numbers[1], evacuations: numbers[5] },
       ...{
         proofAge: proofAge ?? Infinity,
         lastRead: lastRead ?? undefined,
-        presences,
+        presences: presences.map((presence) =>
+          partitionedIps.has(presence.ip) ? markPartitioned(presence) : presence,
+        ),
         poisonReports,
       },
       known: { targets: numbers[2], operators: numbers[6] },
@@ -379,10 +414,14 @@
   switch (kind) {
     case POLL: {
       const self = decodeSelf(fields);
-      const polledCount = fields[SELF_LENGTH];
+      const [polledCount, isSelfPartitioned] = fields.slice(SELF_LENGTH);
       if (self === undefined || typeof polledCount !== 'number' || !(polledCount >= 1))
         return undefined;
-      return { kind: 'ask', self, polledCount };
+      return {
+        kind: 'ask',
+        self: isSelfPartitioned === true ? markPartitioned(self) : self,
+        polledCount,
+      };
     }
     case REPLY:
       return decodeReply(fields);
--- a/src/peering/roster.ts
+++ b/src/peering/roster.ts
@@ -24,8 +24,10 @@
   readonly isSenior: boolean;
 }
 
-/** Whether a daemon serves callers: not yet, now, or no more. */
-export type MemberState = 'starting' | 'ready' | 'stopping';
+/**
+ * Whether a daemon serves callers: not yet, now, now but without reaching any target, or no more.
+ */
+export type MemberState = 'starting' | 'ready' | 'partitioned' | 'stopping';
 
 /** The state of a daemon as another daemon observed it directly. */
 export interface Presence {
@@ -251,11 +253,31 @@
 
   /** Lists the homes in their order: the daemons to which callers are sent. */
   listHomes(): readonly MemberInfo[] {
+    const homes = this.#selectHomes('ready');
+    // Where no daemon reaches a target, the duties of homes still have to be done.
+    return homes.length > 0 ? homes : this.#selectHomes('partitioned');
+  }
+
+  /** Lists the other homes that reach targets, as far as known: they may carry calls. */
+  listCarriers(): readonly MemberInfo[] {
+    return this.#selectHomes('ready').filter(({ ip }) => ip !== this.options.self.ip);
+  }
+
+  /** Counts the other daemons that answered recently and reach no target. */
+  countPartitioned(): number {
+    let count = 0;
+    for (const info of this.#rank()) {
+      if (info.ip !== this.options.self.ip && this.#isInState(info, 'partitioned')) count += 1;
+    }
+    return count;
+  }
+
+  #selectHomes(state: MemberState): readonly MemberInfo[] {
     const homes: MemberInfo[] = [];
     let capacity = 0;
     for (const info of this.#rank()) {
       if (homes.length >= this.desiredHomes && capacity >= this.options.minHomeCapacity) break;
-      if (!this.#isServing(info)) continue;
+      if (!this.#isInState(info, state)) continue;
       homes.push(info);
       capacity += info.capacity;
     }
@@ -350,9 +372,14 @@
   }
 
   #isServing(info: MemberInfo): boolean {
-    if (info.ip === this.options.self.ip) return this.options.readSelfState() === 'ready';
+    return this.#isInState(info, 'ready');
+  }
+
+  /** Whether a daemon answered recently and was in this state. */
+  #isInState(info: MemberInfo, state: MemberState): boolean {
+    if (info.ip === this.options.self.ip) return this.options.readSelfState() === state;
     const member = this.#members.get(info.ip);
-    if (member === undefined || member.state !== 'ready') return false;
+    if (member === undefined || member.state !== state) return false;
     return this.options.clock.now() - member.lastSeenAt <= SILENCE_TIMEOUT_MS;
   }
 
