A daemon that reaches no target has its calls carried by others

balance/call-path.ts decides for each call: over this daemon's own connections, carried by another daemon, or refused at once. Calls are carried while the targets of their service are lost, and after two connections failed for one call, as where new connections are refused while open ones live on. The carrier is the less busy of two homes drawn by capacity and nearness; it chooses the target and keeps to its own limits and estimates. One hop at most. gateway/carrying/ sends and receives such calls on the second port between daemons, over the same listener as for callers, with a code computed from a key in the platform's store, so that settings, addresses or a header are not enough to use it. A call that may not be repeated goes to another daemon only after it was shown not to have run: a carrier says so in an answer that no target has signed, or no byte was sent. Nobody reaches a target: refused at once, reason unreached.

--- a/src/balance/index.ts
+++ b/src/balance/index.ts
@@ -32,3 +32,4 @@
 export * from './failure-trial.js';
 export * from './poison.js';
 export * from './target-reach.js';
+export * from './call-path.js';
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,6 +1,6 @@
 /** The gateway daemon of one VM: creates its parts, connects them, starts and stops them. */
 import { setMaxListeners } from 'node:events';
-import type { Server } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import {
   type Kernel,
   type LogFields,
@@ -25,7 +25,11 @@
 import { kvStoreService } from '../platform/index.js';
 import type { RouteTable } from '../routing/index.js';
 import { FleetView, type PropagationTimes, StoreReader, planPropagation } from '../view/index.js';
+import { CarrierPool } from './carrying/carrier-pool.js';
+import { CarryGate } from './carrying/carry-gate.js';
+import { FleetKey } from './carrying/fleet-key.js';
 import { AddressDirectory } from './fleet/address-directory.js';
+import { type LocalAnswer, writeLocalAnswer } from './requests/answers.js';
 import { CallerServer, computeListenQueue } from './requests/caller-server.js';
 import { serveDirectory, serveMetrics, serveReadiness } from './directory.js';
 import { LoadExchange } from './targets/load-exchange.js';
@@ -74,6 +78,14 @@
   return first === 'true';
 }
 
+/** The port for carried calls follows the one for the exchange of state. */
+function findCarryPort({ peer_ports: [first = 0] }: GatewaySettings['gateway']): number {
+  return first + 1;
+}
+
+/** What anybody else gets there. */
+const NOT_A_DAEMON: LocalAnswer = { kind: 'bad-request', status: 403, reason: 'unauthorised' };
+
 function findStateWait(gateway: GatewaySettings['gateway']): number {
   if (!isFirstStart(gateway)) return STATE_WAIT_MS;
   const { seeds, ip } = gateway;
@@ -129,8 +141,17 @@
 
   readonly #poisonRegistry: PoisonRegistry;
 
+  readonly #fleetKey: FleetKey;
+
+  readonly #carrierPool: CarrierPool;
+
+  readonly #carryGate: CarryGate;
+
   readonly #callerServer: CallerServer;
 
+  /** Accepts the calls that other daemons ask this one to carry. */
+  readonly #carryServer: CallerServer;
+
   readonly #reachMonitor: ReachMonitor;
 
   readonly #prober: Prober;
@@ -348,9 +369,19 @@
       ...{ clock, log, metrics: this.#metrics, source: createEventLoopSource() },
       listenQueue: computeListenQueue(capacity),
     });
+    this.#fleetKey = new FleetKey({
+      ...{ store, clock, random, log, isFirstStart: isFirstStart(gateway) },
+      isWriter: () => this.#fleetRole.isFirstHome(),
+    });
+    this.#carryGate = new CarryGate(gateway.ip, this.#fleetKey);
+    this.#carrierPool = new CarrierPool({
+      ...{ clock, random, domain: gateway.domain, port: findCarryPort(gateway) },
+      findRegion: (domain) => this.#findRegion(domain),
+      listCandidates: () => this.#roster.listCarriers(),
+    });
     this.#requestHandler = new RequestHandler({
       ...{ clock, random, log, targets: this.#targets, metrics: this.#metrics },
-      poison: this.#poisonRegistry,
+      ...{ poison: this.#poisonRegistry, pool: this.#carrierPool, fleetKey: this.#fleetKey },
       ...{ eventLoop: this.#eventLoop, onInvariantViolation: (error: Error) => this.#fail(error) },
       readTable: () => (this.#state === 'starting' ? undefined : this.#view.table),
     });
@@ -359,6 +390,11 @@
       listenQueue: computeListenQueue(capacity),
       serve: (request, response, cameAt) => this.#requestHandler.handle(request, response, cameAt),
     });
+    this.#carryServer = new CallerServer({
+      address: { host: gateway.ip, port: findCarryPort(gateway) },
+      ...{ clock, eventLoop: this.#eventLoop, listenQueue: computeListenQueue(capacity) },
+      serve: (request, response, cameAt) => this.#serveCarried(request, response, cameAt),
+    });
     this.#loadExchange = new LoadExchange({
       ...{ clock, targets: this.#targets, self: gateway.ip },
       listHomes: () => this.#fleetRole.listHomes(),
@@ -417,7 +453,7 @@
       this.#metrics.addGauges(() => listGauges(this.#readStatus()));
       this.#servers.push(await serveMetrics(gateway.metrics, () => this.#metrics.format()));
     }
-    await this.#callerServer.listen();
+    for (const server of this.#callServers) await server.listen();
     this.#peerLink.addSeeds(gateway.seeds.map(({ host }) => host));
     const tasks = [
       this.#peerLink.run(signal),
@@ -427,6 +463,7 @@
       this.#storeReader.run(signal),
       this.#prober.run(signal),
       this.#reachMonitor.run(signal),
+      this.#fleetKey.run(signal),
       this.#loadExchange.run(signal),
       this.#runTargetChecks(signal),
       this.#homePlanner.run(signal),
@@ -447,19 +484,19 @@
     const grace = this.#settings.promises.grace * 1000;
     this.#state = 'stopping';
     this.#peerLink.pushToPollers();
-    this.#log.info('gateway.stopping', { active: this.#callerServer.countActive() });
-    this.#callerServer.drain();
+    this.#log.info('gateway.stopping', { active: this.#countActive() });
+    for (const server of this.#callServers) server.drain();
     while (clock.now() - startedAt < grace * WAITING_RATIO) {
       const elapsed = clock.now() - startedAt;
       if (elapsed > grace * ACCEPTING_RATIO) this.#requestHandler.close();
-      const isIdle = this.#callerServer.countActive() === 0;
+      const isIdle = this.#countActive() === 0;
       if (isIdle && elapsed > LEAVE_NOTICE_MS && this.#callerServer.countConnections() === 0) break;
       if (isIdle && elapsed > grace * ACCEPTING_RATIO) break;
       await clock.sleep(STOP_CHECK_INTERVAL_MS);
     }
-    const unanswered = this.#callerServer.countActive();
+    const unanswered = this.#countActive();
     this.#requestHandler.close();
-    await this.#callerServer.closeIdle();
+    await Promise.all(this.#callServers.map((server) => server.closeIdle()));
     this.destroy();
     this.#log.info('gateway.stopped', {
       cut: unanswered,
@@ -470,7 +507,7 @@
   /** Ends at once, as a crash would. */
   destroy(): void {
     this.#abortController.abort();
-    this.#callerServer.close();
+    for (const server of this.#callServers) server.close();
     this.#feedClient.close();
     for (const server of this.#servers) server.close();
     this.kernel.find(kvStoreService).close();
@@ -506,6 +543,27 @@
     });
   }
 
+  get #callServers(): readonly CallerServer[] {
+    return [this.#callerServer, this.#carryServer];
+  }
+
+  /** Counts the requests in progress, of callers and for other daemons. */
+  #countActive(): number {
+    return this.#callServers.reduce((sum, server) => sum + server.countActive(), 0);
+  }
+
+  /** Serves a call that another daemon can't send to a target itself. */
+  #serveCarried(request: IncomingMessage, response: ServerResponse, cameAt: number): void {
+    const terms = this.#carryGate.check(request);
+    if (terms !== undefined) {
+      this.#requestHandler.handle(request, response, cameAt, terms);
+      return;
+    }
+    this.#log.warn('carry.rejected', { from: request.socket.remoteAddress, path: request.url });
+    response.shouldKeepAlive = false;
+    writeLocalAnswer(response, '', NOT_A_DAEMON);
+  }
+
   #planPropagation(): PropagationTimes {
     const { config_apply: configApply, drain } = this.#settings.promises;
     return planPropagation(Math.min(configApply, drain));
@@ -540,7 +598,7 @@
   }
 
   #applyTable(table: RouteTable): void {
-    this.#callerServer.setLimits(table.limits);
+    for (const server of this.#callServers) server.setLimits(table.limits);
     // At that moment the store held no newer configuration, so this is the longest time for which
     // it has been there.
     const age = this.#clock.now() - this.#view.provenAt;
@@ -581,6 +639,7 @@
     while (!signal.aborted) {
       await this.#clock.sleep(TARGET_CHECK_INTERVAL_MS, signal);
       this.#targets.runPeriodicChecks();
+      this.#carrierPool.closeExpired();
     }
   }
 
@@ -606,6 +665,8 @@
       heldOutRequests: this.#poisonRegistry.heldOutCount,
       probes: this.#prober.sent,
       isPartitioned: this.#reachMonitor.isPartitioned,
+      partitionedPeers: this.#roster.countPartitioned(),
+      carryRejections: this.#carryGate.rejected,
       reachChecks: this.#reachMonitor.checks,
       targetConnectionsOpened: this.#targets.connectionsOpened,
       storeCalls: this.kernel.find(kvStoreService).counts(),
--- a/src/gateway/requests/answers.ts
+++ b/src/gateway/requests/answers.ts
@@ -2,7 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import { listPairs } from '../../proxy/headers.js';
 import { HEADERS } from '../../platform/index.js';
-import type { TargetAnswer } from './attempt.js';
+import type { TargetAnswer } from './answer-reader.js';
 
 /**
  * An answer that the gateway generates when it has no target's answer to forward.
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -11,6 +11,7 @@
 import { HEADERS, type SelfReport, decodeSelfReport, readHeader } from '../../platform/index.js';
 import { type TargetConnection, parseIdleLimit } from '../targets/connections.js';
 import type { GatewayTarget } from '../targets/target.js';
+import { type TargetAnswer, readAnswer } from './answer-reader.js';
 
 /** A request as it is sent to a target. */
 export interface OutgoingRequest {
@@ -22,24 +23,6 @@
   readonly body: Buffer | Readable | undefined;
 }
 
-/**
- * A target's answer. The body is complete, or `body` is its first part and `rest` the stream of the
- * remainder.
- */
-export interface TargetAnswer {
-  readonly status: number;
-  readonly rawHeaders: readonly string[];
-  readonly body: Buffer;
-  readonly rest: IncomingMessage | undefined;
-  /** Whether the target signed it. */
-  readonly isSigned: boolean;
-  /**
-   * Whether it has a Content-Length or is chunked; otherwise only the close of the connection ends
-   * it.
-   */
-  readonly isDelimited: boolean;
-}
-
 /** How an attempt ended. */
 export type AttemptOutcome =
   | { readonly kind: 'answered'; readonly answer: TargetAnswer }
@@ -79,13 +62,10 @@
   abort(): void;
 }
 
-/** Longest answer that is buffered, in bytes: many times the users' longest. */
-const MAX_BUFFERED_ANSWER_BYTES = 262_144;
-
 /** Longest idle time of a connection that may carry a request which must not run twice. */
-const MAX_UNSAFE_IDLE_MS = 1500;
+export const MAX_UNSAFE_IDLE_MS = 1500;
 
-const MAX_REPEATABLE_IDLE_MS = Infinity;
+export const MAX_REPEATABLE_IDLE_MS = Infinity;
 
 /** Answers with this status or a higher one count as failures of the target. */
 export const MIN_FAILURE_STATUS = 500;
@@ -204,7 +184,10 @@
       this.#settle({ kind: 'not-run', cause: report.isMisdirected ? 'misdirected' : 'shed' });
       return;
     }
-    this.#readBody(response, report.isSigned);
+    readAnswer(response, report.isSigned, {
+      onAnswer: (answer) => this.#settle({ kind: 'answered', answer }),
+      onBroken: () => this.#settleLost('the answer broke off'),
+    });
   }
 
   #applyReport(report: SelfReport, status: number): void {
@@ -214,40 +197,6 @@
     const isSuccess = !report.isRejected && report.isSigned && status < MIN_FAILURE_STATUS;
     target.receiveReport(report, { sentAt: startedAt, ownCalls, isSuccess });
   }
-
-  #readBody(response: IncomingMessage, isSigned: boolean): void {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    const createOutcome = (rest: IncomingMessage | undefined): AttemptOutcome => ({
-      kind: 'answered',
-      answer: {
-        status: response.statusCode ?? 0,
-        rawHeaders: response.rawHeaders,
-        body: Buffer.concat(chunks),
-        rest,
-        isSigned,
-        isDelimited:
-          readHeader(response.headers, 'content-length') !== undefined ||
-          readHeader(response.headers, 'transfer-encoding') !== undefined,
-      },
-    });
-    const onData = (chunk: Buffer) => {
-      chunks.push(chunk);
-      length += chunk.length;
-      if (length <= MAX_BUFFERED_ANSWER_BYTES) return;
-      response.pause();
-      response.removeListener('data', onData);
-      response.removeListener('end', onEnd);
-      this.#settle(createOutcome(response));
-    };
-    const onEnd = () => {
-      if (response.complete) this.#settle(createOutcome(undefined));
-      else this.#settleLost('the answer broke off');
-    };
-    response.on('data', onData);
-    response.on('end', onEnd);
-    response.on('aborted', () => this.#settleLost('the answer broke off'));
-  }
 }
 
 /** Starts an attempt at a target that already counts the call. */
--- /dev/null
+++ b/src/gateway/requests/call-dispatch.ts
@@ -0,0 +1,116 @@
+/**
+ * Takes one call along the path that is chosen for it: to a target over this daemon's own
+ * connections, by way of another daemon, or to a refusal.
+ */
+import type { ServerResponse } from 'node:http';
+import { type CallPath, chooseCallPath } from '../../balance/index.js';
+import { Carrying, type CarryingContext } from '../carrying/carrying.js';
+import { type LocalAnswer, writeLocalAnswer } from './answers.js';
+import { CallProgress } from './call-progress.js';
+import { Forwarding, type ForwardingContext, type RoutedRequest } from './forwarding.js';
+import { RequestLog } from './request-log.js';
+
+/** Dependencies of the dispatch. */
+export interface DispatchContext extends ForwardingContext, CarryingContext {}
+
+/** Where a call comes from. */
+export interface CallOrigin {
+  /** Whether another daemon has sent it here to be carried. */
+  readonly isCarried: boolean;
+  /** Attempts that may have reached a target before. */
+  readonly attempts: number;
+  /** Whether another daemon has counted it for its retry budget. */
+  readonly isCounted: boolean;
+}
+
+/** The origin of a call that comes from its caller. */
+export const FROM_CALLER: CallOrigin = { isCarried: false, attempts: 0, isCounted: false };
+
+/** Retry-After of a call that no daemon can serve: a daemon may reach targets again by then. */
+const UNREACHED_RETRY_AFTER_MS = 300;
+
+/** One call on its way. */
+export class CallDispatch {
+  readonly #progress: CallProgress;
+
+  #stage: { cancel(): void } | undefined;
+
+  constructor(
+    private readonly context: DispatchContext,
+    private readonly request: RoutedRequest,
+    private readonly response: ServerResponse,
+    private readonly origin: CallOrigin,
+  ) {
+    const isRepeatable = request.route.kind === 'repeatable';
+    this.#progress = new CallProgress(isRepeatable, origin.attempts, origin.isCounted);
+  }
+
+  /** Ends the call because its caller has left. */
+  cancel(): void {
+    this.#stage?.cancel();
+  }
+
+  /** Serves the call until it is answered or given up. */
+  async run(): Promise<void> {
+    for (;;) {
+      const path = this.#choosePath();
+      switch (path) {
+        case 'direct':
+          if ((await this.#sendDirectly()) === 'finished') return;
+          break;
+        case 'carry':
+          if ((await this.#carry()) === 'finished') return;
+          this.#progress.isCarriedInVain = true;
+          break;
+        case 'refuse':
+          this.#refuse();
+          return;
+        default:
+          path satisfies never;
+      }
+    }
+  }
+
+  #choosePath(): CallPath {
+    const { service, route } = this.request;
+    const { connectionFailures, isCarriedInVain } = this.#progress;
+    const { pool, fleetKey } = this.context;
+    const hasCarrier = () =>
+      !isCarriedInVain &&
+      fleetKey.value !== undefined &&
+      pool.hasCarrier({ service: service.name, regions: route.regions, tried: new Set() });
+    return chooseCallPath({
+      ...{ isReached: service.isReached, connectionFailures, hasCarrier },
+      isCarried: this.origin.isCarried,
+    });
+  }
+
+  #sendDirectly(): Promise<'finished' | 'unreached'> {
+    const { context, request, response } = this;
+    const forwarding = new Forwarding(context, request, response, {
+      progress: this.#progress,
+      choosePath: () => this.#choosePath(),
+    });
+    this.#stage = forwarding;
+    return forwarding.run();
+  }
+
+  #carry(): Promise<'finished' | 'returned'> {
+    const carrying = new Carrying(this.context, this.request, this.#progress, this.response);
+    this.#stage = carrying;
+    return carrying.run();
+  }
+
+  #refuse(): void {
+    const { counts, metrics } = this.context;
+    const { id, service } = this.request;
+    const answer: LocalAnswer = this.#progress.ledger.mayHaveRun
+      ? { kind: 'unknown', reason: 'lost' }
+      : { kind: 'not-run', reason: 'unreached', retryAfter: UNREACHED_RETRY_AFTER_MS };
+    if (answer.kind === 'not-run') counts.notRun += 1;
+    else counts.unknown += 1;
+    metrics.count('calls_without_carrier', { service: service.name });
+    new RequestLog(this.context, this.request).logLocalAnswer(answer);
+    writeLocalAnswer(this.response, id, answer);
+  }
+}
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -8,9 +8,9 @@
  */
 import type { ServerResponse } from 'node:http';
 import type { Clock, Log, TextMetrics, Timer } from '../../kernel/index.js';
-import { SendLedger } from '../../proxy/ledger.js';
 import type { Route } from '../../routing/index.js';
 import {
+  type CallPath,
   CallRunTime,
   type FirstAttempt,
   type RouteTime,
@@ -18,15 +18,17 @@
   isStuck,
   findSecondAttemptReason,
 } from '../../balance/index.js';
+import { HEADERS } from '../../platform/index.js';
+import type { TargetAnswer } from './answer-reader.js';
 import { type LocalAnswer, forwardAnswer, writeLocalAnswer } from './answers.js';
 import {
   type AttemptOutcome,
   MIN_FAILURE_STATUS,
   type RunningAttempt,
   type OutgoingRequest,
-  type TargetAnswer,
   startTargetAttempt,
 } from './attempt.js';
+import type { CallProgress } from './call-progress.js';
 import { type RefusalBasis, RequestLog } from './request-log.js';
 import type { PoisonRegistry } from './poison-registry.js';
 import type { RequestIdentity } from './request-identity.js';
@@ -60,8 +62,10 @@
   readonly body: OutgoingRequest['body'];
   /** Length of the body, as far as it is known. */
   readonly bodyBytes: number;
-  /** Builds the headers for a target, given the time left in milliseconds. */
-  readonly buildHeaders: (target: GatewayTarget, timeLeft: number) => readonly string[];
+  /** The IP address of the caller. */
+  readonly caller: string;
+  /** Builds the headers to send, with those of the next hop. */
+  readonly buildHeaders: (hopHeaders: readonly string[]) => readonly string[];
 }
 
 /** Dependencies of forwarding. */
@@ -94,6 +98,7 @@
   | { readonly kind: 'ended'; readonly attempt: RunningAttempt; readonly outcome: AttemptOutcome }
   | { readonly kind: 'placed'; readonly placement: PlacementResult }
   | { readonly kind: 'look' }
+  | { readonly kind: 'targets-lost' }
   | { readonly kind: 'deadline' }
   | { readonly kind: 'gone' };
 
@@ -125,6 +130,16 @@
 /** Why a request ends without a target's answer. */
 type GiveUpReason = PlacementRefusal | 'timeout' | 'lost' | 'poison';
 
+/** How forwarding ended: the call was answered or given up, or no target can be reached from here. */
+export type ForwardingEnd = 'finished' | 'unreached';
+
+/** What forwarding shares with the other paths of the call. */
+export interface ForwardingOptions {
+  readonly progress: CallProgress;
+  /** Returns the path that the call should take now. */
+  readonly choosePath: () => CallPath;
+}
+
 /** Releases a slot that was assigned and will not be used. */
 function releaseSlot(result: PlacementResult): void {
   if (result.kind === 'target') result.target.load.finish();
@@ -132,8 +147,6 @@
 
 /** Serves one request. */
 export class Forwarding {
-  readonly #ledger: SendLedger;
-
   readonly #log: RequestLog;
 
   readonly #runningAttempts = new Set<RunningAttempt>();
@@ -144,12 +157,13 @@
 
   #wake: () => void = () => undefined;
 
-  #attemptCount = 0;
-
   #timers: Timer[] = [];
 
   #isFinished = false;
 
+  /** Whether the call leaves for another path. */
+  #isLeaving = false;
+
   readonly #runTime: CallRunTime;
 
   /** The call in the service's queue, while it waits there. */
@@ -160,12 +174,14 @@
 
   readonly #onTargetSlow = () => this.#pushEvent({ kind: 'look' });
 
+  readonly #onTargetsLost = () => this.#pushEvent({ kind: 'targets-lost' });
+
   constructor(
     private readonly context: ForwardingContext,
     private readonly request: RoutedRequest,
     private readonly response: ServerResponse,
+    private readonly options: ForwardingOptions,
   ) {
-    this.#ledger = new SendLedger(this.#isRepeatable);
     this.#log = new RequestLog(context, request);
     this.#runTime = new CallRunTime(context.routeTime, context.clock, this.#isRepeatable);
   }
@@ -174,11 +190,14 @@
     return this.request.route.kind === 'repeatable';
   }
 
-  /** Serves the request until it is answered or given up. */
-  async run(): Promise<void> {
+  /** Serves the request until it is answered or given up, or has to leave for another path. */
+  async run(): Promise<ForwardingEnd> {
     const { clock } = this.context;
     const { request } = this;
-    request.service.recordCall();
+    const { progress } = this.options;
+    request.service.recordCall(progress.isCounted);
+    progress.isCounted = true;
+    request.service.lostListeners.add(this.#onTargetsLost);
     this.#timers.push(
       clock.schedule(request.deadline - clock.now(), () => this.#pushEvent({ kind: 'deadline' })),
     );
@@ -186,7 +205,9 @@
       this.#askForTarget();
       if (this.#isRepeatable) this.#scheduleHedgeCheck();
       await this.#handleEvents();
+      return this.#isLeaving ? 'unreached' : 'finished';
     } finally {
+      request.service.lostListeners.delete(this.#onTargetsLost);
       this.#isFinished = true;
       this.#runTime.finish();
       for (const event of this.#events) {
@@ -206,7 +227,7 @@
   }
 
   async #handleEvents(): Promise<void> {
-    while (!this.response.writableEnded && !this.response.destroyed) {
+    while (!this.response.writableEnded && !this.response.destroyed && !this.#isLeaving) {
       const event = await this.#waitForEvent();
       switch (event.kind) {
         case 'ended':
@@ -220,6 +241,9 @@
         case 'look':
           this.#tryHedge();
           break;
+        case 'targets-lost':
+          this.#handleTargetsLost();
+          break;
         case 'deadline':
           this.#giveUp('timeout');
           return;
@@ -251,6 +275,10 @@
   #askForTarget(): void {
     const { request } = this;
     const { clock } = this.context;
+    if (this.options.choosePath() !== 'direct') {
+      this.#isLeaving = true;
+      return;
+    }
     if (!this.#mayBeSent()) return;
     const call = this.#createSlotCall();
     if (request.deadline - clock.now() < MIN_ATTEMPT_TIME_MS) {
@@ -271,10 +299,24 @@
       .catch((error: Error) => this.context.log.error('request.broken', { error: error.message }));
   }
 
+  /**
+   * Leaves for another path when the targets are lost: at once if nothing was sent, and with a
+   * repeatable call if another daemon may carry it. Otherwise an answer may still come.
+   */
+  #handleTargetsLost(): void {
+    const path = this.options.choosePath();
+    if (path === 'direct') return;
+    if (this.#runningAttempts.size === 0) {
+      this.#isLeaving = true;
+      return;
+    }
+    if (path === 'carry' && this.#isRepeatable && this.#spendRetry()) this.#isLeaving = true;
+  }
+
   #createSlotCall(): SlotCall {
     const { route, aimAt, deadline, bodyBytes } = this.request;
     const runTime = this.#runTime;
-    const isUnsent = this.#attemptCount === 0;
+    const isUnsent = this.options.progress.attemptCount === 0;
     return {
       ...{ priority: route.priority, aimAt: Math.min(aimAt, deadline), deadline, bodyBytes },
       ...{ tried: this.#triedTargets, regions: route.regions, suspect: this.#suspectConstraints },
@@ -334,9 +376,9 @@
   #startAttempt(target: GatewayTarget, timeLeft: number): void {
     const { request } = this;
     this.#triedTargets.add(target);
-    this.#attemptCount += 1;
+    this.options.progress.attemptCount += 1;
     this.#log.recordAttempt();
-    this.#ledger.recordSent();
+    this.options.progress.ledger.recordSent();
     if (target.advertisedRate.isLimited) {
       this.context.metrics.count('limited_calls', { service: request.service.name });
     }
@@ -344,7 +386,10 @@
       target,
       {
         ...{ requestId: request.id, method: request.method, path: request.path },
-        headers: request.buildHeaders(target, timeLeft),
+        headers: request.buildHeaders([
+          ...[HEADERS.timeLeft, String(Math.max(1, Math.floor(timeLeft)))],
+          ...[HEADERS.expectedIncarnation, target.record.incarnation],
+        ]),
         body: request.body,
       },
       { isRepeatable: this.#isRepeatable, clock: this.context.clock },
@@ -381,20 +426,21 @@
         this.#handleAnswer(attempt, outcome.answer);
         return;
       case 'not-connected':
-        this.#ledger.recordNotRun();
-        this.#attemptCount -= 1;
+        this.options.progress.ledger.recordNotRun();
+        this.options.progress.attemptCount -= 1;
+        this.options.progress.connectionFailures += 1;
         target.recordFailure(false);
         this.#log.logFailure(attempt, outcome.kind, outcome.reason);
         if (this.#runningAttempts.size === 0) this.#askForTarget();
         return;
       case 'withdrawn':
-        this.#ledger.recordNotRun();
-        this.#attemptCount -= 1;
+        this.options.progress.ledger.recordNotRun();
+        this.options.progress.attemptCount -= 1;
         this.context.metrics.count('calls_withdrawn', { service: this.request.service.name });
         if (this.#runningAttempts.size === 0) this.#askForTarget();
         return;
       case 'not-run':
-        this.#ledger.recordNotRun();
+        this.options.progress.ledger.recordNotRun();
         target.recordFailure(false);
         this.#log.logFailure(attempt, outcome.kind, outcome.cause);
         this.#tryAgain('no-room');
@@ -409,7 +455,7 @@
         this.#tryAgain('lost');
         return;
       case 'cancelled':
-        if (!outcome.isSent) this.#ledger.recordNotRun();
+        if (!outcome.isSent) this.options.progress.ledger.recordNotRun();
         return;
       default:
         outcome satisfies never;
@@ -488,7 +534,7 @@
   /** Retries the request after a failed attempt, or gives it up. */
   #tryAgain(reason: 'no-room' | 'lost'): void {
     if (this.#runningAttempts.size > 0) return;
-    const isAllowed = this.#isRepeatable || !this.#ledger.mayHaveRun;
+    const isAllowed = this.#isRepeatable || !this.options.progress.ledger.mayHaveRun;
     if (isAllowed && this.#spendRetry()) {
       this.context.counts.retries += 1;
       this.#askForTarget();
@@ -503,7 +549,7 @@
    */
   #spendRetry(): boolean {
     const { route, service, body } = this.request;
-    if (this.#attemptCount >= route.maxAttempts) return false;
+    if (this.options.progress.attemptCount >= route.maxAttempts) return false;
     if (body !== undefined && !Buffer.isBuffer(body)) return false;
     return service.spendRetry(this.#triedTargets);
   }
@@ -531,7 +577,11 @@
     const { route, service, aimAt, deadline, bodyBytes } = this.request;
     const [attempt] = this.#runningAttempts;
     if (this.#runningAttempts.size !== 1 || attempt === undefined) return;
-    if (this.#attemptCount >= route.maxAttempts || this.#suspectConstraints !== undefined) return;
+    if (
+      this.options.progress.attemptCount >= route.maxAttempts ||
+      this.#suspectConstraints !== undefined
+    )
+      return;
     const now = clock.now();
     const { slowdownHistory } = attempt.target;
     const pattern = service.readSlowdownParameters();
@@ -568,8 +618,8 @@
       this.#countTrial('timeout');
     }
     for (const attempt of this.#runningAttempts) attempt.abort();
-    if (!this.#ledger.mayHaveRun) {
-      this.#ledger.assertNotRun();
+    if (!this.options.progress.ledger.mayHaveRun) {
+      this.options.progress.ledger.assertNotRun();
       this.#sendLocalAnswer(
         { kind: 'not-run', reason, retryAfter: wait > 0 ? wait : this.#chooseRetryAfter() },
         forecast && this.#describeRefusal(forecast),
@@ -584,7 +634,7 @@
     const { service } = this.request;
     const backoff = service.readBackoffRemaining();
     if (backoff !== undefined) return backoff;
-    const isRejected = this.#attemptCount > 0 && service.queue.size === 0;
+    const isRejected = this.options.progress.attemptCount > 0 && service.queue.size === 0;
     // Some target will have finished a call within the time of one call.
     return isRejected ? REJECTED_RETRY_AFTER_MS : this.context.routeTime.readWork();
   }
--- a/src/gateway/requests/request-handler.ts
+++ b/src/gateway/requests/request-handler.ts
@@ -8,16 +8,20 @@
 import { Backlog, type BacklogOptions } from './backlog.js';
 import { LatencyBudgets } from './latency-budget.js';
 import { hasCallerLeft, watchDisconnect } from './caller-disconnect.js';
+import type { CarriedTerms } from '../carrying/carried-terms.js';
+import type { CarrierPool } from '../carrying/carrier-pool.js';
+import type { FleetKey } from '../carrying/fleet-key.js';
 import {
-  Forwarding,
-  type ForwardingContext,
-  type ForwardingCounts,
-  type RoutedRequest,
-} from './forwarding.js';
+  CallDispatch,
+  type CallOrigin,
+  type DispatchContext,
+  FROM_CALLER,
+} from './call-dispatch.js';
+import type { ForwardingCounts, RoutedRequest } from './forwarding.js';
 import {
   type BodyResult,
   buildCommonHeaders,
-  buildTargetHeaders,
+  buildHopHeaders,
   checkRequest,
   readBody,
 } from './request-reader.js';
@@ -36,6 +40,9 @@
   readonly targets: TargetSet;
   readonly metrics: TextMetrics;
   readonly poison: PoisonRegistry;
+  /** The daemons that may carry calls, and the key that they share with this one. */
+  readonly pool: CarrierPool;
+  readonly fleetKey: FleetKey;
   readonly eventLoop: BacklogOptions['eventLoop'] & Pick<EventLoopMonitor, 'readLateness'>;
   /**
    * Called when serving a request failed with an unexpected error, such as a violated invariant.
@@ -60,6 +67,8 @@
   readonly table: RouteTable;
   readonly route: Route;
   readonly service: string;
+  /** The terms of a call that another daemon has sent here to be carried. */
+  readonly carried: CarriedTerms | undefined;
 }
 
 /** A request that is answered without looking for a target. */
@@ -90,6 +99,19 @@
   return text === undefined ? undefined : Number(text);
 }
 
+function readOrigin(carried: CarriedTerms | undefined): CallOrigin {
+  if (carried === undefined) return FROM_CALLER;
+  return { isCarried: true, attempts: carried.attempts, isCounted: carried.isCounted };
+}
+
+/**
+ * Returns the service that another daemon has chosen for a call, so that each service of a split
+ * gets its part; undefined if the route does not name it here.
+ */
+function findCarriedService(route: Route, carried: CarriedTerms | undefined): string | undefined {
+  return route.shares.find(({ service }) => service === carried?.service)?.service;
+}
+
 /** Handles the requests of one daemon. */
 export class RequestHandler {
   /** Counters over all requests. */
@@ -157,9 +179,15 @@
    * Handles a request whose head was read: answers it at once, or adds it to the backlog.
    *
    * @param estimatedArrivalAt when it is estimated to have arrived, on the kernel's clock
+   * @param carried the terms of a call that another daemon has sent here to be carried
    */
-  handle(request: IncomingMessage, response: ServerResponse, estimatedArrivalAt: number): void {
-    const admission = this.#findRoute(request);
+  handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    estimatedArrivalAt: number,
+    carried?: CarriedTerms,
+  ): void {
+    const admission = this.#findRoute(request, carried);
     if (admission.kind === 'turned-away') {
       this.#sendRejection(request, response, admission);
       return;
@@ -167,7 +195,7 @@
     const { route } = admission;
     const { clock } = this.options;
     const routeTime = this.#findRouteTime(route.name);
-    const times = this.#computeTimes(request, route, estimatedArrivalAt);
+    const times = this.#computeTimes(request, admission, estimatedArrivalAt);
     this.#backlog.add({
       ...{
         estimatedArrivalAt,
@@ -212,19 +240,19 @@
     }
     const routed = this.#createRouted(request, body, admitted);
     const context = this.#createContext(admitted.route);
-    const forwarding = new Forwarding(context, routed, response);
-    const stopWatching = watchDisconnect(request, response, () => forwarding.cancel());
+    const dispatch = new CallDispatch(context, routed, response, readOrigin(admitted.carried));
+    const stopWatching = watchDisconnect(request, response, () => dispatch.cancel());
     try {
-      await forwarding.run();
+      await dispatch.run();
     } finally {
       stopWatching();
     }
   }
 
-  #createContext(route: Route): ForwardingContext {
-    const { clock, log, metrics, poison, eventLoop } = this.options;
+  #createContext(route: Route): DispatchContext {
+    const { clock, log, metrics, poison, eventLoop, pool, fleetKey } = this.options;
     return {
-      ...{ clock, log, metrics, poison, counts: this.counts },
+      ...{ clock, log, metrics, poison, pool, fleetKey, counts: this.counts },
       readLateness: (since) => eventLoop.readLateness(since),
       routeTime: this.#findRouteTime(route.name),
     };
@@ -248,19 +276,28 @@
    * Computes the times of a request. They count from its estimated arrival, so the time that it was
    * unread has passed already.
    */
-  #computeTimes(request: IncomingMessage, route: Route, estimatedArrivalAt: number): RequestTimes {
+  #computeTimes(
+    request: IncomingMessage,
+    { route, carried }: AdmittedRequest,
+    estimatedArrivalAt: number,
+  ): RequestTimes {
     const statedTime = Number(readHeader(request.headers, HEADERS.timeLeft));
     const maxTime = Math.min(statedTime > 0 ? statedTime : MAX_HOLD_MS, route.timeout, MAX_HOLD_MS);
     return {
       ...{ id: readHeader(request.headers, HEADERS.requestId) ?? '', estimatedArrivalAt },
       headReadAt: this.options.clock.now(),
-      aimAt: estimatedArrivalAt + this.#latencyBudgets.read(route, statedTime, estimatedArrivalAt),
+      aimAt:
+        estimatedArrivalAt +
+        (carried?.aimLeft ?? this.#latencyBudgets.read(route, statedTime, estimatedArrivalAt)),
       deadline: estimatedArrivalAt + maxTime,
     };
   }
 
   /** Finds the route and the service of a request, by its head alone. */
-  #findRoute(request: IncomingMessage): AdmittedRequest | RejectedRequest {
+  #findRoute(
+    request: IncomingMessage,
+    carried: CarriedTerms | undefined,
+  ): AdmittedRequest | RejectedRequest {
     const table = this.options.readTable();
     if (table === undefined) {
       const answer = {
@@ -284,7 +321,7 @@
     const [host = ''] = (request.headers.host ?? '').split(':', 1);
     const route = table.findRoute(host, path);
     if (route === undefined) return createRejected({ kind: 'no-route' }, true);
-    const service = this.#splitter.pick(route);
+    const service = findCarriedService(route, carried) ?? this.#splitter.pick(route);
     if (service === undefined) {
       const answer = {
         kind: 'not-run',
@@ -293,7 +330,7 @@
       } as const;
       return createRejected(answer, true);
     }
-    return { kind: 'admitted', table, route, service };
+    return { kind: 'admitted', table, route, service, carried };
   }
 
   #sendRejection(
@@ -322,13 +359,12 @@
       bodyBytes: length ?? 0,
     };
     const { host = '' } = request.headers;
-    const caller = request.socket.remoteAddress ?? '';
+    const caller = admitted.carried?.caller ?? request.socket.remoteAddress ?? '';
     return {
-      ...{ id, route, headReadAt, estimatedArrivalAt, aimAt, deadline, ...outgoing },
+      ...{ id, route, headReadAt, estimatedArrivalAt, aimAt, deadline, caller, ...outgoing },
       service: this.options.targets.getService(admitted.service),
       identity: new RequestIdentity({ ...outgoing, host, caller }),
-      buildHeaders: (target, timeLeft) =>
-        buildTargetHeaders(commonHeaders, target, { timeLeft, length }),
+      buildHeaders: (hopHeaders) => buildHopHeaders(commonHeaders, hopHeaders, length),
     };
   }
 
--- a/src/gateway/requests/request-reader.ts
+++ b/src/gateway/requests/request-reader.ts
@@ -8,8 +8,8 @@
 import { listPairs } from '../../proxy/headers.js';
 import { HEADERS } from '../../platform/index.js';
 import type { RequestLimits } from '../../routing/index.js';
+import { CARRIED_HEADER } from '../carrying/carried-terms.js';
 import type { LocalAnswer } from './answers.js';
-import type { GatewayTarget } from '../targets/target.js';
 
 /**
  * Bodies up to this many bytes are read whole before a target is chosen, so that they can be sent
@@ -119,7 +119,9 @@
 const DROPPED_HEADERS = new Set([
   ...['connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'te', 'trailer'],
   ...['transfer-encoding', 'upgrade', 'expect', 'content-length'],
-  ...[HEADERS.timeLeft.toLowerCase(), HEADERS.expectedIncarnation.toLowerCase()],
+  ...[HEADERS.timeLeft, HEADERS.expectedIncarnation, CARRIED_HEADER].map((name) =>
+    name.toLowerCase(),
+  ),
 ]);
 
 function listConnectionOptions(request: IncomingMessage): ReadonlySet<string> {
@@ -127,7 +129,7 @@
   return new Set(value.split(',').map((option) => option.trim().toLowerCase()));
 }
 
-/** Builds the headers that are the same for every target. */
+/** Builds the headers that are the same for every hop. */
 export function buildCommonHeaders(request: IncomingMessage): readonly string[] {
   const options = listConnectionOptions(request);
   const headers: string[] = [];
@@ -139,20 +141,13 @@
   return headers;
 }
 
-/**
- * Adds the headers for one target: the time left, the incarnation that must answer, and the length
- * of the body.
- */
-export function buildTargetHeaders(
+/** Adds the headers of one hop and the length of the body, if it is known. */
+export function buildHopHeaders(
   commonHeaders: readonly string[],
-  target: GatewayTarget,
-  { timeLeft, length }: { readonly timeLeft: number; readonly length: number | undefined },
+  hopHeaders: readonly string[],
+  length: number | undefined,
 ): readonly string[] {
-  const headers = [
-    ...commonHeaders,
-    ...[HEADERS.timeLeft, String(Math.max(1, Math.floor(timeLeft)))],
-    ...[HEADERS.expectedIncarnation, target.record.incarnation],
-  ];
+  const headers = [...commonHeaders, ...hopHeaders];
   if (length !== undefined) headers.push('Content-Length', String(length));
   return headers;
 }
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -47,7 +47,10 @@
   directory: describeAddress('Where callers ask which addresses to use'),
   metrics: describeOptionalAddress('Where metrics are read, at /metrics'),
   peer_ports: describeList(
-    describeInteger('First and last port for daemons among themselves', PORT_RANGE),
+    describeInteger(
+      'First and last port for daemons among themselves; the first two are used',
+      PORT_RANGE,
+    ),
   ),
   seeds: describeList(describeAddress('Addresses of some other daemons; ports do not matter'), []),
   first_start: describeChoice(
--- a/src/gateway/status.ts
+++ b/src/gateway/status.ts
@@ -41,6 +41,10 @@
   readonly probes: number;
   /** Whether this daemon reaches no target of any service. */
   readonly isPartitioned: boolean;
+  /** Other daemons that report that they reach no target. */
+  readonly partitionedPeers: number;
+  /** Requests for carrying that came from no daemon, since the start. */
+  readonly carryRejections: number;
   /** Checks since the start whether targets of a service are reached. */
   readonly reachChecks: number;
   /** Connections to targets opened since the start. */
@@ -68,6 +72,7 @@
     backlog: status.backlog,
     ...{ targets_unreadable: status.unreadableEntries, poison_held_out: status.heldOutRequests },
     ...{ is_partitioned: Number(status.isPartitioned), reach_checks: status.reachChecks },
+    ...{ partitioned_peers: status.partitionedPeers, carry_rejected: status.carryRejections },
     domains_evacuated: status.evacuatedDomains.length,
     ...{ probes: status.probes, target_connections_opened: status.targetConnectionsOpened },
     rss_bytes: process.memoryUsage.rss(),
--- a/src/gateway/targets/reach-monitor.ts
+++ b/src/gateway/targets/reach-monitor.ts
@@ -161,6 +161,7 @@
     });
     metrics.count('targets_lost', { service: service.name });
     this.#requestChecks(listServices().filter((other) => !other.reach.isLost(now)));
+    service.announceLost();
   }
 
   #handleRegained(service: TargetService, lostTime: number): void {
--- a/src/gateway/targets/target-service.ts
+++ b/src/gateway/targets/target-service.ts
@@ -96,6 +96,9 @@
   /** Whether this daemon reaches any of the targets. */
   readonly reach: ReachEstimate;
 
+  /** Called when this daemon turns out to reach none of the targets. */
+  readonly lostListeners = new Set<() => void>();
+
   /** Slowdown model, which learns from the reports of its targets. */
   readonly slowdownModel = new SlowdownModel();
 
@@ -140,11 +143,20 @@
     return false;
   }
 
-  /** Counts a call that arrives. */
-  recordCall(): void {
+  /** Tells the calls in progress that this daemon reaches none of the targets. */
+  announceLost(): void {
+    for (const listener of [...this.lostListeners]) listener();
+  }
+
+  /**
+   * Counts a call that arrives.
+   *
+   * @param isBudgeted whether another daemon has counted it for its retry budget
+   */
+  recordCall(isBudgeted = false): void {
     this.lastCallAt = this.options.clock.now();
     this.callRate.add(this.lastCallAt);
-    this.retryBudget.recordRequest();
+    if (!isBudgeted) this.retryBudget.recordRequest();
     this.#trialBudget.recordCall();
   }
 
--- a/src/peering/datagram.ts
+++ b/src/peering/datagram.ts
@@ -281,7 +281,7 @@
   return presences;
 }
 
-function markPartitioned<T extends { readonly state: MemberState }>(member: T): T {
+function applyPartitioned<T extends { readonly state: MemberState }>(member: T): T {
   return { ...member, state: 'partitioned' };
 }
 
@@ -331,14 +331,14 @@
   if (!Array.isArray(partitioned) || !isNumbers(partitioned)) return undefined;
   const partitionedIps = new Set(partitioned.map(decodeIp));
   return {
-    ...{ kind: 'tell', self: isSelfPartitioned === true ? markPartitioned(self) : self },
+    ...{ kind: 'tell', self: isSelfPartitioned === true ? applyPartitioned(self) : self },
     knowledge: {
       position: { targets: numbers[0], configuration: numbers[1], evacuations: numbers[5] },
       ...{
         proofAge: proofAge ?? Infinity,
         lastRead: lastRead ?? undefined,
         presences: presences.map((presence) =>
-          partitionedIps.has(presence.ip) ? markPartitioned(presence) : presence,
+          partitionedIps.has(presence.ip) ? applyPartitioned(presence) : presence,
         ),
         poisonReports,
       },
@@ -419,7 +419,7 @@
         return undefined;
       return {
         kind: 'ask',
-        self: isSelfPartitioned === true ? markPartitioned(self) : self,
+        self: isSelfPartitioned === true ? applyPartitioned(self) : self,
         polledCount,
       };
     }
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -51,6 +51,8 @@
   targets: 'servers/',
   /** Written by this system: the VMs that run it, for a daemon that starts and reaches no seed. */
   members: 'orchidbeam/members',
+  /** Written by this system: the key with which daemons authenticate carried calls. */
+  fleetKey: 'orchidbeam/fleet-key',
   /** Written by this system: the learned state of services and routes. */
   learnedState: 'orchidbeam/lessons',
   /**
--- a/test/lessons.test.ts
+++ b/test/lessons.test.ts
@@ -7,6 +7,8 @@
   parseLearnedState,
   hasSignificantChange,
 } from '../src/gateway/learned-state.js';
+import { CarrierPool } from '../src/gateway/carrying/carrier-pool.js';
+import { FleetKey } from '../src/gateway/carrying/fleet-key.js';
 import { PoisonRegistry } from '../src/gateway/requests/poison-registry.js';
 import { RequestHandler } from '../src/gateway/requests/request-handler.js';
 import { TargetSet } from '../src/gateway/targets/target-set.js';
@@ -252,6 +254,14 @@
         scheduleAfterIteration: () => undefined,
       },
       onInvariantViolation: () => undefined,
+      pool: new CarrierPool({
+        ...{ clock, random, domain: 'd', port: 1 },
+        ...{ findRegion: () => undefined, listCandidates: () => [] },
+      }),
+      fleetKey: new FleetKey({
+        ...{ store: createKvStore({ host: '127.0.0.1', port: 1 }, 100), clock, random, log },
+        ...{ isFirstStart: true, isWriter: () => false },
+      }),
       poison: new PoisonRegistry({
         ...{ clock, log, metrics, mayRunTrials: () => true, send: () => undefined },
       }),
