A repeat that another daemon carries is taken from the carrier's retry budget

Callers saw 502 for lookups whose carrier had ended, although another one was there: the repeat was taken from the budget of the partitioned daemon, which counts no carried calls and has no slack, as it is no home (test/carrying.test.ts, "that may be repeated is served by another daemon": 4 of 8 answers were 502). Whoever sends a call to a target counts it, so the next carrier takes the repeat from its own budget, or says that the call has not run.

--- a/src/gateway/carrying/carrying.ts
+++ b/src/gateway/carrying/carrying.ts
@@ -199,10 +199,12 @@
     }
   }
 
+  /** Moves on to another carrier, which takes the repeat from its retry budget, if that is allowed. */
   #handleLoss(carrier: Carrier, reason: string): boolean {
     const { clock, pool } = this.context;
-    const { route, service, deadline } = this.request;
+    const { route, deadline } = this.request;
     this.progress.attemptCount += 1;
+    this.progress.isCounted = true;
     if (clock.now() >= deadline) {
       this.#giveUp('timeout');
       return true;
@@ -211,8 +213,7 @@
     const mayRepeat =
       route.kind === 'repeatable' &&
       !this.#isBodySpent() &&
-      this.progress.attemptCount < route.maxAttempts &&
-      service.retryBudget.spend();
+      this.progress.attemptCount < route.maxAttempts;
     if (!mayRepeat) this.#answer({ kind: 'unknown', reason: 'lost' });
     return !mayRepeat;
   }
--- a/src/gateway/requests/call-dispatch.ts
+++ b/src/gateway/requests/call-dispatch.ts
@@ -52,6 +52,10 @@
 
   /** Serves the call until it is answered or given up. */
   async run(): Promise<void> {
+    if (this.origin.attempts > 0 && !this.request.service.retryBudget.spend()) {
+      this.#refuse('no-retry-left');
+      return;
+    }
     for (;;) {
       const path = this.#choosePath();
       switch (path) {
@@ -63,7 +67,7 @@
           this.#progress.isCarriedInVain = true;
           break;
         case 'refuse':
-          this.#refuse();
+          this.#refuse('unreached');
           return;
         default:
           path satisfies never;
@@ -101,15 +105,15 @@
     return carrying.run();
   }
 
-  #refuse(): void {
+  #refuse(reason: 'unreached' | 'no-retry-left'): void {
     const { counts, metrics } = this.context;
     const { id, service } = this.request;
     const answer: LocalAnswer = this.#progress.ledger.mayHaveRun
       ? { kind: 'unknown', reason: 'lost' }
-      : { kind: 'not-run', reason: 'unreached', retryAfter: UNREACHED_RETRY_AFTER_MS };
+      : { kind: 'not-run', reason, retryAfter: UNREACHED_RETRY_AFTER_MS };
     if (answer.kind === 'not-run') counts.notRun += 1;
     else counts.unknown += 1;
-    metrics.count('calls_without_carrier', { service: service.name });
+    if (reason === 'unreached') metrics.count('calls_without_carrier', { service: service.name });
     new RequestLog(this.context, this.request).logLocalAnswer(answer);
     writeLocalAnswer(this.response, id, answer);
   }
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -310,7 +310,8 @@
       this.#isLeaving = true;
       return;
     }
-    if (path === 'carry' && this.#isRepeatable && this.#spendRetry()) this.#isLeaving = true;
+    // The carrier takes the repeat from its retry budget.
+    if (path === 'carry' && this.#isRepeatable && this.#mayRepeat()) this.#isLeaving = true;
   }
 
   #createSlotCall(): SlotCall {
@@ -548,10 +549,14 @@
    * it from the budget.
    */
   #spendRetry(): boolean {
-    const { route, service, body } = this.request;
+    return this.#mayRepeat() && this.request.service.spendRetry(this.#triedTargets);
+  }
+
+  /** Whether the route and the body allow one more attempt. */
+  #mayRepeat(): boolean {
+    const { route, body } = this.request;
     if (this.options.progress.attemptCount >= route.maxAttempts) return false;
-    if (body !== undefined && !Buffer.isBuffer(body)) return false;
-    return service.spendRetry(this.#triedTargets);
+    return body === undefined || Buffer.isBuffer(body);
   }
 
   #scheduleHedgeCheck(): void {
