A partition is not taken for failures and ends of targets

A daemon whose connections to all targets were refused took each target for ended, blamed the requests that ran there and told all other daemons of it, which would hold out innocent requests: 11 lines poison.suspected in half a second with one home partitioned (test/partition.test.ts, "blame no request", failed before). After the partition its targets still counted as failing ("keep no record of failures", 3 of 6, failed before).

A refused connection shows the end of a target only if another target accepts one at that moment; a call lost in doubt is kept with its target, as before, in case the store tells that it has restarted. When targets are reached again, failures, health results and stuck calls recorded through the partition are forgotten. While a service is lost, calls that hang there are not told to the other homes as load, an attempt given up at its deadline is no sample of the run time, and idle connections are closed.

--- a/src/balance/failure-rate.ts
+++ b/src/balance/failure-rate.ts
@@ -75,6 +75,15 @@
     this.#seriesProbability = 1;
   }
 
+  /** Forgets all outcomes. */
+  clear(): void {
+    this.#failures = 0;
+    this.#successes = 0;
+    this.#failuresInRow = 0;
+    this.#successesInRow = 0;
+    this.#seriesProbability = 1;
+  }
+
   /** Returns the failures per success: 0 without failures, 1 after a first call that failed. */
   read(now: number): number {
     this.#decay(now);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -232,6 +232,7 @@
       ...{ clock, random, domain: gateway.domain },
       openSocket: kernel.find(targetSocketService),
       reachTimes: planReachTimes(promises.contact),
+      confirmReach: (refusing) => this.#reachMonitor.confirmReach(refusing),
       onContact: (service) => this.#reachMonitor.recordContact(service),
       onConnectionFailed: (service, target) => this.#reachMonitor.recordFailure(service, target),
       findRegion: (domain) => this.#findRegion(domain),
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -618,7 +618,7 @@
 
   /** Ends the request without a target's answer. */
   #giveUp(reason: GiveUpReason, wait = 0, forecast?: CallForecast): void {
-    if (reason === 'timeout' && this.#runningAttempts.size > 0) {
+    if (reason === 'timeout' && this.#runningAttempts.size > 0 && this.request.service.isReached) {
       this.#runTime.recordTimeout();
       this.#countTrial('timeout');
     }
--- a/src/gateway/targets/load-exchange.ts
+++ b/src/gateway/targets/load-exchange.ts
@@ -200,16 +200,21 @@
     const reports: TargetLoadReport[] = [];
     for (const service of this.options.targets.listServices()) {
       for (const target of service.targets.values()) {
-        const report = this.#createDueReport(target, now);
+        const inFlight = service.isReached ? target.load.inFlight : 0;
+        const report = this.#createDueReport(target, inFlight, now);
         if (report !== undefined) reports.push(report);
       }
     }
     return reports;
   }
 
-  #createDueReport(target: GatewayTarget, now: number): TargetLoadReport | undefined {
+  /** @param inFlight calls that may be running there, none behind a partition */
+  #createDueReport(
+    target: GatewayTarget,
+    inFlight: number,
+    now: number,
+  ): TargetLoadReport | undefined {
     const { load } = target;
-    const { inFlight } = load;
     const lastSent = this.#lastSent.get(target);
     // Only slowdowns that the target itself reported here are passed on; each home passes on its
     // own.
--- a/src/gateway/targets/reach-monitor.ts
+++ b/src/gateway/targets/reach-monitor.ts
@@ -30,6 +30,9 @@
  */
 const MAX_CHECK_DELAY_MS = 200;
 
+/** Other targets that are tried when one has refused a connection. */
+const MAX_CONFIRMING_TARGETS = 3;
+
 /** Monitors the connections of one daemon. */
 export class ReachMonitor {
   /** Since when calls of a service have been in flight without a break. */
@@ -87,6 +90,20 @@
     }
   }
 
+  /**
+   * Whether a target other than the given one accepts a connection now. A refused connection shows
+   * that a target has ended only if this daemon reaches others; without any others it has to do.
+   */
+  async confirmReach(refusing: GatewayTarget): Promise<boolean> {
+    const others = this.options
+      .listServices()
+      .flatMap((service) => this.#drawTargets(service, MAX_CONFIRMING_TARGETS, refusing))
+      .slice(0, MAX_CONFIRMING_TARGETS);
+    if (others.length === 0) return true;
+    const states = await Promise.all(others.map((target) => target.connections.checkListening()));
+    return states.includes('somebody');
+  }
+
   /** Schedules checks of all services when another daemon has lost its targets. */
   #observePeers(): void {
     const { clock, random, listServices, countPartitionedPeers } = this.options;
@@ -140,8 +157,14 @@
     if (change === 'lost') this.#handleLost(service);
   }
 
-  #drawTargets(service: TargetService, count: number): readonly GatewayTarget[] {
-    const usable = [...service.targets.values()].filter(({ isUsable }) => isUsable);
+  #drawTargets(
+    service: TargetService,
+    count: number,
+    excluded?: GatewayTarget,
+  ): readonly GatewayTarget[] {
+    const usable = [...service.targets.values()].filter(
+      (target) => target.isUsable && target !== excluded,
+    );
     const start = Math.floor(this.options.random.next() * usable.length);
     return [...usable.slice(start), ...usable.slice(0, start)].slice(0, count);
   }
@@ -169,6 +192,7 @@
     log.info('targets.regained', { service: service.name, after: Math.round(lostTime) });
     const now = clock.now();
     this.#requestChecks(listServices().filter((other) => other.reach.isLost(now)));
+    service.clearFailures();
   }
 
   #updatePartition(): void {
--- a/src/gateway/targets/target-service.ts
+++ b/src/gateway/targets/target-service.ts
@@ -143,11 +143,21 @@
     return false;
   }
 
-  /** Tells the calls in progress that this daemon reaches none of the targets. */
+  /**
+   * Tells the calls in progress that this daemon reaches none of the targets, and closes the idle
+   * connections, which may never carry anything again.
+   */
   announceLost(): void {
+    for (const target of this.targets.values()) target.connections.close();
     for (const listener of [...this.lostListeners]) listener();
   }
 
+  /** Forgets what was observed through a partition. */
+  clearFailures(): void {
+    for (const target of this.targets.values()) target.clearFailures();
+    this.queue.pump();
+  }
+
   /**
    * Counts a call that arrives.
    *
--- a/src/gateway/targets/target-set.ts
+++ b/src/gateway/targets/target-set.ts
@@ -17,6 +17,8 @@
   readonly openSocket: OpenSocket;
   /** Called when a target of the service answered or accepted a connection. */
   readonly onContact: (service: TargetService) => void;
+  /** Whether this daemon reaches another target than the given one now. */
+  readonly confirmReach: (refusing: GatewayTarget) => Promise<boolean>;
   /** Called when a target of the service accepted no connection. */
   readonly onConnectionFailed: (service: TargetService, target: GatewayTarget) => void;
 }
@@ -114,7 +116,8 @@
         existing.update(entry, isEvacuated);
         continue;
       }
-      const { clock, listener, openSocket, onContact, onConnectionFailed } = this.options;
+      const { clock, listener, openSocket, confirmReach } = this.options;
+      const { onContact, onConnectionFailed } = this.options;
       const onConnectionOpened = () => {
         this.connectionsOpened += 1;
         onContact(service);
@@ -123,7 +126,7 @@
       const target = new GatewayTarget(entry, clock, {
         ...{ slowdownModel, listener, availability, openSocket, onConnectionOpened },
         onConnectionFailed: (failed) => onConnectionFailed(service, failed),
-        onContact: () => onContact(service),
+        ...{ confirmReach, onContact: () => onContact(service) },
       });
       target.update(entry, isEvacuated);
       targets.set(incarnation, target);
--- a/src/gateway/targets/target.ts
+++ b/src/gateway/targets/target.ts
@@ -99,6 +99,8 @@
   readonly onConnectionOpened: () => void;
   /** Called for each connection that could not be opened. */
   readonly onConnectionFailed: (target: GatewayTarget) => void;
+  /** Whether this daemon reaches another target now, so that a refusal shows something. */
+  readonly confirmReach: (refusing: GatewayTarget) => Promise<boolean>;
   /** Called when bytes of the target arrived. */
   readonly onContact: () => void;
   readonly listener: TargetListener;
@@ -213,12 +215,14 @@
 
   /**
    * Checks whether the target ended without announcing it, by opening a connection. Only a refused
-   * connection counts: a target that resets a connection, is cut off or frozen refuses none.
+   * connection counts: a target that resets a connection, is cut off or frozen refuses none. It
+   * does not count where no other target accepts one either.
    */
   async checkEnded(): Promise<boolean> {
     if (this.#isLeaving) return false;
     const listenState = await this.connections.checkListening();
-    return listenState === 'nobody' && !this.#isLeaving;
+    if (listenState !== 'nobody') return false;
+    return (await this.options.confirmReach(this)) && !this.#isLeaving;
   }
 
   /**
@@ -347,6 +351,16 @@
     this.options.listener.onRecovered(this, now - this.#failingSince);
   }
 
+  /** Forgets failures that a partition of this daemon has caused. */
+  clearFailures(): void {
+    const wasFailing = this.isFailing;
+    this.failureRate.clear();
+    this.#isUnhealthy = false;
+    this.#avoidedUntil = -Infinity;
+    if (!wasFailing) return;
+    this.options.listener.onRecovered(this, this.clock.now() - this.#failingSince);
+  }
+
   /** Records that a call has been running far too long. */
   recordStuckCall(): void {
     this.#avoidedUntil = this.clock.now() + STUCK_AVOIDANCE_MS;
--- a/test/helpers/targets.ts
+++ b/test/helpers/targets.ts
@@ -19,6 +19,7 @@
 export const UNWATCHED_CONNECTIONS = {
   openSocket: openTcpSocket,
   reachTimes: planReachTimes(3000),
+  confirmReach: () => Promise.resolve(true),
   onContact: () => undefined,
   onConnectionFailed: () => undefined,
 } as const;
--- a/test/partition.test.ts
+++ b/test/partition.test.ts
@@ -136,6 +136,56 @@
     }
   }).timeout(15_000);
 
+  // Guards against a partition that is taken for a fault of the targets.
+  describe('teach nobody anything wrong', () => {
+    const countEvents = (event: string, ip?: string) =>
+      site.events.filter((entry) => entry.event === event && (ip ?? entry.ip) === entry.ip).length;
+
+    it('blame no request for the end of targets', async () => {
+      const [cut] = await listByRank();
+      for (const target of site.targets) target.behaviour = (request) => request.resume();
+      const sent = sendFor([cut], 500);
+      await wait(400);
+      site.partition(cut, 'refused');
+      await sent;
+      expect(countEvents('poison.suspected')).to.equal(0);
+      expect(countEvents('poison.heard')).to.equal(0);
+    }).timeout(15_000);
+
+    it('keep no record of failures after it', async () => {
+      const [cut] = await listByRank();
+      await sendFor([cut], 500);
+      site.partition(cut, 'refused');
+      await sendFor([cut], 2000);
+      site.partition(cut, 'none');
+      await sendFor([cut], 1000);
+      const failing = countEvents('target.failing', cut) - countEvents('target.recovered', cut);
+      expect(failing).to.equal(0);
+      const gateway = site.gateways.find(({ ip }) => ip === cut);
+      expect(gateway).not.to.equal(undefined);
+      const answers = await sendFor([cut], 1000);
+      checkServed(answers, [cut], 'after the partition');
+    }).timeout(15_000);
+
+    it('report no calls that hang as load of the targets', async () => {
+      const [cut, other] = await listByRank();
+      for (const target of site.targets) target.behaviour = (request) => request.resume();
+      const sent = sendFor([cut], 2500);
+      await wait(300);
+      site.partition(cut, 'silent');
+      await wait(1400);
+      for (const target of site.targets) {
+        target.behaviour = (request, response) => target.answer(request, response);
+      }
+      // Six targets, each with the slots of its entry: all are taken if hanging calls count.
+      const replies = await Promise.all(
+        Array.from({ length: 24 }, () => sendTo(other, { path: '/read/1', deadline: 1500 })),
+      );
+      expect(Math.max(...replies.map(({ took }) => took))).to.be.below(300);
+      await sent;
+    }).timeout(15_000);
+  });
+
   it('refuse at once what no daemon can serve', async () => {
     await sendFor(ips, 500);
     for (const ip of ips) site.partition(ip, 'silent');
