Calls of a service that no home reaches are carried by other daemons

When no home is left for a call, any daemon is asked that is not known to be partitioned, starting or stopping; one that gave a call back is not asked for that service again for two seconds.

--- a/src/balance/call-path.ts
+++ b/src/balance/call-path.ts
@@ -12,6 +12,8 @@
   readonly isReached: boolean;
   /** Targets to which no connection could be opened for this call. */
   readonly connectionFailures: number;
+  /** Whether these are all that it could go to. */
+  readonly isExhausted: boolean;
   /** Whether another daemon has sent the call here. */
   readonly isCarried: boolean;
   /** Whether there is a daemon that may carry the call; asked only where it matters. */
@@ -29,8 +31,9 @@
 
 /** Chooses the path of a call. */
 export function chooseCallPath(situation: CallSituation): CallPath {
-  const { isReached, connectionFailures, isCarried, hasCarrier } = situation;
-  if (isReached && connectionFailures < MAX_CONNECTION_FAILURES) return 'direct';
+  const { isReached, connectionFailures, isExhausted, isCarried, hasCarrier } = situation;
+  const hasFailed = connectionFailures >= MAX_CONNECTION_FAILURES || isExhausted;
+  if (isReached && !hasFailed) return 'direct';
   if (!isCarried && hasCarrier()) return 'carry';
   return isReached ? 'direct' : 'refuse';
 }
--- a/src/balance/target-reach.ts
+++ b/src/balance/target-reach.ts
@@ -133,13 +133,14 @@
   /**
    * Whether a check is due.
    *
+   * @param targetCount targets that the service has
    * @param inFlightSince since when calls have been in flight without a break; undefined when there
    *   is none
    */
-  isCheckDue(now: number, inFlightSince: number | undefined): boolean {
+  isCheckDue(now: number, targetCount: number, inFlightSince: number | undefined): boolean {
     if (this.#isChecking || now - this.#checkStartedAt < this.times.checkInterval) return false;
     if (this.#isCheckRequested || this.#lostAt !== undefined) return true;
-    if (this.#failed.size >= MIN_SUSPICIOUS_FAILURES) return true;
+    if (this.#failed.size >= Math.min(MIN_SUSPICIOUS_FAILURES, targetCount)) return true;
     if (inFlightSince === undefined) return false;
     return now - Math.max(this.#contactAt, inFlightSince) >= this.times.silence;
   }
--- a/src/gateway/carrying/carrier-pool.ts
+++ b/src/gateway/carrying/carrier-pool.ts
@@ -33,11 +33,14 @@
   readonly findRegion: (domain: string) => string | undefined;
   /** The port on which daemons accept carried calls. */
   readonly port: number;
-  readonly listCandidates: () => readonly MemberInfo[];
+  /** Lists the homes that reach targets. */
+  readonly listHomes: () => readonly MemberInfo[];
+  /** Lists all daemons that may reach targets, for calls that no home can serve. */
+  readonly listAll: () => readonly MemberInfo[];
 }
 
 /** A carrier that did not accept a call is not asked again for this long. */
-const AVOIDANCE_MS = 1000;
+const AVOIDANCE_MS = 2000;
 
 /** Stands for all services of a carrier. */
 const ALL_SERVICES = '';
@@ -65,7 +68,7 @@
 
   /** Whether the daemon still counts as one that may carry calls. */
   isListed({ ip }: Carrier): boolean {
-    return this.options.listCandidates().some((member) => member.ip === ip);
+    return this.options.listAll().some((member) => member.ip === ip);
   }
 
   /** Records that no connection to a carrier could be opened, or that it has broken. */
@@ -90,12 +93,19 @@
     }
   }
 
-  #listAllowed({ service, regions, tried }: CarrierRequest): readonly MemberInfo[] {
-    const { listCandidates, findRegion, domain } = this.options;
+  #listAllowed(request: CarrierRequest): readonly MemberInfo[] {
+    const { listHomes, listAll } = this.options;
+    const homes = this.#filterAllowed(listHomes(), request);
+    return homes.length > 0 ? homes : this.#filterAllowed(listAll(), request);
+  }
+
+  #filterAllowed(
+    members: readonly MemberInfo[],
+    { service, regions, tried }: CarrierRequest,
+  ): readonly MemberInfo[] {
+    const { findRegion, domain } = this.options;
     const ownRegion = findRegion(domain);
-    const candidates = listCandidates().filter(
-      ({ ip }) => !tried.has(ip) && !this.#isAvoided(ip, service),
-    );
+    const candidates = members.filter(({ ip }) => !tried.has(ip) && !this.#isAvoided(ip, service));
     const local = candidates.filter((member) => findRegion(member.domain) === ownRegion);
     if (local.length > 0) return local;
     return candidates.filter(
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -378,7 +378,8 @@
     this.#carrierPool = new CarrierPool({
       ...{ clock, random, domain: gateway.domain, port: findCarryPort(gateway) },
       findRegion: (domain) => this.#findRegion(domain),
-      listCandidates: () => this.#roster.listCarriers(),
+      listHomes: () => this.#roster.listCarriers(),
+      listAll: () => this.#roster.listPossibleCarriers(),
     });
     this.#requestHandler = new RequestHandler({
       ...{ clock, random, log, targets: this.#targets, metrics: this.#metrics },
--- a/src/gateway/requests/call-dispatch.ts
+++ b/src/gateway/requests/call-dispatch.ts
@@ -77,14 +77,14 @@
 
   #choosePath(): CallPath {
     const { service, route } = this.request;
-    const { connectionFailures, isCarriedInVain } = this.#progress;
+    const { connectionFailures, isExhausted, isCarriedInVain } = this.#progress;
     const { pool, fleetKey } = this.context;
     const hasCarrier = () =>
       !isCarriedInVain &&
       fleetKey.value !== undefined &&
       pool.hasCarrier({ service: service.name, regions: route.regions, tried: new Set() });
     return chooseCallPath({
-      ...{ isReached: service.isReached, connectionFailures, hasCarrier },
+      ...{ isReached: service.isReached, connectionFailures, isExhausted, hasCarrier },
       isCarried: this.origin.isCarried,
     });
   }
--- a/src/gateway/requests/call-progress.ts
+++ b/src/gateway/requests/call-progress.ts
@@ -12,6 +12,9 @@
   /** Targets to which this daemon could open no connection for the call. */
   connectionFailures = 0;
 
+  /** Whether these were all targets that it could go to. */
+  isExhausted = false;
+
   /** Whether no daemon that may carry the call could serve it. */
   isCarriedInVain = false;
 
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -360,6 +360,10 @@
   #handlePlacement(result: PlacementResult): void {
     this.#queuedCall = undefined;
     const timeLeft = this.request.deadline - this.context.clock.now();
+    if (result.kind === 'refused' && result.reason === 'no-target' && this.#mayLeaveExhausted()) {
+      this.#isLeaving = true;
+      return;
+    }
     if (result.kind === 'refused') {
       this.#giveUp(result.reason, result.wait, result.forecast);
       return;
@@ -374,6 +378,13 @@
     else releaseSlot(result);
   }
 
+  /** Whether another daemon may have a connection where this one found none. */
+  #mayLeaveExhausted(): boolean {
+    const { progress, choosePath } = this.options;
+    progress.isExhausted = progress.connectionFailures > 0;
+    return choosePath() !== 'direct';
+  }
+
   #startAttempt(target: GatewayTarget, timeLeft: number): void {
     const { request } = this;
     this.#triedTargets.add(target);
--- a/src/gateway/targets/reach-monitor.ts
+++ b/src/gateway/targets/reach-monitor.ts
@@ -127,7 +127,9 @@
     for (let step = 0; step < services.length; step += 1) {
       const index = (first + step) % services.length;
       const service = services[index];
-      if (!service.reach.isCheckDue(now, this.#updateInFlight(service, now))) continue;
+      const targetCount = service.countUsable();
+      const inFlightSince = this.#updateInFlight(service, now);
+      if (targetCount === 0 || !service.reach.isCheckDue(now, targetCount, inFlightSince)) continue;
       if (started >= MAX_CHECKS_PER_DECISION) {
         this.#nextIndex = index;
         return;
@@ -149,7 +151,6 @@
 
   async #check(service: TargetService): Promise<void> {
     const { clock } = this.options;
-    if (service.countUsable() === 0) return;
     const targets = this.#drawTargets(service, service.reach.recordCheckStart(clock.now()));
     this.checks += 1;
     await Promise.all(targets.map((target) => target.connections.checkListening()));
--- a/src/peering/roster.ts
+++ b/src/peering/roster.ts
@@ -263,6 +263,18 @@
     return this.#selectHomes('ready').filter(({ ip }) => ip !== this.options.self.ip);
   }
 
+  /**
+   * Lists all other daemons that may reach targets: those known to, and those of which nothing
+   * recent is known, as daemons don't poll all others.
+   */
+  listPossibleCarriers(): readonly MemberInfo[] {
+    return this.#rank().filter((info) => {
+      if (info.ip === this.options.self.ip) return false;
+      const isKnown = (state: MemberState) => this.#isInState(info, state);
+      return !isKnown('partitioned') && !isKnown('stopping') && !isKnown('starting');
+    });
+  }
+
   /** Counts the other daemons that answered recently and reach no target. */
   countPartitioned(): number {
     let count = 0;
--- a/test/carrying.test.ts
+++ b/test/carrying.test.ts
@@ -35,13 +35,15 @@
 
 describe('the path of a call', () => {
   const situation = (overrides: Partial<CallSituation>): CallSituation => ({
-    ...{ isReached: true, connectionFailures: 0, isCarried: false, hasCarrier: () => true },
+    ...{ isReached: true, connectionFailures: 0, isExhausted: false },
+    ...{ isCarried: false, hasCarrier: () => true },
     ...overrides,
   });
   const noCarrier = { hasCarrier: () => false };
   const cases: readonly (readonly [string, Partial<CallSituation>, string])[] = [
     ['is direct while targets are reached', {}, 'direct'],
     ['is direct after one failed connection', { connectionFailures: 1 }, 'direct'],
+    ['leads over a carrier after one if there is no other', { isExhausted: true }, 'carry'],
     ['leads over a carrier after two', { connectionFailures: 2 }, 'carry'],
     ['is direct after two without a carrier', { connectionFailures: 2, ...noCarrier }, 'direct'],
     [
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -142,6 +142,11 @@
     this.#targetNetworks.get(ip)?.setFault(fault);
   }
 
+  /** Sets the fault between a gateway and one target. */
+  partitionFrom(ip: string, target: Address, fault: PartitionFault): void {
+    this.#targetNetworks.get(ip)?.setTargetFault(target, fault);
+  }
+
   /** Creates a gateway without starting it. */
   createGateway(
     seeds: readonly string[] = [],
--- a/test/helpers/target-network.ts
+++ b/test/helpers/target-network.ts
@@ -47,15 +47,26 @@
 
   #fault: PartitionFault = 'none';
 
+  /** Faults of single targets, by their addresses. */
+  readonly #targetFaults = new Map<string, PartitionFault>();
+
   /** Sets the fault in force. */
   setFault(fault: PartitionFault): void {
     this.#fault = fault;
     for (const { link } of this.#links.values()) link.setFault(OPEN_CONNECTIONS[fault]);
   }
 
+  /** Sets the fault of the connections to one target. */
+  setTargetFault(address: Address, fault: PartitionFault): void {
+    const name = formatAddress(address);
+    this.#targetFaults.set(name, fault);
+    this.#links.get(name)?.link.setFault(OPEN_CONNECTIONS[fault]);
+  }
+
   /** Opens a connection to a target, or doesn't. */
   readonly open = (address: Address): net.Socket => {
-    const behaviour = NEW_CONNECTIONS[this.#fault];
+    const behaviour =
+      NEW_CONNECTIONS[this.#targetFaults.get(formatAddress(address)) ?? this.#fault];
     switch (behaviour) {
       case 'hang':
         return new net.Socket();
--- a/test/lessons.test.ts
+++ b/test/lessons.test.ts
@@ -256,7 +256,7 @@
       onInvariantViolation: () => undefined,
       pool: new CarrierPool({
         ...{ clock, random, domain: 'd', port: 1 },
-        ...{ findRegion: () => undefined, listCandidates: () => [] },
+        ...{ findRegion: () => undefined, listHomes: () => [], listAll: () => [] },
       }),
       fleetKey: new FleetKey({
         ...{ store: createKvStore({ host: '127.0.0.1', port: 1 }, 100), clock, random, log },
--- a/test/partition.test.ts
+++ b/test/partition.test.ts
@@ -136,6 +136,26 @@
     }
   }).timeout(15_000);
 
+  // Guards against calls that only homes are asked to carry, of which none reaches the service.
+  it('reach one service over daemons that are no homes', async () => {
+    const [first, second, third, ...others] = await listByRank();
+    const beta = await site.addTarget('beta');
+    site.configure([...ROUTES, { prefix: '/beta/', kind: 'safe', service: 'beta', timeout: 1500 }]);
+    await wait(500);
+    for (const ip of [first, second, third]) site.partitionFrom(ip, beta.address, 'silent');
+    const send = () =>
+      Promise.all(
+        [first, second, third].map((ip) => sendTo(ip, { path: '/beta/1', deadline: 1500 })),
+      );
+    for (let round = 0; round < 20; round += 1) {
+      await send().catch(() => undefined);
+      await wait(50);
+    }
+    const replies = await send();
+    expect(replies.map(({ status }) => status)).to.deep.equal([200, 200, 200]);
+    expect(others.length).to.equal(3);
+  }).timeout(20_000);
+
   // Guards against a partition that is taken for a fault of the targets.
   describe('teach nobody anything wrong', () => {
     const countEvents = (event: string, ip?: string) =>
--- a/test/target-reach.test.ts
+++ b/test/target-reach.test.ts
@@ -40,7 +40,8 @@
       this.now += REACH_DECISION_INTERVAL_MS;
       if (!this.#isCut && this.#checkEndsAt === undefined) this.estimate.recordContact(this.now);
       this.#endCheck();
-      if (this.#checkEndsAt === undefined && this.estimate.isCheckDue(this.now, 0)) this.#check();
+      if (this.#checkEndsAt === undefined && this.estimate.isCheckDue(this.now, TARGETS, 0))
+        this.#check();
     }
   }
 
@@ -100,7 +101,7 @@
     for (let now = 0; now < 10_000; now += 50) {
       estimate.recordFailure(`t${now % 4}`);
       estimate.recordContact(now);
-      expect(estimate.isCheckDue(now, 0)).to.equal(false);
+      expect(estimate.isCheckDue(now, TARGETS, 0)).to.equal(false);
     }
   });
 
@@ -129,6 +130,13 @@
     expect(estimate.recordCheckEnd(1250, 1)).to.equal('lost');
   });
 
+  it('is checked after the only target of a service accepted no connection', () => {
+    const estimate = new ReachEstimate(times);
+    estimate.recordFailure('a');
+    expect(estimate.isCheckDue(1000, TARGETS, undefined)).to.equal(false);
+    expect(estimate.isCheckDue(1000, 1, undefined)).to.equal(true);
+  });
+
   it('is believed for a bounded time only, as while the process is frozen', () => {
     const estimate = new ReachEstimate(times);
     estimate.recordFailure('a');
@@ -140,8 +148,8 @@
 
   it('is checked only if a call is in flight or connections failed', () => {
     const estimate = new ReachEstimate(times);
-    expect(estimate.isCheckDue(100_000, undefined)).to.equal(false);
-    expect(estimate.isCheckDue(100_000, 99_900)).to.equal(false);
-    expect(estimate.isCheckDue(100_000, 99_000)).to.equal(true);
+    expect(estimate.isCheckDue(100_000, TARGETS, undefined)).to.equal(false);
+    expect(estimate.isCheckDue(100_000, TARGETS, 99_900)).to.equal(false);
+    expect(estimate.isCheckDue(100_000, TARGETS, 99_000)).to.equal(true);
   });
 });
