A call whose answer has begun does not leave for a carrier

A daemon stopped with a broken invariant ("a call that may not be repeated is sent at most once") when its targets were lost while it streamed a long answer: no attempt was running any more, so the call was taken for one that waits (test/carrying.test.ts, "is not one whose answer has begun", failed before with that line; found by reading the change again). An attempt that was taken from the retry budget already is not taken from the carrier's as well.

--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -276,6 +276,8 @@
     const { request } = this;
     const { clock } = this.context;
     if (this.options.choosePath() !== 'direct') {
+      // An attempt after another one has been taken from the retry budget already.
+      this.options.progress.isRepeatPaid = this.options.progress.attemptCount > 0;
       this.#isLeaving = true;
       return;
     }
@@ -305,7 +307,7 @@
    */
   #handleTargetsLost(): void {
     const path = this.options.choosePath();
-    if (path === 'direct') return;
+    if (path === 'direct' || this.response.headersSent) return;
     if (this.#runningAttempts.size === 0) {
       this.#isLeaving = true;
       return;
--- a/test/carrying.test.ts
+++ b/test/carrying.test.ts
@@ -302,6 +302,31 @@
     expect(site.events.filter(({ event }) => event === 'targets.lost')).to.deep.equal([]);
   }).timeout(15_000);
 
+  it('is not one whose answer has begun', async () => {
+    await startDaemons(2);
+    site.partition(cut, 'none');
+    await wait(FOUND_MS);
+    setBehaviour((request, response) => {
+      request.resume();
+      if (request.method === 'GET') return;
+      response.writeHead(200, {
+        ...{ 'server-signature': 's', 'content-length': 2 * MEGABYTE },
+        'attempt-id': request.headers['attempt-id'],
+      });
+      response.write(Buffer.alloc(MEGABYTE, 'a'));
+    });
+    for (const target of targets) target.ran.splice(0);
+    const sent = sendTo(cut, { ...POST, id: 'begun' }).catch(() => undefined);
+    await wait(300);
+    site.partition(cut, 'silent');
+    sendTo(cut, READ).catch(() => undefined);
+    sendTo(cut, READ).catch(() => undefined);
+    await Promise.race([sent, wait(2000)]);
+    expect(listEvents(cut, 'targets.lost').length).to.be.greaterThan(0);
+    expect(listRuns().filter((id) => id === 'begun')).to.deep.equal(['begun']);
+    expect(listEvents(cut, 'gateway.broken')).to.deep.equal([]);
+  }).timeout(20_000);
+
   it('keeps its answer whole: one that breaks off does not look complete', async () => {
     await startDaemons(2);
     setBehaviour((request, response) => {
