--- /dev/null
+++ b/src/gateway/carrying/carry-service.ts
@@ -0,0 +1,84 @@
+/** Carried calls of one daemon: the key, the daemons that carry its calls, and the way in for theirs. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Clock, Log, Random } from '../../kernel/index.js';
+import type { Roster } from '../../peering/index.js';
+import { HEADERS, type KvStore, readHeader } from '../../platform/index.js';
+import { type LocalAnswer, writeLocalAnswer } from '../requests/answers.js';
+import { CARRIED_HEADER, type CarriedTerms, checkCarriedHeader } from './carried-terms.js';
+import { CarrierPool } from './carrier-pool.js';
+import { FleetKey } from './fleet-key.js';
+
+/** Options of the service. */
+export interface CarryServiceOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly store: KvStore;
+  readonly roster: Roster;
+  /** The IP address of this daemon, and its failure domain. */
+  readonly self: string;
+  readonly domain: string;
+  readonly findRegion: (domain: string) => string | undefined;
+  /** The port on which daemons accept carried calls. */
+  readonly port: number;
+  readonly isFirstStart: boolean;
+  /** Whether this daemon is the one that writes a missing key. */
+  readonly isWriter: () => boolean;
+  /** Serves a call of another daemon. */
+  readonly serve: (
+    request: IncomingMessage,
+    response: ServerResponse,
+    estimatedArrivalAt: number,
+    terms: CarriedTerms,
+  ) => void;
+}
+
+/** What anybody but a daemon gets. */
+const NOT_A_DAEMON: LocalAnswer = { kind: 'bad-request', status: 403, reason: 'unauthorised' };
+
+/** Carrying in both directions. */
+export class CarryService {
+  readonly fleetKey: FleetKey;
+
+  /** The daemons that may carry calls of this one. */
+  readonly pool: CarrierPool;
+
+  /** Requests that came from no daemon, since the start. */
+  rejected = 0;
+
+  constructor(private readonly options: CarryServiceOptions) {
+    const { roster } = options;
+    this.fleetKey = new FleetKey(options);
+    this.pool = new CarrierPool({
+      ...options,
+      listHomes: () => roster.listCarriers(),
+      listAll: () => roster.listPossibleCarriers(),
+    });
+  }
+
+  /** Serves a request to the port for carried calls, if it comes from a daemon. */
+  handle(request: IncomingMessage, response: ServerResponse, estimatedArrivalAt: number): void {
+    const { log, serve } = this.options;
+    const terms = this.#checkTerms(request);
+    if (terms !== undefined) {
+      serve(request, response, estimatedArrivalAt, terms);
+      return;
+    }
+    this.rejected += 1;
+    log.warn('carry.rejected', { from: request.socket.remoteAddress, path: request.url });
+    response.shouldKeepAlive = false;
+    writeLocalAnswer(response, '', NOT_A_DAEMON);
+  }
+
+  #checkTerms(request: IncomingMessage): CarriedTerms | undefined {
+    const value = readHeader(request.headers, CARRIED_HEADER);
+    const key = this.fleetKey.value;
+    if (value === undefined || key === undefined) return undefined;
+    const { method = '', url: path = '' } = request;
+    const requestId = readHeader(request.headers, HEADERS.requestId) ?? '';
+    const line = { carrier: this.options.self, requestId, method, path };
+    const terms = checkCarriedHeader(key, line, value);
+    if (terms === undefined) this.fleetKey.requestRefresh();
+    return terms;
+  }
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,6 +1,6 @@
 /** The gateway daemon of one VM: creates its parts, connects them, starts and stops them. */
 import { setMaxListeners } from 'node:events';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Server } from 'node:http';
 import {
   type Kernel,
   type LogFields,
@@ -25,11 +25,8 @@
 import { kvStoreService } from '../platform/index.js';
 import type { RouteTable } from '../routing/index.js';
 import { FleetView, type PropagationTimes, StoreReader, planPropagation } from '../view/index.js';
-import { CarrierPool } from './carrying/carrier-pool.js';
-import { CarryGate } from './carrying/carry-gate.js';
-import { FleetKey } from './carrying/fleet-key.js';
+import { CarryService } from './carrying/carry-service.js';
 import { AddressDirectory } from './fleet/address-directory.js';
-import { type LocalAnswer, writeLocalAnswer } from './requests/answers.js';
 import { CallerServer, computeListenQueue } from './requests/caller-server.js';
 import { serveDirectory, serveMetrics, serveReadiness } from './directory.js';
 import { LoadExchange } from './targets/load-exchange.js';
@@ -83,9 +80,6 @@
   return first + 1;
 }
 
-/** What anybody else gets there. */
-const NOT_A_DAEMON: LocalAnswer = { kind: 'bad-request', status: 403, reason: 'unauthorised' };
-
 function findStateWait(gateway: GatewaySettings['gateway']): number {
   if (!isFirstStart(gateway)) return STATE_WAIT_MS;
   const { seeds, ip } = gateway;
@@ -141,11 +135,7 @@
 
   readonly #poisonRegistry: PoisonRegistry;
 
-  readonly #fleetKey: FleetKey;
-
-  readonly #carrierPool: CarrierPool;
-
-  readonly #carryGate: CarryGate;
+  readonly #carryService: CarryService;
 
   readonly #callerServer: CallerServer;
 
@@ -370,20 +360,17 @@
       ...{ clock, log, metrics: this.#metrics, source: createEventLoopSource() },
       listenQueue: computeListenQueue(capacity),
     });
-    this.#fleetKey = new FleetKey({
-      ...{ store, clock, random, log, isFirstStart: isFirstStart(gateway) },
-      isWriter: () => this.#fleetRole.isFirstHome(),
-    });
-    this.#carryGate = new CarryGate(gateway.ip, this.#fleetKey);
-    this.#carrierPool = new CarrierPool({
-      ...{ clock, random, domain: gateway.domain, port: findCarryPort(gateway) },
+    this.#carryService = new CarryService({
+      ...{ clock, random, log, store, roster: this.#roster, self: gateway.ip },
+      ...{ domain: gateway.domain, port: findCarryPort(gateway) },
+      ...{ isFirstStart: isFirstStart(gateway), isWriter: () => this.#fleetRole.isFirstHome() },
       findRegion: (domain) => this.#findRegion(domain),
-      listHomes: () => this.#roster.listCarriers(),
-      listAll: () => this.#roster.listPossibleCarriers(),
+      serve: (request, response, cameAt, terms) =>
+        this.#requestHandler.handle(request, response, cameAt, terms),
     });
     this.#requestHandler = new RequestHandler({
       ...{ clock, random, log, targets: this.#targets, metrics: this.#metrics },
-      ...{ poison: this.#poisonRegistry, pool: this.#carrierPool, fleetKey: this.#fleetKey },
+      ...{ poison: this.#poisonRegistry, carryService: this.#carryService },
       ...{ eventLoop: this.#eventLoop, onInvariantViolation: (error: Error) => this.#fail(error) },
       readTable: () => (this.#state === 'starting' ? undefined : this.#view.table),
     });
@@ -395,7 +382,7 @@
     this.#carryServer = new CallerServer({
       address: { host: gateway.ip, port: findCarryPort(gateway) },
       ...{ clock, eventLoop: this.#eventLoop, listenQueue: computeListenQueue(capacity) },
-      serve: (request, response, cameAt) => this.#serveCarried(request, response, cameAt),
+      serve: (request, response, cameAt) => this.#carryService.handle(request, response, cameAt),
     });
     this.#loadExchange = new LoadExchange({
       ...{ clock, targets: this.#targets, self: gateway.ip },
@@ -465,7 +452,7 @@
       this.#storeReader.run(signal),
       this.#prober.run(signal),
       this.#reachMonitor.run(signal),
-      this.#fleetKey.run(signal),
+      this.#carryService.fleetKey.run(signal),
       this.#loadExchange.run(signal),
       this.#runTargetChecks(signal),
       this.#homePlanner.run(signal),
@@ -554,18 +541,6 @@
     return this.#callServers.reduce((sum, server) => sum + server.countActive(), 0);
   }
 
-  /** Serves a call that another daemon can't send to a target itself. */
-  #serveCarried(request: IncomingMessage, response: ServerResponse, cameAt: number): void {
-    const terms = this.#carryGate.check(request);
-    if (terms !== undefined) {
-      this.#requestHandler.handle(request, response, cameAt, terms);
-      return;
-    }
-    this.#log.warn('carry.rejected', { from: request.socket.remoteAddress, path: request.url });
-    response.shouldKeepAlive = false;
-    writeLocalAnswer(response, '', NOT_A_DAEMON);
-  }
-
   #planPropagation(): PropagationTimes {
     const { config_apply: configApply, drain } = this.#settings.promises;
     return planPropagation(Math.min(configApply, drain));
@@ -641,7 +616,7 @@
     while (!signal.aborted) {
       await this.#clock.sleep(TARGET_CHECK_INTERVAL_MS, signal);
       this.#targets.runPeriodicChecks();
-      this.#carrierPool.closeExpired();
+      this.#carryService.pool.closeExpired();
     }
   }
 
@@ -668,7 +643,7 @@
       probes: this.#prober.sent,
       isPartitioned: this.#reachMonitor.isPartitioned,
       partitionedPeers: this.#roster.countPartitioned(),
-      carryRejections: this.#carryGate.rejected,
+      carryRejections: this.#carryService.rejected,
       reachChecks: this.#reachMonitor.checks,
       targetConnectionsOpened: this.#targets.connectionsOpened,
       storeCalls: this.kernel.find(kvStoreService).counts(),
--- a/src/gateway/requests/request-handler.ts
+++ b/src/gateway/requests/request-handler.ts
@@ -9,8 +9,7 @@
 import { LatencyBudgets } from './latency-budget.js';
 import { hasCallerLeft, watchDisconnect } from './caller-disconnect.js';
 import type { CarriedTerms } from '../carrying/carried-terms.js';
-import type { CarrierPool } from '../carrying/carrier-pool.js';
-import type { FleetKey } from '../carrying/fleet-key.js';
+import type { CarryService } from '../carrying/carry-service.js';
 import {
   CallDispatch,
   type CallOrigin,
@@ -41,8 +40,7 @@
   readonly metrics: TextMetrics;
   readonly poison: PoisonRegistry;
   /** The daemons that may carry calls, and the key that they share with this one. */
-  readonly pool: CarrierPool;
-  readonly fleetKey: FleetKey;
+  readonly carryService: Pick<CarryService, 'pool' | 'fleetKey'>;
   readonly eventLoop: BacklogOptions['eventLoop'] & Pick<EventLoopMonitor, 'readLateness'>;
   /**
    * Called when serving a request failed with an unexpected error, such as a violated invariant.
@@ -251,7 +249,8 @@
   }
 
   #createContext(route: Route): DispatchContext {
-    const { clock, log, metrics, poison, eventLoop, pool, fleetKey } = this.options;
+    const { clock, log, metrics, poison, eventLoop, carryService } = this.options;
+    const { pool, fleetKey } = carryService;
     return {
       ...{ clock, log, metrics, poison, pool, fleetKey, counts: this.counts },
       readLateness: (since) => eventLoop.readLateness(since),
--- a/test/lessons.test.ts
+++ b/test/lessons.test.ts
@@ -254,14 +254,16 @@
         scheduleAfterIteration: () => undefined,
       },
       onInvariantViolation: () => undefined,
-      pool: new CarrierPool({
-        ...{ clock, random, domain: 'd', port: 1 },
-        ...{ findRegion: () => undefined, listHomes: () => [], listAll: () => [] },
-      }),
-      fleetKey: new FleetKey({
-        ...{ store: createKvStore({ host: '127.0.0.1', port: 1 }, 100), clock, random, log },
-        ...{ isFirstStart: true, isWriter: () => false },
-      }),
+      carryService: {
+        pool: new CarrierPool({
+          ...{ clock, random, domain: 'd', port: 1 },
+          ...{ findRegion: () => undefined, listHomes: () => [], listAll: () => [] },
+        }),
+        fleetKey: new FleetKey({
+          ...{ store: createKvStore({ host: '127.0.0.1', port: 1 }, 100), clock, random, log },
+          ...{ isFirstStart: true, isWriter: () => false },
+        }),
+      },
       poison: new PoisonRegistry({
         ...{ clock, log, metrics, mayRunTrials: () => true, send: () => undefined },
       }),
