Carrying: one check of whether a body can be sent again, one request for a carrier

No change of behaviour, found by reading the change again: the check of the body stood three times, in forwarding and twice in carrying; the request for a carrier and the reason unauthorised twice. A contact with a target, which every answer is, looks at the clock once.

--- a/src/gateway/carrying/carried-terms.ts
+++ b/src/gateway/carrying/carried-terms.ts
@@ -9,6 +9,9 @@
 /** The header of a carried call. A caller's header of that name has no effect and is dropped. */
 export const CARRIED_HEADER = 'Orchidbeam-Carried';
 
+/** What anybody but a daemon of this fleet is told. */
+export const UNAUTHORISED_REASON = 'unauthorised';
+
 /** The terms of a carried call. */
 export interface CarriedTerms {
   /** The service that the first daemon has chosen for it. */
--- a/src/gateway/carrying/carry-service.ts
+++ b/src/gateway/carrying/carry-service.ts
@@ -4,7 +4,12 @@
 import type { Roster } from '../../peering/index.js';
 import { HEADERS, type KvStore, readHeader } from '../../platform/index.js';
 import { type LocalAnswer, writeLocalAnswer } from '../requests/answers.js';
-import { CARRIED_HEADER, type CarriedTerms, checkCarriedHeader } from './carried-terms.js';
+import {
+  CARRIED_HEADER,
+  type CarriedTerms,
+  UNAUTHORISED_REASON,
+  checkCarriedHeader,
+} from './carried-terms.js';
 import { CarrierPool } from './carrier-pool.js';
 import { FleetKey } from './fleet-key.js';
 
@@ -34,7 +39,7 @@
 }
 
 /** What anybody but a daemon gets. */
-const NOT_A_DAEMON: LocalAnswer = { kind: 'bad-request', status: 403, reason: 'unauthorised' };
+const NOT_A_DAEMON: LocalAnswer = { kind: 'bad-request', status: 403, reason: UNAUTHORISED_REASON };
 
 /** Carrying in both directions. */
 export class CarryService {
--- a/src/gateway/carrying/carrying.ts
+++ b/src/gateway/carrying/carrying.ts
@@ -14,6 +14,7 @@
   MAX_REPEATABLE_IDLE_MS,
   MAX_UNSAFE_IDLE_MS,
   MIN_FAILURE_STATUS,
+  isResendable,
 } from '../requests/attempt.js';
 import type { CallProgress } from '../requests/call-progress.js';
 import type { ForwardingCounts, RoutedRequest } from '../requests/forwarding.js';
@@ -23,8 +24,8 @@
   type RunningCarriedAttempt,
   startCarriedAttempt,
 } from './carried-attempt.js';
-import { CARRIED_HEADER, composeCarriedHeader } from './carried-terms.js';
-import type { Carrier, CarrierPool } from './carrier-pool.js';
+import { CARRIED_HEADER, UNAUTHORISED_REASON, composeCarriedHeader } from './carried-terms.js';
+import type { Carrier, CarrierPool, CarrierRequest } from './carrier-pool.js';
 import type { FleetKey } from './fleet-key.js';
 
 /** Dependencies of carrying. */
@@ -59,8 +60,6 @@
 /** For long calls, that time is this many times the expected one. */
 const PATIENCE_FACTOR = 6;
 
-const REJECTED_REASON = 'unauthorised';
-
 /** One call that other daemons carry. */
 export class Carrying {
   readonly #log: RequestLog;
@@ -91,11 +90,10 @@
   /** Has the call carried until it is answered or no carrier is left. */
   async run(): Promise<CarryingEnd> {
     const { pool, clock, counts } = this.context;
-    const { service, route, deadline } = this.request;
+    const { deadline } = this.request;
     while (this.#tried.size < MAX_CARRIERS) {
       if (deadline - clock.now() < MIN_ATTEMPT_TIME_MS) return this.#giveUp('timeout');
-      const request = { service: service.name, regions: route.regions, tried: this.#tried };
-      const carrier = pool.choose(request);
+      const carrier = pool.choose(this.#createCarrierRequest());
       const key = this.context.fleetKey.value;
       if (carrier === undefined || key === undefined) return 'returned';
       this.#tried.add(carrier.ip);
@@ -162,10 +160,13 @@
   }
 
   #mayMoveOn(): boolean {
-    const { service, route, body } = this.request;
-    if (body !== undefined && !Buffer.isBuffer(body)) return false;
-    const request = { service: service.name, regions: route.regions, tried: this.#tried };
-    return this.#tried.size < MAX_CARRIERS && this.context.pool.hasCarrier(request);
+    if (this.#isBodySpent() || this.#tried.size >= MAX_CARRIERS) return false;
+    return this.context.pool.hasCarrier(this.#createCarrierRequest());
+  }
+
+  #createCarrierRequest(): CarrierRequest {
+    const { service, route } = this.request;
+    return { service: service.name, regions: route.regions, tried: this.#tried };
   }
 
   /** Applies an outcome; returns whether the call is answered. */
@@ -183,7 +184,7 @@
       case 'returned':
         ledger.recordNotRun();
         pool.recordReturn(carrier, this.request.service.name);
-        if (outcome.reason === REJECTED_REASON) fleetKey.requestRefresh();
+        if (outcome.reason === UNAUTHORISED_REASON) fleetKey.requestRefresh();
         if (this.#isBodySpent()) this.#refuse('unreached', 0);
         return this.#isBodySpent();
       case 'not-connected':
@@ -222,8 +223,7 @@
 
   /** Whether the body was streamed, so that it can't be sent again. */
   #isBodySpent(): boolean {
-    const { body } = this.request;
-    return body !== undefined && !Buffer.isBuffer(body);
+    return !isResendable(this.request.body);
   }
 
   #forward({ answer }: Extract<CarriedOutcome, { readonly kind: 'answered' }>): void {
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -23,6 +23,11 @@
   readonly body: Buffer | Readable | undefined;
 }
 
+/** Whether a body can be sent again: a streamed one can't. */
+export function isResendable(body: OutgoingRequest['body']): boolean {
+  return body === undefined || Buffer.isBuffer(body);
+}
+
 /** How an attempt ended. */
 export type AttemptOutcome =
   | { readonly kind: 'answered'; readonly answer: TargetAnswer }
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -26,6 +26,7 @@
   MIN_FAILURE_STATUS,
   type RunningAttempt,
   type OutgoingRequest,
+  isResendable,
   startTargetAttempt,
 } from './attempt.js';
 import type { CallProgress } from './call-progress.js';
@@ -570,7 +571,7 @@
   #mayRepeat(): boolean {
     const { route, body } = this.request;
     if (this.options.progress.attemptCount >= route.maxAttempts) return false;
-    return body === undefined || Buffer.isBuffer(body);
+    return isResendable(body);
   }
 
   #scheduleHedgeCheck(): void {
--- a/src/gateway/targets/reach-monitor.ts
+++ b/src/gateway/targets/reach-monitor.ts
@@ -67,9 +67,9 @@
 
   /** Records that a target answered or accepted a connection. */
   recordContact(service: TargetService): void {
-    const { clock } = this.options;
-    const lostTime = service.reach.readLostTime(clock.now());
-    if (service.reach.recordContact(clock.now()) === 'regained') {
+    const now = this.options.clock.now();
+    const lostTime = service.reach.readLostTime(now);
+    if (service.reach.recordContact(now) === 'regained') {
       this.#handleRegained(service, lostTime);
     }
   }
