A carrier without the key reads it when a call needs it, instead of refusing the call

What callers saw: a streamed upload at a partitioned daemon got 503 although another daemon reached all targets.

Cause: the carrier had not read the fleet key. Daemons read it up to 2 s after their start; one that finds none reads again 2 s later, and the key may be written in between. A carried call in that time was rejected as unauthorised, the carrier avoided for 2 s, and a call whose body is streamed can't go to another one.

Fix: a carried call that can't be checked with the key known here waits for a read of it (250 ms at most), then is checked again. A daemon that wants to have a call carried and has no key reads it as well. Without a key 5 reads a second at most, only while calls need it; a known key is read again every 10 s at most, as before.

Ruled out: that the carrier found no target (targets.lost only at the partitioned daemon), slowness alone (the answer took 16 ms).

--- a/src/gateway/carrying/carry-service.ts
+++ b/src/gateway/carrying/carry-service.ts
@@ -36,8 +36,15 @@
     estimatedArrivalAt: number,
     terms: CarriedTerms,
   ) => void;
+  readonly onInvariantViolation: (error: Error) => void;
 }
 
+/**
+ * A call waits this long at most until the key is read that it is checked with: a carrier that has
+ * just started has read none yet, and a body that was streamed can't be sent to another one.
+ */
+const MAX_KEY_WAIT_MS = 250;
+
 /** What anybody but a daemon gets. */
 const NOT_A_DAEMON: LocalAnswer = { kind: 'bad-request', status: 403, reason: UNAUTHORISED_REASON };
 
@@ -63,14 +70,38 @@
 
   /** Serves a request to the port for carried calls, if it comes from a daemon. */
   handle(request: IncomingMessage, response: ServerResponse, estimatedArrivalAt: number): void {
-    const { log, serve } = this.options;
+    const { serve, onInvariantViolation } = this.options;
     const terms = this.#checkTerms(request);
     if (terms !== undefined) {
       serve(request, response, estimatedArrivalAt, terms);
       return;
     }
+    if (readHeader(request.headers, CARRIED_HEADER) === undefined) {
+      this.#reject(request, response);
+      return;
+    }
+    this.#handleWithNewKey(request, response, estimatedArrivalAt).catch(onInvariantViolation);
+  }
+
+  async #handleWithNewKey(
+    request: IncomingMessage,
+    response: ServerResponse,
+    estimatedArrivalAt: number,
+  ): Promise<void> {
+    const { clock, serve } = this.options;
+    await Promise.race([this.fleetKey.refresh(), clock.sleep(MAX_KEY_WAIT_MS)]);
+    const terms = this.#checkTerms(request);
+    if (terms === undefined) this.#reject(request, response);
+    else serve(request, response, estimatedArrivalAt, terms);
+  }
+
+  #reject(request: IncomingMessage, response: ServerResponse): void {
+    const { log } = this.options;
     this.rejected += 1;
-    log.warn('carry.rejected', { from: request.socket.remoteAddress, path: request.url });
+    log.warn('carry.rejected', {
+      ...{ from: request.socket.remoteAddress, path: request.url },
+      has_key: this.fleetKey.value !== undefined,
+    });
     response.shouldKeepAlive = false;
     writeLocalAnswer(response, '', NOT_A_DAEMON);
   }
@@ -81,9 +112,6 @@
     if (value === undefined || key === undefined) return undefined;
     const { method = '', url: path = '' } = request;
     const requestId = readHeader(request.headers, HEADERS.requestId) ?? '';
-    const line = { carrier: this.options.self, requestId, method, path };
-    const terms = checkCarriedHeader(key, line, value);
-    if (terms === undefined) this.fleetKey.requestRefresh();
-    return terms;
+    return checkCarriedHeader(key, { carrier: this.options.self, requestId, method, path }, value);
   }
 }
--- a/src/gateway/carrying/carrying.ts
+++ b/src/gateway/carrying/carrying.ts
@@ -184,7 +184,7 @@
       case 'returned':
         ledger.recordNotRun();
         pool.recordReturn(carrier, this.request.service.name);
-        if (outcome.reason === UNAUTHORISED_REASON) fleetKey.requestRefresh();
+        if (outcome.reason === UNAUTHORISED_REASON) fleetKey.refresh().catch(() => undefined);
         if (this.#isBodySpent()) this.#refuse('unreached', 0);
         return this.#isBodySpent();
       case 'not-connected':
--- a/src/gateway/carrying/fleet-key.ts
+++ b/src/gateway/carrying/fleet-key.ts
@@ -29,6 +29,9 @@
 /** Daemons that start together read the key within this time, not all at once. */
 const SPREAD_MS = 2000;
 
+/** Calls that need the key cause a read this often at most while the key is not known. */
+const MIN_READ_INTERVAL_MS = 200;
+
 /** A key that another daemon rejects, or that doesn't match, is read again this often at most. */
 const REFRESH_INTERVAL_MS = 10_000;
 
@@ -38,9 +41,9 @@
 export class FleetKey {
   #value: string | undefined;
 
-  #refreshedAt = -Infinity;
+  #readAt = -Infinity;
 
-  #isRefreshWanted = false;
+  #reading: Promise<void> | undefined;
 
   constructor(private readonly options: FleetKeyOptions) {}
 
@@ -49,10 +52,16 @@
     return this.#value;
   }
 
-  /** Reads the key again soon, because it did not match that of another daemon. */
-  requestRefresh(): void {
-    if (this.options.clock.now() - this.#refreshedAt < REFRESH_INTERVAL_MS) return;
-    this.#isRefreshWanted = true;
+  /**
+   * Reads the key, because a call needs it or it did not match that of another daemon. A key that is
+   * known is not read again if it was read lately. Resolves after the read; never rejects.
+   */
+  async refresh(): Promise<void> {
+    const age = this.options.clock.now() - this.#readAt;
+    if (this.#reading === undefined && this.#value !== undefined && age < REFRESH_INTERVAL_MS) {
+      return;
+    }
+    await this.#read(this.#value === undefined ? MIN_READ_INTERVAL_MS - age : 0);
   }
 
   /** Reads the key, or writes a missing one, until the signal aborts. */
@@ -61,16 +70,23 @@
     const spread = random.next() * SPREAD_MS;
     await clock.sleep(isFirstStart && !isWriter() ? FIRST_WRITE_MS + spread : spread, signal);
     while (!signal.aborted) {
-      if (this.#value === undefined || this.#isRefreshWanted) await this.#read();
+      if (this.#value === undefined) await this.#read(0);
       await clock.sleep(READ_INTERVAL_MS, signal);
     }
   }
 
-  async #read(): Promise<void> {
+  /** Reads the key after a delay, once for all that wait for it. */
+  async #read(delay: number): Promise<void> {
+    this.#reading ??= this.#readOrWrite(delay);
+    await this.#reading;
+    this.#reading = undefined;
+  }
+
+  async #readOrWrite(delay: number): Promise<void> {
     const { store, clock, log, isWriter } = this.options;
+    if (delay > 0) await clock.sleep(delay);
     const isKnown = this.#value !== undefined;
-    this.#refreshedAt = clock.now();
-    this.#isRefreshWanted = false;
+    this.#readAt = clock.now();
     const answer = await store.readItem(KEYS.fleetKey, !isKnown);
     if (answer.kind === 'item' && KEY_PATTERN.test(answer.item.text)) {
       this.#value = answer.item.text;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -367,6 +367,7 @@
       findRegion: (domain) => this.#findRegion(domain),
       serve: (request, response, cameAt, terms) =>
         this.#requestHandler.handle(request, response, cameAt, terms),
+      onInvariantViolation: (error: Error) => this.#fail(error),
     });
     this.#requestHandler = new RequestHandler({
       ...{ clock, random, log, targets: this.#targets, metrics: this.#metrics },
--- a/src/gateway/requests/call-dispatch.ts
+++ b/src/gateway/requests/call-dispatch.ts
@@ -84,10 +84,14 @@
     const { service, route } = this.request;
     const { connectionFailures, isExhausted, isCarriedInVain } = this.#progress;
     const { pool, fleetKey } = this.context;
-    const hasCarrier = () =>
-      !isCarriedInVain &&
-      fleetKey.value !== undefined &&
-      pool.hasCarrier({ service: service.name, regions: route.regions, tried: new Set() });
+    const hasCarrier = () => {
+      if (isCarriedInVain) return false;
+      if (fleetKey.value === undefined) fleetKey.refresh().catch(() => undefined);
+      return (
+        fleetKey.value !== undefined &&
+        pool.hasCarrier({ service: service.name, regions: route.regions, tried: new Set() })
+      );
+    };
     return chooseCallPath({
       ...{ isReached: service.isReached, connectionFailures, isExhausted, hasCarrier },
       isCarried: this.origin.isCarried,
--- a/test/carrying.test.ts
+++ b/test/carrying.test.ts
@@ -7,6 +7,7 @@
   composeCarriedHeader,
 } from '../src/gateway/carrying/carried-terms.js';
 import { createSeededRandom } from '../src/kernel/index.js';
+import { KEYS } from '../src/platform/index.js';
 import { HOST, type RecordingTarget } from '../src/standin/index.js';
 import { type CallerRequest, Site, callersPort, sendTo } from './helpers/gateways.js';
 
@@ -267,6 +268,30 @@
     expect(Number(reply.headers['retry-after'])).to.be.greaterThan(0);
   }).timeout(15_000);
 
+  // Guards against refusing calls because their carrier has just started and has read no key yet.
+  it('is accepted by a carrier that could not read the key before', async () => {
+    const key = 'ab'.repeat(32);
+    site.store.put(KEYS.fleetKey, key);
+    const { ip, gateway } = site.createGateway();
+    site.hideFleetKey(ip, true);
+    await gateway.start();
+    await wait(SETTLE_MS);
+    site.hideFleetKey(ip, false);
+    const header = composeCarriedHeader(
+      key,
+      { carrier: ip, requestId: 'early', method: 'POST', path: '/post/1' },
+      {
+        ...{ service: 'alpha', caller: '127.0.0.1', aimLeft: 1000, attempts: 0 },
+        ...{ isCounted: false, isPaid: false },
+      },
+    );
+    const reply = await sendTo(ip, {
+      ...{ ...POST, id: 'early', port: CARRY_PORT, headers: { 'orchidbeam-carried': header } },
+    });
+    expect(reply.status).to.equal(200);
+    expect(listEvents(ip, 'carry.rejected')).to.deep.equal([]);
+  }).timeout(15_000);
+
   it('comes from a daemon: nobody else is let in', async () => {
     await startDaemons(2);
     const valid = composeCarriedHeader(
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -77,6 +77,8 @@
 
   readonly #cutOff = new Set<string>();
 
+  readonly #keyless = new Set<string>();
+
   readonly #targetNetworks = new Map<string, TargetNetwork>();
 
   /** Setting `probes_per_second` of daemons that are created from now on. */
@@ -120,12 +122,21 @@
     this.#cutOff.add(ip);
   }
 
+  /** Sets whether a gateway finds no fleet key in the store. */
+  hideFleetKey(ip: string, isHidden: boolean): void {
+    if (isHidden) this.#keyless.add(ip);
+    else this.#keyless.delete(ip);
+  }
+
   #createStore(ip: string, address: Address, timeout: number): KvStore {
     const store = createKvStore(address, timeout);
     const cut = { kind: 'unknown', reason: 'cut' } as const;
     const pass = async <T>(call: Promise<T>) => ((await call, this.#cutOff.has(ip)) ? cut : call);
     return {
-      readItem: (key, stale) => pass(store.readItem(key, stale)),
+      readItem: (key, stale) =>
+        key === KEYS.fleetKey && this.#keyless.has(ip)
+          ? Promise.resolve({ kind: 'absent' })
+          : pass(store.readItem(key, stale)),
       readItems: (prefix, after, stale) => pass(store.readItems(prefix, after, stale)),
       watch: (prefix, after, wait) => pass(store.watch(prefix, after, wait)),
       write: (write) => pass(store.write(write)),
