Whether a target has ended is confirmed by targets of several services

What was wrong: when a target refuses a connection, three others are tried, to tell its end from a partition. They were all of the first service in the list. Targets of every service were listed for each refused connection, too.

Fix: one target of each of three services, from a random service on; more of one service only where there are fewer services. Listing stops at three.

--- a/src/gateway/targets/reach-monitor.ts
+++ b/src/gateway/targets/reach-monitor.ts
@@ -33,6 +33,12 @@
 /** Other targets that are tried when one has refused a connection. */
 const MAX_CONFIRMING_TARGETS = 3;
 
+/** Draws a first item; returns all items in their order, beginning with it. */
+function drawRotation<T>(items: readonly T[], random: Random): readonly T[] {
+  const start = Math.floor(random.next() * items.length);
+  return [...items.slice(start), ...items.slice(0, start)];
+}
+
 /** Monitors the connections of one daemon. */
 export class ReachMonitor {
   /** Since when calls of a service have been in flight without a break. */
@@ -95,15 +101,25 @@
    * that a target has ended only if this daemon reaches others; without any others it has to do.
    */
   async confirmReach(refusing: GatewayTarget): Promise<boolean> {
-    const others = this.options
-      .listServices()
-      .flatMap((service) => this.#drawTargets(service, MAX_CONFIRMING_TARGETS, refusing))
-      .slice(0, MAX_CONFIRMING_TARGETS);
+    const others = this.#drawConfirmingTargets(refusing);
     if (others.length === 0) return true;
     const states = await Promise.all(others.map((target) => target.connections.checkListening()));
     return states.includes('somebody');
   }
 
+  /** Draws targets of several services, if possible: those of one service may all have ended. */
+  #drawConfirmingTargets(refusing: GatewayTarget): readonly GatewayTarget[] {
+    const services = drawRotation(this.options.listServices(), this.options.random);
+    const drawn = new Set<GatewayTarget>();
+    for (const count of [1, MAX_CONFIRMING_TARGETS]) {
+      for (const service of services) {
+        if (drawn.size >= MAX_CONFIRMING_TARGETS) break;
+        for (const target of this.#drawTargets(service, count, refusing)) drawn.add(target);
+      }
+    }
+    return [...drawn].slice(0, MAX_CONFIRMING_TARGETS);
+  }
+
   /** Schedules checks of all services when another daemon has lost its targets. */
   #observePeers(): void {
     const { clock, random, listServices, countPartitionedPeers } = this.options;
@@ -167,8 +183,7 @@
     const usable = [...service.targets.values()].filter(
       (target) => target.isUsable && target !== excluded,
     );
-    const start = Math.floor(this.options.random.next() * usable.length);
-    return [...usable.slice(start), ...usable.slice(0, start)].slice(0, count);
+    return drawRotation(usable, this.options.random).slice(0, count);
   }
 
   #requestChecks(services: readonly TargetService[]): void {
