A long answer ends at its target when its caller leaves

What was wrong: an answer of more than 256 KB is passed on as a stream.

Fix: when the response to the caller closes before the answer has ended, the stream from the target is destroyed, which closes the connection. A carrier does the same for its own.

Evidence: "closes the connection to the target when the caller leaves during a long answer" (gateway.test.ts) and "ends at its target soon after its caller has left during a long answer" (carrying.test.ts) failed before: no target saw a close within 450 and 400 ms.

--- a/src/gateway/requests/answers.ts
+++ b/src/gateway/requests/answers.ts
@@ -1,5 +1,5 @@
 /** Writes answers to callers: those that the gateway generates itself and those of targets. */
-import type { ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { listPairs } from '../../proxy/headers.js';
 import { HEADERS } from '../../platform/index.js';
 import type { TargetAnswer } from './answer-reader.js';
@@ -61,6 +61,24 @@
   response.end(body);
 }
 
+/** Forwards the remainder of an answer; ends the other side when one side breaks off. */
+function forwardRest(response: ServerResponse, rest: IncomingMessage): void {
+  const endRest = () => {
+    if (!rest.readableEnded) rest.destroy();
+  };
+  if (response.destroyed) {
+    endRest();
+    return;
+  }
+  response.once('close', endRest);
+  rest.on('aborted', () => response.destroy());
+  rest.on('error', () => response.destroy());
+  rest.on('end', () => {
+    if (!rest.complete) response.destroy();
+  });
+  rest.pipe(response);
+}
+
 /** Forwards a target's answer unchanged, except for headers that apply to its connection only. */
 export function forwardAnswer(response: ServerResponse, answer: TargetAnswer): void {
   const headers: string[] = [];
@@ -86,10 +104,5 @@
   }
   response.writeHead(status, headers);
   response.write(body);
-  rest.on('aborted', () => response.destroy());
-  rest.on('error', () => response.destroy());
-  rest.on('end', () => {
-    if (!rest.complete) response.destroy();
-  });
-  rest.pipe(response);
+  forwardRest(response, rest);
 }
--- a/test/carrying.test.ts
+++ b/test/carrying.test.ts
@@ -8,7 +8,7 @@
 } from '../src/gateway/carrying/carried-terms.js';
 import { createSeededRandom } from '../src/kernel/index.js';
 import { KEYS } from '../src/platform/index.js';
-import { HOST, type RecordingTarget } from '../src/standin/index.js';
+import { type Behaviour, HOST, type RecordingTarget } from '../src/standin/index.js';
 import { type CallerRequest, Site, callersPort, sendTo } from './helpers/gateways.js';
 
 /** The port for carried calls, next to that for the exchange of state. */
@@ -202,20 +202,34 @@
     expect(received).to.deep.equal([body.length]);
   }).timeout(15_000);
 
-  it('ends at its target soon after its caller has left', async () => {
-    await startDaemons(2);
-    setBehaviour((request) => request.resume());
-    const controller = new AbortController();
-    const sent = sendTo(cut, { ...READ, id: 'left', signal: controller.signal }).catch(
-      () => undefined,
-    );
-    await wait(200);
-    expect(listRuns()).to.deep.equal(['left']);
-    controller.abort();
-    await sent;
-    await wait(400);
-    expect(targets.flatMap(({ cancelled }) => cancelled)).to.include('left');
-  }).timeout(15_000);
+  const beginLongAnswer: Behaviour = (request, response) => {
+    request.resume();
+    response.writeHead(200, {
+      ...{ 'server-signature': 's', 'content-length': 2 * MEGABYTE },
+      'attempt-id': request.headers['attempt-id'],
+    });
+    response.write(Buffer.alloc(MEGABYTE, 'a'));
+  };
+  const stages: readonly (readonly [string, Behaviour])[] = [
+    ['before the answer', (request) => request.resume()],
+    ['during a long answer', beginLongAnswer],
+  ];
+  for (const [stage, behaviour] of stages) {
+    it(`ends at its target soon after its caller has left ${stage}`, async () => {
+      await startDaemons(2);
+      setBehaviour(behaviour);
+      const controller = new AbortController();
+      const sent = sendTo(cut, { ...READ, id: 'left', signal: controller.signal }).catch(
+        () => undefined,
+      );
+      await wait(200);
+      expect(listRuns()).to.deep.equal(['left']);
+      controller.abort();
+      await sent;
+      await wait(400);
+      expect(targets.flatMap(({ cancelled }) => cancelled)).to.include('left');
+    }).timeout(15_000);
+  }
 
   it('that may not be repeated runs once when its carrier ends half way', async () => {
     await startDaemons(3);
@@ -332,13 +346,8 @@
     site.partition(cut, 'none');
     await wait(FOUND_MS);
     setBehaviour((request, response) => {
-      request.resume();
-      if (request.method === 'GET') return;
-      response.writeHead(200, {
-        ...{ 'server-signature': 's', 'content-length': 2 * MEGABYTE },
-        'attempt-id': request.headers['attempt-id'],
-      });
-      response.write(Buffer.alloc(MEGABYTE, 'a'));
+      if (request.method === 'GET') request.resume();
+      else beginLongAnswer(request, response);
     });
     for (const target of targets) target.ran.splice(0);
     const sent = sendTo(cut, { ...POST, id: 'begun' }).catch(() => undefined);
@@ -355,12 +364,7 @@
   it('keeps its answer whole: one that breaks off does not look complete', async () => {
     await startDaemons(2);
     setBehaviour((request, response) => {
-      request.resume();
-      response.writeHead(200, {
-        ...{ 'server-signature': 's', 'content-length': 2 * MEGABYTE },
-        'attempt-id': request.headers['attempt-id'],
-      });
-      response.write(Buffer.alloc(MEGABYTE, 'a'));
+      beginLongAnswer(request, response);
       setTimeout(() => response.destroy(), 100);
     });
     const reply = await new Promise<'broken' | 'whole'>((resolve) => {
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -39,6 +39,17 @@
   }
 }
 
+/** Sends half of an answer that is too long to be buffered, and then nothing more. */
+const beginLongAnswer: Behaviour = (request, response) => {
+  const half = 1_048_576;
+  request.resume();
+  response.writeHead(200, {
+    ...{ 'server-signature': 's', 'content-length': 2 * half },
+    'attempt-id': request.headers['attempt-id'],
+  });
+  response.write(Buffer.alloc(half, 'a'));
+};
+
 describe('the gateway daemon', () => {
   let site: Site;
   let ip: string;
@@ -258,6 +269,18 @@
         'the target sees its connection close',
       );
     });
+    // Guards against a target that goes on sending an answer which nobody receives any more.
+    it('closes the connection to the target when the caller leaves during a long answer', async () => {
+      for (const target of site.targets) target.behaviour = beginLongAnswer;
+      const leaving = new AbortController();
+      const gone = sendTo(ip, { signal: leaving.signal }).catch(() => 'gone');
+      await waitUntil(() => countRuns() > 0, 'the request is at a target');
+      await pause(200);
+      leaving.abort();
+      await gone;
+      await pause(450);
+      expect(site.targets.flatMap(({ cancelled }) => cancelled)).to.have.length(1);
+    });
     // Guards against a request being written to a new connection before the caller's close, read in
     // the same event-loop iteration, was handled.
     it('sends nothing for a caller that left while the connection to the target was being opened', async () => {
