Soak: daemons are partitioned from all targets

The soak cut targets, the store and processes, never one daemon from all targets, which is the fault of the incident: its targets have one address for all daemons, and a proxy in front of a target accepts connections, which a partition does not.

The soak's first daemon runs the product's own bundle and is never partitioned.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,9 +1,10 @@
-// Bundles the gateway daemon into one file: loading many files costs a starting daemon its first second.
+// Bundles the gateway daemon, and its variant for soaks, into one file each: loading many files costs a starting daemon its first second.
 import { build } from 'esbuild';
 
 await build({
-  entryPoints: ['src/bin/gateway.ts'],
-  outfile: 'target/gateway.cjs',
+  entryPoints: ['src/bin/gateway.ts', 'src/bin/soak-gateway.ts'],
+  outdir: 'target',
+  outExtension: { '.js': '.cjs' },
   bundle: true,
   platform: 'node',
   target: 'node20',
--- a/src/soak/daemon-process.ts
+++ b/src/soak/daemon-process.ts
@@ -3,6 +3,7 @@
 import { writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
 import { type Address, formatAddress } from '../kernel/index.js';
+import type { PartitionFault } from './target-network.js';
 
 /** Ports of every daemon; each daemon listens on its own loopback address. */
 export const DAEMON_PORTS = {
@@ -22,6 +23,8 @@
   readonly cores: number;
   /** Directory in which its settings file is written. */
   readonly directory: string;
+  /** Whether it can be partitioned from all targets; otherwise it runs the product's own bundle. */
+  readonly isPartitionable?: boolean;
   /** Lines of the `[promises]` section, shared by all daemons. */
   readonly promiseSettings: readonly string[];
 }
@@ -37,6 +40,8 @@
 
   #isFrozen = false;
 
+  #fault: PartitionFault = 'none';
+
   readonly #file: string;
 
   /** @param onExit called with the exit code when the process ends other than by a signal */
@@ -66,9 +71,13 @@
   /** Starts the process unless it runs or was closed. */
   start(): void {
     if (this.#isClosed || this.#child !== undefined) return;
-    const program = ['target/gateway.cjs', '--settings', this.#file];
-    const child = spawn(process.execPath, program, { stdio: ['ignore', 'ignore', 'inherit'] });
+    const { isPartitionable = false } = this.options;
+    const bundle = isPartitionable ? 'target/soak-gateway.cjs' : 'target/gateway.cjs';
+    const child = spawn(process.execPath, [bundle, '--settings', this.#file], {
+      stdio: ['ignore', 'ignore', 'inherit', ...(isPartitionable ? (['ipc'] as const) : [])],
+    });
     this.#child = child;
+    this.#sendFault();
     child.once('exit', (code) => {
       this.#child = undefined;
       this.#isFrozen = false;
@@ -77,6 +86,12 @@
     });
   }
 
+  /** Sets the fault between the daemon and all targets, if it can be partitioned. */
+  partition(fault: PartitionFault): void {
+    this.#fault = fault;
+    this.#sendFault();
+  }
+
   /** Sends SIGTERM, as the platform does before planned maintenance. */
   stop(): void {
     this.#child?.kill('SIGTERM');
@@ -105,6 +120,12 @@
     this.kill();
   }
 
+  #sendFault(): void {
+    const child = this.#child;
+    // A process that ends meanwhile is told of the fault when it has started again.
+    if (child?.connected === true) child.send(this.#fault, () => undefined);
+  }
+
   #composeSettings(): string {
     const { ip, domain, seeds, store, cores, promiseSettings } = this.options;
     return [
--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -5,6 +5,7 @@
 import { type Random, pickItem } from '../kernel/index.js';
 import type { Fault } from '../standin/index.js';
 import type { LinkFault } from './link.js';
+import { PARTITION_FAULTS, type PartitionFault } from './target-network.js';
 
 /**
  * One event of a plan. `at` and `lasts` are in milliseconds; daemons and targets are given by their
@@ -24,6 +25,13 @@
       readonly fault: LinkFault;
       readonly lasts: number;
     }
+  /** The daemon reaches no target, while everything else reaches the daemon. */
+  | {
+      readonly kind: 'partition';
+      readonly daemon: number;
+      readonly fault: PartitionFault;
+      readonly lasts: number;
+    }
   | { readonly kind: 'stop' | 'kill'; readonly daemon: number }
   | { readonly kind: 'freeze'; readonly daemon: number; readonly lasts: number }
   | { readonly kind: 'configure' }
@@ -63,6 +71,9 @@
 const LATE_DRAIN_PROBABILITY = 0.5;
 const MAX_DRAIN_DELAY_MS = 8000;
 
+/** So many daemons, the first ones, run the product's own bundle, which can't be partitioned. */
+export const UNPARTITIONABLE_DAEMONS = 1;
+
 /** Longest back-off, in seconds. */
 const MAX_BACKOFF_S = 3;
 
@@ -107,6 +118,8 @@
         'drain',
         'drain',
         'reject',
+        'partition',
+        'partition',
       ] as const),
     ],
     random,
@@ -133,6 +146,12 @@
         target,
         toldAfter: random.next() < LATE_DRAIN_PROBABILITY ? MAX_DRAIN_DELAY_MS * random.next() : 0,
       };
+    case 'partition':
+      return {
+        ...{ at, kind, fault: pickItem(PARTITION_FAULTS, random), lasts },
+        daemon:
+          UNPARTITIONABLE_DAEMONS + Math.floor(random.next() * (daemons - UNPARTITIONABLE_DAEMONS)),
+      };
     case 'reject':
       return { at, kind, target, lasts, backoff: MAX_BACKOFF_S * random.next() };
     default:
--- a/src/soak/run.ts
+++ b/src/soak/run.ts
@@ -11,7 +11,7 @@
 import { Caller } from './caller.js';
 import { DaemonProcess } from './daemon-process.js';
 import { Link } from './link.js';
-import { type SoakEvent, type SoakSize, drawPlan } from './plan.js';
+import { type SoakEvent, type SoakSize, UNPARTITIONABLE_DAEMONS, drawPlan } from './plan.js';
 import { type PromisedLimits, type Violation, SoakChecker, composeBody } from './checker.js';
 
 /** Options of a soak. */
@@ -209,6 +209,7 @@
         ...{ ip, domain: `d${index % 3}`, seeds: ips.slice(0, 3), store: await link.start() },
         cores: 0.5,
         directory: this.#settingsDirectory,
+        isPartitionable: index >= UNPARTITIONABLE_DAEMONS,
         promiseSettings: [
           ...[`grace = ${GRACE_S}`, 'answer_ttl = 5', `retry_ratio = ${LIMITS.retryRatio}`],
           ...[`retry_window = ${LIMITS.retryWindow / 1000}`],
@@ -245,6 +246,12 @@
         this.#scheduleFaultEnd(event.lasts, () => link.setFault({ kind: 'none' }));
         return;
       }
+      case 'partition': {
+        const daemon = this.#daemons[event.daemon];
+        daemon.partition(event.fault);
+        this.#scheduleFaultEnd(event.lasts, () => daemon.partition('none'));
+        return;
+      }
       case 'stop':
         if (!this.#daemons[event.daemon].isRunning) return;
         this.#checker.recordStop(event.daemon, now);
--- a/test/helpers/target-network.ts
+++ b/src/soak/target-network.ts
@@ -1,21 +1,24 @@
 /** The network between one gateway and all targets, which can be partitioned in several ways. */
 import net from 'node:net';
-import { type Address, formatAddress, openTcpSocket } from '../../src/kernel/index.js';
-import { Link, type LinkFault } from '../../src/soak/link.js';
+import { type Address, formatAddress, openTcpSocket } from '../kernel/index.js';
+import { Link, type LinkFault } from './link.js';
 
-/** A fault between one gateway and all targets. */
-export type PartitionFault =
-  | 'none'
+/** The faults between one gateway and all targets. */
+export const PARTITION_FAULTS = [
   /** Nothing gets through: open connections go silent, new ones hang. */
-  | 'silent'
+  'silent',
   /** Open connections are reset, new ones hang. */
-  | 'reset'
+  'reset',
   /** Open connections are reset, new ones refused. */
-  | 'refused'
+  'refused',
   /** What targets send does not get through. */
-  | 'one-way'
+  'one-way',
   /** Open connections live on, new ones are refused. */
-  | 'new-refused';
+  'new-refused',
+] as const;
+
+/** A fault between one gateway and all targets, or none. */
+export type PartitionFault = 'none' | (typeof PARTITION_FAULTS)[number];
 
 /** How new connections behave. */
 const NEW_CONNECTIONS: Readonly<Record<PartitionFault, 'open' | 'hang' | 'refuse'>> = {
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -19,7 +19,6 @@
 import { Gateway, checkGatewaySettings } from '../../src/gateway/index.js';
 import { KEYS, type KvStore, createKvStore, kvStoreService } from '../../src/platform/index.js';
 import { KvServer } from '../../src/standin/index.js';
-import { type PartitionFault, TargetNetwork } from './target-network.js';
 import {
   HOST,
   type RuleOptions,
@@ -29,6 +28,7 @@
   writeConfiguration,
   writeTarget,
 } from '../../src/standin/index.js';
+import { type PartitionFault, TargetNetwork } from '../../src/soak/target-network.js';
 
 const PORTS = { callers: 18_144, readiness: 18_140, directory: 18_143, peers: 18_160 };
 
--- a/test/partition.test.ts
+++ b/test/partition.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import { Site, askDirectory, sendTo } from './helpers/gateways.js';
-import type { PartitionFault } from './helpers/target-network.js';
+
+import type { PartitionFault } from '../src/soak/target-network.js';
 
 const DOMAINS = ['d1', 'd2', 'd3'] as const;
 const DAEMONS = 6;
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -211,6 +211,11 @@
     expect(draw(5)).to.not.deep.equal(draw(6));
     expect(new Set(draw(5).map(({ kind }) => kind)).size).to.be.at.least(6);
   });
+  it('partitions daemons that can be partitioned', () => {
+    const plan = drawPlan(createSeededRandom(5), { ...size, duration: 600_000 });
+    const daemons = plan.flatMap((event) => (event.kind === 'partition' ? [event.daemon] : []));
+    expect([...new Set(daemons)].sort()).to.deep.equal([1, 2]);
+  });
   // Guards against a fleet that refuses what it could serve, because of stored estimates.
   it('that ends with the loss of all daemons sees service again in time', async () => {
     const report = await runSoak({ ...size, ...{ seed: 4, callers: 8, endsWithLossOfAll: true } });
