--- a/src/gateway/carrying/carried-attempt.ts
+++ b/src/gateway/carrying/carried-attempt.ts
@@ -1,9 +1,8 @@
 /** One attempt to have a call carried by another daemon, and its exact outcome. */
-import http from 'node:http';
-import type { IncomingMessage } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
 import { HEADERS, readHeader } from '../../platform/index.js';
 import { type TargetAnswer, readAnswer } from '../requests/answer-reader.js';
-import type { OutgoingRequest } from '../requests/attempt.js';
+import { type OutgoingRequest, sendRequest } from '../requests/attempt.js';
 import { type TargetConnection, parseIdleLimit } from '../targets/connections.js';
 import type { Carrier } from './carrier-pool.js';
 
@@ -74,7 +73,7 @@
 }
 
 class CarriedAttempt implements RunningCarriedAttempt {
-  #request: http.ClientRequest | undefined;
+  #request: ClientRequest | undefined;
 
   #isSettled = false;
 
@@ -116,18 +115,12 @@
   }
 
   #sendRequest(connection: TargetConnection): void {
-    const { method, path, headers, body } = this.outgoing;
-    const request = http.request({
-      ...{ agent: connection.agent, method, path, setHost: false },
-      headers: headers as unknown as http.OutgoingHttpHeaders,
-    });
+    const request = sendRequest(connection, this.outgoing);
     this.#request = request;
     request.on('error', (error: NodeJS.ErrnoException) => {
       this.#settle({ kind: 'lost', reason: error.code ?? error.message });
     });
     request.on('response', (response) => this.#handleResponse(response, connection));
-    if (body === undefined || Buffer.isBuffer(body)) request.end(body);
-    else body.pipe(request);
   }
 
   #handleResponse(response: IncomingMessage, connection: TargetConnection): void {
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -75,6 +75,20 @@
 /** Answers with this status or a higher one count as failures of the target. */
 export const MIN_FAILURE_STATUS = 500;
 
+/** Sends a request with its body over a connection; the caller listens for answer and errors. */
+export function sendRequest(
+  { agent }: TargetConnection,
+  { method, path, headers, body }: OutgoingRequest,
+): http.ClientRequest {
+  const request = http.request({
+    ...{ agent, method, path, setHost: false },
+    headers: headers as unknown as http.OutgoingHttpHeaders,
+  });
+  if (body === undefined || Buffer.isBuffer(body)) request.end(body);
+  else body.pipe(request);
+  return request;
+}
+
 class TargetAttempt implements RunningAttempt {
   #request: http.ClientRequest | undefined;
 
@@ -149,18 +163,12 @@
   }
 
   #sendRequest(connection: TargetConnection): void {
-    const { method, path, headers, body } = this.outgoing;
-    const request = http.request({
-      ...{ agent: connection.agent, method, path, setHost: false },
-      headers: headers as unknown as http.OutgoingHttpHeaders,
-    });
+    const request = sendRequest(connection, this.outgoing);
     this.#request = request;
     request.on('error', (error: NodeJS.ErrnoException) => {
       this.#settleLost(error.code ?? error.message);
     });
     request.on('response', (response) => this.#handleResponse(response, connection));
-    if (body === undefined || Buffer.isBuffer(body)) request.end(body);
-    else body.pipe(request);
   }
 
   #handleResponse(response: IncomingMessage, connection: TargetConnection): void {
