Fleet key: a read clears itself when it ends

Each of the calls that waited for a read cleared it, which was right only by the order of their continuations. Behaviour unchanged; test/fleet-key.test.ts passes.

--- a/src/gateway/carrying/fleet-key.ts
+++ b/src/gateway/carrying/fleet-key.ts
@@ -77,9 +77,10 @@
 
   /** Reads the key after a delay, once for all that wait for it. */
   async #read(delay: number): Promise<void> {
-    this.#reading ??= this.#readOrWrite(delay);
+    this.#reading ??= this.#readOrWrite(delay).finally(() => {
+      this.#reading = undefined;
+    });
     await this.#reading;
-    this.#reading = undefined;
   }
 
   async #readOrWrite(delay: number): Promise<void> {
