Soak: partitions of a single daemon name that daemon

Found by reading the change. The plan now stays within the daemons; plans with two and more are as before. The new case of soak.test.ts failed before: events for daemons 1 and 0, expected 0 only.

--- a/src/soak/plan.ts
+++ b/src/soak/plan.ts
@@ -146,12 +146,12 @@
         target,
         toldAfter: random.next() < LATE_DRAIN_PROBABILITY ? MAX_DRAIN_DELAY_MS * random.next() : 0,
       };
-    case 'partition':
-      return {
-        ...{ at, kind, fault: pickItem(PARTITION_FAULTS, random), lasts },
-        daemon:
-          UNPARTITIONABLE_DAEMONS + Math.floor(random.next() * (daemons - UNPARTITIONABLE_DAEMONS)),
-      };
+    case 'partition': {
+      const fault = pickItem(PARTITION_FAULTS, random);
+      const partitionable = Math.max(0, daemons - UNPARTITIONABLE_DAEMONS);
+      const drawn = UNPARTITIONABLE_DAEMONS + Math.floor(random.next() * partitionable);
+      return { at, kind, fault, lasts, daemon: Math.min(drawn, daemons - 1) };
+    }
     case 'reject':
       return { at, kind, target, lasts, backoff: MAX_BACKOFF_S * random.next() };
     default:
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -216,6 +216,12 @@
     const daemons = plan.flatMap((event) => (event.kind === 'partition' ? [event.daemon] : []));
     expect([...new Set(daemons)].sort()).to.deep.equal([1, 2]);
   });
+  // Guards against an event for a daemon that does not exist.
+  it('of a single daemon has events for that one only', () => {
+    const plan = drawPlan(createSeededRandom(5), { ...size, daemons: 1, duration: 600_000 });
+    const daemons = plan.flatMap((event) => ('daemon' in event ? [event.daemon] : []));
+    expect([...new Set(daemons)]).to.deep.equal([0]);
+  });
   // Guards against a fleet that refuses what it could serve, because of stored estimates.
   it('that ends with the loss of all daemons sees service again in time', async () => {
     const report = await runSoak({ ...size, ...{ seed: 4, callers: 8, endsWithLossOfAll: true } });
