--- a/src/gateway/targets/load-exchange.ts
+++ b/src/gateway/targets/load-exchange.ts
@@ -199,8 +199,9 @@
     const now = this.options.clock.now();
     const reports: TargetLoadReport[] = [];
     for (const service of this.options.targets.listServices()) {
+      const { isReached } = service;
       for (const target of service.targets.values()) {
-        const inFlight = service.isReached ? target.load.inFlight : 0;
+        const inFlight = isReached ? target.load.inFlight : 0;
         const report = this.#createDueReport(target, inFlight, now);
         if (report !== undefined) reports.push(report);
       }
