One function ends requests without a target's answer; one finds the idle limit

Counting, logging and writing such an answer stood in four places, two of them added with carried calls; the idle limit of a connection by the kind of request stood in two. Behaviour unchanged: soak, refusals, carrying, fleet key and reach monitor tests pass (76).

--- a/src/gateway/carrying/carrying.ts
+++ b/src/gateway/carrying/carrying.ts
@@ -9,16 +9,12 @@
 import type { RouteTime } from '../../balance/index.js';
 import type { Clock, Log, TextMetrics, Timer } from '../../kernel/index.js';
 import { HEADERS } from '../../platform/index.js';
-import { type LocalAnswer, forwardAnswer, writeLocalAnswer } from '../requests/answers.js';
-import {
-  MAX_REPEATABLE_IDLE_MS,
-  MAX_UNSAFE_IDLE_MS,
-  MIN_FAILURE_STATUS,
-  isResendable,
-} from '../requests/attempt.js';
+import { forwardAnswer } from '../requests/answers.js';
+import { MIN_FAILURE_STATUS, findMaxIdle, isResendable } from '../requests/attempt.js';
 import type { CallProgress } from '../requests/call-progress.js';
 import type { ForwardingCounts, RoutedRequest } from '../requests/forwarding.js';
 import { RequestLog } from '../requests/request-log.js';
+import { type UnservedAnswer, sendUnservedAnswer } from '../requests/unserved-answer.js';
 import {
   type CarriedOutcome,
   type RunningCarriedAttempt,
@@ -130,7 +126,7 @@
     this.#running = startCarriedAttempt(
       carrier,
       { requestId, method, path, headers, body },
-      isRepeatable ? MAX_REPEATABLE_IDLE_MS : MAX_UNSAFE_IDLE_MS,
+      findMaxIdle(isRepeatable),
     );
     this.#scheduleCheck(this.#running, now);
     const outcome = await this.#running.done;
@@ -249,12 +245,12 @@
     this.#answer({ kind: 'not-run', reason, retryAfter });
   }
 
-  #answer(answer: LocalAnswer): void {
-    const { counts } = this.context;
-    if (answer.kind === 'not-run') counts.notRun += 1;
-    else counts.unknown += 1;
-    this.#log.logLocalAnswer(answer);
-    writeLocalAnswer(this.response, this.request.id, answer);
+  #answer(answer: UnservedAnswer): void {
+    const { request, response, context } = this;
+    sendUnservedAnswer(
+      { id: request.id, response, log: this.#log, counts: context.counts },
+      answer,
+    );
   }
 
   #logOutcome(carrier: Carrier, outcome: CarriedOutcome, took: number): void {
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -68,9 +68,12 @@
 }
 
 /** Longest idle time of a connection that may carry a request which must not run twice. */
-export const MAX_UNSAFE_IDLE_MS = 1500;
+const MAX_UNSAFE_IDLE_MS = 1500;
 
-export const MAX_REPEATABLE_IDLE_MS = Infinity;
+/** Finds the longest idle time of a connection that a request may use, in milliseconds. */
+export function findMaxIdle(isRepeatable: boolean): number {
+  return isRepeatable ? Infinity : MAX_UNSAFE_IDLE_MS;
+}
 
 /** Answers with this status or a higher one count as failures of the target. */
 export const MIN_FAILURE_STATUS = 500;
@@ -118,8 +121,8 @@
 
   async send(isRepeatable: boolean): Promise<void> {
     const { target } = this;
-    const maxIdleMs = isRepeatable ? MAX_REPEATABLE_IDLE_MS : MAX_UNSAFE_IDLE_MS;
-    const result = await target.connections.take(target.isReuseSafe ? maxIdleMs : -1);
+    const maxIdle = target.isReuseSafe ? findMaxIdle(isRepeatable) : -1;
+    const result = await target.connections.take(maxIdle);
     if (this.#isAborted) {
       if (result.kind === 'connected') result.connection.socket.emit('free');
       this.#settle({ kind: 'cancelled', isSent: false });
--- a/src/gateway/requests/call-dispatch.ts
+++ b/src/gateway/requests/call-dispatch.ts
@@ -5,10 +5,10 @@
 import type { ServerResponse } from 'node:http';
 import { type CallPath, chooseCallPath } from '../../balance/index.js';
 import { Carrying, type CarryingContext } from '../carrying/carrying.js';
-import { type LocalAnswer, writeLocalAnswer } from './answers.js';
 import { CallProgress } from './call-progress.js';
 import { Forwarding, type ForwardingContext, type RoutedRequest } from './forwarding.js';
 import { RequestLog } from './request-log.js';
+import { type UnservedAnswer, sendUnservedAnswer } from './unserved-answer.js';
 
 /** Dependencies of the dispatch. */
 export interface DispatchContext extends ForwardingContext, CarryingContext {}
@@ -115,15 +115,14 @@
   }
 
   #refuse(reason: 'unreached' | 'no-retry-left'): void {
-    const { counts, metrics } = this.context;
+    const { response, context } = this;
+    const { counts, metrics } = context;
     const { id, service } = this.request;
-    const answer: LocalAnswer = this.#progress.ledger.mayHaveRun
+    const answer: UnservedAnswer = this.#progress.ledger.mayHaveRun
       ? { kind: 'unknown', reason: 'lost' }
       : { kind: 'not-run', reason, retryAfter: UNREACHED_RETRY_AFTER_MS };
-    if (answer.kind === 'not-run') counts.notRun += 1;
-    else counts.unknown += 1;
     if (reason === 'unreached') metrics.count('calls_without_carrier', { service: service.name });
-    new RequestLog(this.context, this.request).logLocalAnswer(answer);
-    writeLocalAnswer(this.response, id, answer);
+    const log = new RequestLog(context, this.request);
+    sendUnservedAnswer({ id, response, log, counts }, answer);
   }
 }
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -20,7 +20,7 @@
 } from '../../balance/index.js';
 import { HEADERS } from '../../platform/index.js';
 import type { TargetAnswer } from './answer-reader.js';
-import { type LocalAnswer, forwardAnswer, writeLocalAnswer } from './answers.js';
+import { forwardAnswer } from './answers.js';
 import {
   type AttemptOutcome,
   MIN_FAILURE_STATUS,
@@ -31,6 +31,7 @@
 } from './attempt.js';
 import type { CallProgress } from './call-progress.js';
 import { type RefusalBasis, RequestLog } from './request-log.js';
+import { type UnservedAnswer, sendUnservedAnswer } from './unserved-answer.js';
 import type { PoisonRegistry } from './poison-registry.js';
 import type { RequestIdentity } from './request-identity.js';
 import type {
@@ -668,11 +669,12 @@
     };
   }
 
-  #sendLocalAnswer(answer: LocalAnswer, basis?: RefusalBasis): void {
-    const { counts } = this.context;
-    if (answer.kind === 'not-run') counts.notRun += 1;
-    else counts.unknown += 1;
-    this.#log.logLocalAnswer(answer, basis);
-    writeLocalAnswer(this.response, this.request.id, answer);
+  #sendLocalAnswer(answer: UnservedAnswer, basis?: RefusalBasis): void {
+    const { request, response, context } = this;
+    sendUnservedAnswer(
+      { id: request.id, response, log: this.#log, counts: context.counts },
+      answer,
+      basis,
+    );
   }
 }
--- a/src/gateway/requests/request-handler.ts
+++ b/src/gateway/requests/request-handler.ts
@@ -29,6 +29,7 @@
 import type { PoisonRegistry } from './poison-registry.js';
 import { RequestIdentity } from './request-identity.js';
 import { RequestLog } from './request-log.js';
+import { sendUnservedAnswer } from './unserved-answer.js';
 import type { TargetSet } from '../targets/target-set.js';
 
 /** Dependencies of the request handler. */
@@ -261,15 +262,14 @@
   /** Answers that the request would be started too late. */
   #refuse(response: ServerResponse, admitted: TimedRequest, wait: number): void {
     const answer = { kind: 'not-run', reason: 'busy', retryAfter: wait } as const;
-    this.counts.notRun += 1;
     const service = { name: admitted.service };
     const now = this.options.clock.now();
-    new RequestLog(this.options, { ...admitted, service }).logLocalAnswer(answer, {
+    const log = new RequestLog(this.options, { ...admitted, service });
+    sendUnservedAnswer({ id: admitted.id, response, log, counts: this.counts }, answer, {
       forecast: { turnIn: wait, slowdown: 1, hasFreeSlot: false },
       routeTime: this.#findRouteTime(admitted.route.name).describe(now),
       timeLeft: admitted.deadline - now,
     });
-    writeLocalAnswer(response, admitted.id, answer);
   }
 
   /**
