--- a/test/carrying.test.ts
+++ b/test/carrying.test.ts
@@ -9,7 +9,13 @@
 import { createSeededRandom } from '../src/kernel/index.js';
 import { KEYS } from '../src/platform/index.js';
 import { type Behaviour, HOST, type RecordingTarget } from '../src/standin/index.js';
-import { type CallerRequest, Site, callersPort, sendTo } from './helpers/gateways.js';
+import {
+  type CallerRequest,
+  Site,
+  beginLongAnswer,
+  callersPort,
+  sendTo,
+} from './helpers/gateways.js';
 
 /** The port for carried calls, next to that for the exchange of state. */
 const CARRY_PORT = 18_161;
@@ -202,14 +208,6 @@
     expect(received).to.deep.equal([body.length]);
   }).timeout(15_000);
 
-  const beginLongAnswer: Behaviour = (request, response) => {
-    request.resume();
-    response.writeHead(200, {
-      ...{ 'server-signature': 's', 'content-length': 2 * MEGABYTE },
-      'attempt-id': request.headers['attempt-id'],
-    });
-    response.write(Buffer.alloc(MEGABYTE, 'a'));
-  };
   const stages: readonly (readonly [string, Behaviour])[] = [
     ['before the answer', (request) => request.resume()],
     ['during a long answer', beginLongAnswer],
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -11,6 +11,7 @@
   callersPort,
   askAddresses,
   askDirectory,
+  beginLongAnswer,
   sendTo,
 } from './helpers/gateways.js';
 import { type Behaviour, HOST, type RecordingTarget, writeTarget } from '../src/standin/index.js';
@@ -39,17 +40,6 @@
   }
 }
 
-/** Sends half of an answer that is too long to be buffered, and then nothing more. */
-const beginLongAnswer: Behaviour = (request, response) => {
-  const half = 1_048_576;
-  request.resume();
-  response.writeHead(200, {
-    ...{ 'server-signature': 's', 'content-length': 2 * half },
-    'attempt-id': request.headers['attempt-id'],
-  });
-  response.write(Buffer.alloc(half, 'a'));
-};
-
 describe('the gateway daemon', () => {
   let site: Site;
   let ip: string;
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -20,6 +20,7 @@
 import { KEYS, type KvStore, createKvStore, kvStoreService } from '../../src/platform/index.js';
 import { KvServer } from '../../src/standin/index.js';
 import {
+  type Behaviour,
   HOST,
   type RuleOptions,
   type ServiceOptions,
@@ -292,3 +293,14 @@
 }
 
 export const callersPort = PORTS.callers;
+
+/** Sends half of an answer that is too long to be buffered, and then nothing more. */
+export const beginLongAnswer: Behaviour = (request, response) => {
+  const half = 1_048_576;
+  request.resume();
+  response.writeHead(200, {
+    ...{ 'server-signature': 's', 'content-length': 2 * half },
+    'attempt-id': request.headers['attempt-id'],
+  });
+  response.write(Buffer.alloc(half, 'a'));
+};
--- a/test/partition.test.ts
+++ b/test/partition.test.ts
@@ -157,7 +157,7 @@
     expect(others.length).to.equal(3);
   }).timeout(20_000);
 
-  // Guards against a partition that is taken for a fault of the targets.
+  // Guards against recording a partition as a failure of the targets.
   describe('teach nobody anything wrong', () => {
     const countEvents = (event: string, ip?: string) =>
       site.events.filter((entry) => entry.event === event && (ip ?? entry.ip) === entry.ip).length;
