--- a/review/kit.mjs
+++ b/review/kit.mjs
@@ -301,7 +301,7 @@
       return;
     }
     const attempt = request.headers['attempt-id'];
-    if (request.headers['expect-instance'] !== this.id) {
+    if ((request.headers['expect-instance'] ?? this.id) !== this.id) {
       response.writeHead(421, { 'Attempt-Id': attempt, 'Content-Length': 0 }).end();
       return;
     }
