--- a/review/kit.mjs
+++ b/review/kit.mjs
@@ -107,7 +107,7 @@
     });
     child.once('exit', (code, signal) => {
       this.child = undefined;
-      if (!this.isWanted || this.isKilled) return;
+      if (!this.isWanted) return;
       this.ownEnds += 1;
       const [reason = ''] = /^\w*Error.*$/m.exec(errors) ?? [];
       record(`machine ${ip}: process ended by itself, code ${code} signal ${signal}: ${reason}`);
@@ -117,16 +117,6 @@
     });
   }
 
-  /** Kills the process, and starts it again after a time. */
-  kill(downMs) {
-    this.isKilled = true;
-    this.child?.kill('SIGKILL');
-    setTimeout(() => {
-      this.isKilled = false;
-      if (this.isWanted) this.start();
-    }, downMs);
-  }
-
   /** Ends the process for good. */
   stop() {
     this.isWanted = false;
@@ -167,6 +157,11 @@
     this.machines = [];
     this.workers = [];
     this.version = 0;
+    process.on('exit', () => {
+      for (const { child } of this.machines) child?.kill('SIGKILL');
+    });
+    // eslint-disable-next-line n/no-process-exit -- the handler above ends the machines
+    for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => process.exit(2));
   }
 
   async start(machines = 3) {
@@ -236,12 +231,6 @@
     record('all machines are ready');
   }
 
-  /** Kills all processes at once; resolves when they are started again. */
-  async killAll(downMs) {
-    for (const machine of this.machines) machine.kill(downMs);
-    await sleep(downMs);
-  }
-
   /** Resolves as a client does: the front addresses to use. */
   async resolve(zone) {
     for (const machine of this.machines) {
