Add review case 4: after an outage of the store no worker is used

Cause: a machine that reads the store just after an outage in which entries lapsed keeps the removals pending, stops reading as others read, and applies them 1.9 s later as newer than the returned entries (StoreReader.#applyDueRemovals, FleetView.putTarget).

Change: a script (review/4) for an entry of KNOWN-RED.txt whose script was removed; the stand-ins get a store that is busy, entries that lapse, and workers that crash.

--- a/review/kit-2.mjs
+++ b/review/kit-2.mjs
@@ -96,7 +96,9 @@
   return Buffer.concat(chunks);
 }
 
-/** Starts the platform's store: keys, ranges, watches, conditional writes and leases, no faults. */
+const encodeDocument = (document) => Buffer.from(JSON.stringify(document)).toString('base64');
+
+/** Starts the platform's store: keys, ranges, watches, conditional writes and leases, and one fault: busy. */
 export async function startStore() {
   const items = new Map();
   const history = [];
@@ -124,9 +126,15 @@
       wakers.push(resolve);
       setTimeout(resolve, Math.max(1, end - Date.now()));
     });
-  const put = (key, document) =>
-    change(key, Buffer.from(JSON.stringify(document)).toString('base64'));
+  const put = (key, document) => change(key, encodeDocument(document));
+  let isBusy = false;
+  /** Writes a worker's entry; a heartbeat that changes nothing but `seq` is no change. */
+  const beat = (key, document) => {
+    if (items.has(key)) items.get(key).value = encodeDocument(document);
+    else put(key, document);
+  };
   const serve = async (request) => {
+    if (isBusy) return [503, {}];
     const url = new URL(request.url, 'http://store');
     const query = url.searchParams;
     const prefix = query.get('path_prefix') ?? '';
@@ -150,6 +158,7 @@
           const events = history.filter(
             (event) => event.revision > after && event.key_file.startsWith(prefix),
           );
+          if (isBusy) return [503, {}];
           if (events.length > 0 || Date.now() >= end) {
             return [200, { events, store_revision: revision }];
           }
@@ -187,17 +196,30 @@
       .catch(() => response.destroy());
   });
   const port = await listen(server, STORE_HOST);
-  return { address: `${STORE_HOST}:${port}`, put, remove: (key) => change(key, undefined) };
+  return {
+    address: `${STORE_HOST}:${port}`,
+    ...{ put, beat, remove: (key) => change(key, undefined) },
+    /** From now on the store refuses every call, or serves again. */
+    setBusy: (value) => {
+      isBusy = value;
+      const waiting = wakers;
+      wakers = [];
+      for (const wake of waiting) wake();
+    },
+  };
 }
 
+let configurationVersion = 4;
+
 /**
  * Writes the configuration of the operators: one service, and one route for each entry.
  *
  * @param routes rows of `name`, `kind`, `prefix`, `timeout`, `aim`, `attempts`
  */
 export function putConfiguration(store, routes, service = 'lager') {
+  configurationVersion += 3;
   store.put('op/config', {
-    version: 7,
+    version: configurationVersion,
     limits: {
       ...{ max_header_bytes: 16_384, max_body_bytes: 67_108_864 },
       ...{ header_timeout_ms: 3000, idle_timeout_ms: 15_000 },
@@ -293,16 +315,32 @@
   const address = await wrapAddress(`${WORKER_HOST}:${port}`);
   let seq = 0;
   const beat = () => {
-    if (isSilent(state)) return;
+    if (isSilent(state) || state.hasLapsed) return;
     seq += 1;
-    store.put(`servers/${id}`, {
+    store.beat(`servers/${id}`, {
       address,
       info: { service, version: 'v1', zone, slots },
       status: { state: 'ready', seq, warmup_left_ms: 0 },
     });
   };
   beat();
-  setInterval(beat, HEARTBEAT_MS);
+  const heartbeat = setInterval(beat, HEARTBEAT_MS);
+  /** Ends the worker as a crash does: it closes its port and connections and declares nothing. */
+  state.crash = () => {
+    clearInterval(heartbeat);
+    server.close();
+    for (const socket of state.sockets) socket.resetAndDestroy();
+    setTimeout(() => store.remove(`servers/${id}`), 3 * HEARTBEAT_MS);
+  };
+  /** Removes the entry, as its lease has run out, and keeps it away until `restore`. */
+  state.lapse = () => {
+    state.hasLapsed = true;
+    store.remove(`servers/${id}`);
+  };
+  state.restore = () => {
+    state.hasLapsed = false;
+    beat();
+  };
   return state;
 }
 
@@ -360,6 +398,7 @@
         for (const line of tail.trim().split('\n').slice(-12))
           record(`        | ${line.replaceAll(ROOT, '')}`);
         // The platform starts a process that has ended again.
+        writeFileSync(file, settings.replace('first_start = true', 'first_start = false'));
         setTimeout(start, 300);
       });
       record(`started gateway ${host}`);
