Check the head of an answer before anything of it is used

Cause: Node's client accepts heads that Node's server refuses to write: status 000 to 099, header names that are empty or contain a space. The exception of writeHead rejected the promise of the request, and every such rejection was treated as a broken invariant, which ends the process. The same missing check let other bytes pass as an answer: status 101 and 600 to 999, HTTP/2.0, transfer codings other than chunked (forwarded without the coding, and with a length when cut), interim answers without end. On a switch of protocols Node's client closes the connection without an answer or an error, so an attempt waited for its deadline and a probe for ever.

Evidence: a table of 55 heads sent to Node's client, and each accepted one written by Node's server; the stack of the ended process ends in writeHead. Ruled out: header values, reason phrases, lengths, chunk sizes, trailers, which the parser rejects or the server writes.

Change: one check of the head, in src/proxy; one function that sends a request and receives what comes of it, for targets and carriers; probes and calls to the store end when their connection closes; an exception in the handling of one request ends that request, and only an InvariantError the process. The product's own daemon uses the same check: it forwarded status 600 and other transfer codings. This works because nothing reads a head that was not checked, and what passes the check can be written.

--- a/src/gateway/carrying/carried-attempt.ts
+++ b/src/gateway/carrying/carried-attempt.ts
@@ -3,7 +3,7 @@
 import { HEADERS, readHeader } from '../../platform/index.js';
 import { type TargetAnswer, readAnswer } from '../requests/answer-reader.js';
 import type { KeyRejectionReason } from '../requests/answers.js';
-import { type OutgoingRequest, sendRequest } from '../requests/attempt.js';
+import { type OutgoingRequest, sendRequest } from '../requests/outgoing-request.js';
 import { type TargetConnection, parseIdleLimit } from '../targets/connections.js';
 import type { Carrier } from './carrier-pool.js';
 
@@ -121,12 +121,10 @@
   }
 
   #sendRequest(connection: TargetConnection): void {
-    const request = sendRequest(connection, this.outgoing);
-    this.#request = request;
-    request.on('error', (error: NodeJS.ErrnoException) => {
-      this.#settle({ kind: 'lost', reason: error.code ?? error.message });
+    this.#request = sendRequest(connection, this.outgoing, {
+      onResponse: (response) => this.#handleResponse(response, connection),
+      onFailure: ({ reason }) => this.#settle({ kind: 'lost', reason }),
     });
-    request.on('response', (response) => this.#handleResponse(response, connection));
   }
 
   #handleResponse(response: IncomingMessage, connection: TargetConnection): void {
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -4,29 +4,13 @@
  * An answer is buffered until it is complete, up to a limit, so that a truncated one can be
  * replaced by another attempt and never looks complete. Longer answers are streamed to the caller.
  */
-import http from 'node:http';
-import type { IncomingMessage } from 'node:http';
-import type { Readable } from 'node:stream';
+import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Clock } from '../../kernel/index.js';
 import { HEADERS, type SelfReport, decodeSelfReport, readHeader } from '../../platform/index.js';
 import { type TargetConnection, parseIdleLimit } from '../targets/connections.js';
 import type { GatewayTarget, LossKind } from '../targets/target.js';
 import { type TargetAnswer, readAnswer } from './answer-reader.js';
-
-/** A request as it is sent to a target. */
-export interface OutgoingRequest {
-  readonly requestId: string;
-  readonly method: string;
-  /** Path and query as the caller sent them. */
-  readonly path: string;
-  readonly headers: readonly string[];
-  readonly body: Buffer | Readable | undefined;
-}
-
-/** Whether a body can be sent again: a streamed one can't. */
-export function isResendable(body: OutgoingRequest['body']): boolean {
-  return body === undefined || Buffer.isBuffer(body);
-}
+import { type ExchangeFailure, type OutgoingRequest, sendRequest } from './outgoing-request.js';
 
 /** How an attempt ended. */
 export type AttemptOutcome =
@@ -83,22 +67,8 @@
 /** Answers with this status or a higher one count as failures of the target. */
 export const MIN_FAILURE_STATUS = 500;
 
-/** Sends a request with its body over a connection; the caller listens for answer and errors. */
-export function sendRequest(
-  { agent }: TargetConnection,
-  { method, path, headers, body }: OutgoingRequest,
-): http.ClientRequest {
-  const request = http.request({
-    ...{ agent, method, path, setHost: false },
-    headers: headers as unknown as http.OutgoingHttpHeaders,
-  });
-  if (body === undefined || Buffer.isBuffer(body)) request.end(body);
-  else body.pipe(request);
-  return request;
-}
-
 class TargetAttempt implements RunningAttempt {
-  #request: http.ClientRequest | undefined;
+  #request: ClientRequest | undefined;
 
   #isAborted = false;
 
@@ -179,12 +149,24 @@
   #sendRequest(connection: TargetConnection): void {
     const { socket } = connection;
     const bytesBefore = socket.bytesRead;
-    const request = sendRequest(connection, this.outgoing);
-    this.#request = request;
-    request.on('error', ({ code = '', message }: NodeJS.ErrnoException) => {
-      this.#settleLost(code || message, code, socket.bytesRead > bytesBefore);
+    this.#request = sendRequest(connection, this.outgoing, {
+      onResponse: (response) => this.#handleResponse(response, connection),
+      onFailure: (failure) => this.#handleFailure(failure, socket.bytesRead > bytesBefore),
     });
-    request.on('response', (response) => this.#handleResponse(response, connection));
+  }
+
+  #handleFailure(failure: ExchangeFailure, hasAnswerBytes: boolean): void {
+    switch (failure.kind) {
+      case 'disconnected':
+        this.#settleLost(failure.reason, failure.code, hasAnswerBytes);
+        return;
+      case 'malformed':
+        if (!this.#isSettled) this.target.recordStrayBytes();
+        this.#settleLost(failure.reason, '', hasAnswerBytes);
+        return;
+      default:
+        failure satisfies never;
+    }
   }
 
   #handleResponse(response: IncomingMessage, connection: TargetConnection): void {
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -23,10 +23,10 @@
   type AttemptOutcome,
   MIN_FAILURE_STATUS,
   type RunningAttempt,
-  isResendable,
   startTargetAttempt,
 } from './attempt.js';
 import type { CallProgress } from './call-progress.js';
+import { isResendable } from './outgoing-request.js';
 import { type RefusalBasis, RequestLog } from './request-log.js';
 import { type UnservedAnswer, sendUnservedAnswer } from './unserved-answer.js';
 import type { ForwardingContext, RoutedRequest } from './routed-request.js';
--- /dev/null
+++ b/src/gateway/requests/outgoing-request.ts
@@ -0,0 +1,83 @@
+/** A request as it is sent over one connection, and the answer or failure that comes of it. */
+import http, { type IncomingMessage } from 'node:http';
+import type { Readable } from 'node:stream';
+import { findResponseFault } from '../../proxy/answer-check.js';
+import type { TargetConnection } from '../targets/connections.js';
+
+/** A request as it is sent to a target, or to a daemon that carries it. */
+export interface OutgoingRequest {
+  readonly requestId: string;
+  readonly method: string;
+  /** Path and query as the caller sent them. */
+  readonly path: string;
+  readonly headers: readonly string[];
+  readonly body: Buffer | Readable | undefined;
+}
+
+/** Whether a body can be sent again: a streamed one can't. */
+export function isResendable(body: OutgoingRequest['body']): boolean {
+  return body === undefined || Buffer.isBuffer(body);
+}
+
+/** Why a request that was sent gets no answer. */
+export type ExchangeFailure =
+  /** The connection failed, or the parser rejected what arrived on it; `code` says how. */
+  | { readonly kind: 'disconnected'; readonly code: string; readonly reason: string }
+  /** The bytes that arrived are no answer. The connection is closed. */
+  | { readonly kind: 'malformed'; readonly reason: string };
+
+/** Receives what comes of a request. */
+export interface ExchangeListener {
+  /** Called with an answer whose head is valid. */
+  onResponse(response: IncomingMessage): void;
+  /** May be called after `onResponse`, when the connection fails before the answer is complete. */
+  onFailure(failure: ExchangeFailure): void;
+}
+
+/** Interim answers (status 1xx) before the final one; a target that sends more is faulty. */
+const MAX_INTERIM_ANSWERS = 100;
+
+/** Sends a request with its body over a connection and passes on what comes of it. */
+export function sendRequest(
+  { agent, socket }: TargetConnection,
+  { method, path, headers, body }: OutgoingRequest,
+  { onResponse, onFailure }: ExchangeListener,
+): http.ClientRequest {
+  const request = http.request({
+    ...{ agent, method, path, setHost: false },
+    headers: headers as unknown as http.OutgoingHttpHeaders,
+  });
+  let hasResponse = false;
+  let hasFailed = false;
+  let interimCount = 0;
+  const fail = (failure: ExchangeFailure) => {
+    if (hasFailed) return;
+    hasFailed = true;
+    onFailure(failure);
+    socket.destroy();
+  };
+  request.on('error', ({ code = '', message }: NodeJS.ErrnoException) =>
+    fail({ kind: 'disconnected', code, reason: code || message }),
+  );
+  request.on('information', () => {
+    interimCount += 1;
+    if (interimCount > MAX_INTERIM_ANSWERS) {
+      fail({ kind: 'malformed', reason: `more than ${MAX_INTERIM_ANSWERS} interim answers` });
+    }
+  });
+  request.on('response', (response) => {
+    hasResponse = true;
+    // Without a listener, the error of an answer that nobody reads would be thrown.
+    response.on('error', () => undefined);
+    const fault = findResponseFault(response);
+    if (fault === undefined) onResponse(response);
+    else fail({ kind: 'malformed', reason: fault });
+  });
+  request.on('close', () => {
+    // When a target switches protocols, Node closes the connection without any other event.
+    if (!hasResponse) fail({ kind: 'malformed', reason: 'closed without an answer' });
+  });
+  if (body === undefined || Buffer.isBuffer(body)) request.end(body);
+  else body.pipe(request);
+  return request;
+}
--- a/src/gateway/requests/request-handler.ts
+++ b/src/gateway/requests/request-handler.ts
@@ -1,6 +1,12 @@
 /** Handles a caller's request from its head until {@link Forwarding} takes over, or answers it. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Clock, Log, Random, TextMetrics } from '../../kernel/index.js';
+import {
+  type Clock,
+  InvariantError,
+  type Log,
+  type Random,
+  type TextMetrics,
+} from '../../kernel/index.js';
 import { RouteTime, type RouteTimeState } from '../../balance/index.js';
 import { HEADERS, readHeader } from '../../platform/index.js';
 import { type Route, type RouteTable, TrafficSplitter } from '../../routing/index.js';
@@ -48,9 +54,7 @@
   /** The daemons that may carry calls, and the key that they share with this one. */
   readonly carryService: Pick<CarryService, 'pool' | 'fleetKey'>;
   readonly eventLoop: BacklogOptions['eventLoop'] & Pick<EventLoopMonitor, 'readLateness'>;
-  /**
-   * Called when serving a request failed with an unexpected error, such as a violated invariant.
-   */
+  /** Called when an invariant is broken. */
   readonly onInvariantViolation: (error: Error) => void;
   /** The configuration in force; undefined while this daemon has none that it may serve by. */
   readonly readTable: () => RouteTable | undefined;
@@ -243,7 +247,9 @@
       ...{ isWorkKnown: true, mayBeRefused: true },
       hasCallerLeft: () => hasCallerLeft(request, response),
       start: () => {
-        this.#serve(request, response, admitted).catch(this.options.onInvariantViolation);
+        this.#serve(request, response, admitted).catch((error: Error) =>
+          this.#handleError(response, error),
+        );
       },
       refuse: (wait) => {
         ticket.giveBack();
@@ -262,6 +268,21 @@
     response.destroy();
   }
 
+  /**
+   * Ends a request whose handling threw. The requests of other callers go on, unless an invariant
+   * is broken.
+   */
+  #handleError(response: ServerResponse, error: Error): void {
+    const { log, metrics, onInvariantViolation } = this.options;
+    if (error instanceof InvariantError) {
+      onInvariantViolation(error);
+      return;
+    }
+    log.error('request.broken', { error: error.stack ?? error.message });
+    metrics.count('requests_broken');
+    response.destroy();
+  }
+
   /** Reads the body and serves the request until it is answered or given up. */
   async #serve(
     request: IncomingMessage,
--- a/src/gateway/requests/request-identity.ts
+++ b/src/gateway/requests/request-identity.ts
@@ -12,7 +12,7 @@
  */
 import { createHash } from 'node:crypto';
 import { HEAD_DIGEST_LENGTH } from '../../balance/index.js';
-import type { OutgoingRequest } from './attempt.js';
+import type { OutgoingRequest } from './outgoing-request.js';
 
 /** The parts of a request that identify it. */
 export interface RequestTraits {
--- a/src/gateway/requests/routed-request.ts
+++ b/src/gateway/requests/routed-request.ts
@@ -4,7 +4,7 @@
 import type { Organisation, Route } from '../../routing/index.js';
 import type { QuotaTicket } from '../quota/quota-ticket.js';
 import type { TargetService } from '../targets/target-service.js';
-import type { OutgoingRequest } from './attempt.js';
+import type { OutgoingRequest } from './outgoing-request.js';
 import type { Credential } from './authentication.js';
 import type { PoisonRegistry } from './poison-registry.js';
 import type { RequestIdentity } from './request-identity.js';
--- a/src/gateway/targets/prober.ts
+++ b/src/gateway/targets/prober.ts
@@ -5,6 +5,7 @@
 import { type Clock, scheduleLagTolerantTimeout } from '../../kernel/index.js';
 import { decodeSelfReport } from '../../platform/index.js';
 import { HIGH_UTILISATION } from '../../peering/index.js';
+import { findResponseFault } from '../../proxy/answer-check.js';
 import type { RouteTable } from '../../routing/index.js';
 import type { GatewayTarget } from './target.js';
 import type { TargetService } from './target-service.js';
@@ -364,11 +365,20 @@
         timer.cancel();
         resolve(answer);
       };
+      let hasResponse = false;
       request.on('error', () => finish(undefined));
       request.on('response', (response) => {
+        hasResponse = true;
         response.resume();
         response.on('error', () => finish(undefined));
         response.on('end', () => finish(response));
+        if (findResponseFault(response) === undefined) return;
+        finish(undefined);
+        socket.destroy();
+      });
+      request.on('close', () => {
+        // When a target switches protocols, Node closes the connection without any other event.
+        if (!hasResponse) finish(undefined);
       });
       request.end();
     });
--- a/src/kernel/http-exchange.ts
+++ b/src/kernel/http-exchange.ts
@@ -89,7 +89,13 @@
     request.on('error', (error: NodeJS.ErrnoException) =>
       settle({ kind: 'failure', sent, reason: error.code ?? error.message }),
     );
+    let hasResponse = false;
+    request.on('close', () => {
+      // When the other side switches protocols, Node closes the connection without any other event.
+      if (!hasResponse) settle({ kind: 'failure', sent, reason: 'closed without an answer' });
+    });
     request.on('response', (response) => {
+      hasResponse = true;
       const chunks: Buffer[] = [];
       response.on('data', (chunk: Buffer) => chunks.push(chunk));
       response.on('error', (error) => settle({ kind: 'failure', sent, reason: error.message }));
--- a/src/proxy/attempt.ts
+++ b/src/proxy/attempt.ts
@@ -9,6 +9,7 @@
 import type { Dispatcher } from 'undici';
 import { assertInvariant } from '../kernel/index.js';
 import type { TargetReport } from '../balance/index.js';
+import { findAnswerFault } from './answer-check.js';
 import type { Body } from './body.js';
 import type { Call } from './call.js';
 import {
@@ -172,6 +173,11 @@
   };
 
   function handleResponseHead(code: number, headers: FlatHeaders): void {
+    const fault = findAnswerFault({ status: code, rawHeaders: headers });
+    if (fault !== undefined) {
+      stopWith({ kind: 'lost', reason: 'wrong-answer', detail: fault });
+      return;
+    }
     const parsed = parseReport(findHeader(headers, REPORT_HEADER));
     options.onReport?.(parsed.report);
     if (parsed.notRun) {
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -12,9 +12,10 @@
   askAddresses,
   askDirectory,
   beginLongAnswer,
+  breakFirst,
   sendTo,
 } from './helpers/gateways.js';
-import { type Behaviour, HOST, type RecordingTarget, writeTarget } from '../src/standin/index.js';
+import { type Behaviour, HOST, writeTarget } from '../src/standin/index.js';
 
 const RULES = [
   { prefix: '/a/' },
@@ -24,22 +25,6 @@
   { prefix: '/empty/', service: 'beta' },
 ] as const;
 
-/** Applies a faulty behaviour to only the first request that reaches any of the targets. */
-function breakFirst(targets: readonly RecordingTarget[], behaviour: Behaviour): void {
-  let hasFailed = false;
-  for (const target of targets) {
-    target.behaviour = (request, response) => {
-      request.resume();
-      if (hasFailed) {
-        target.answer(request, response);
-        return;
-      }
-      hasFailed = true;
-      behaviour(request, response);
-    };
-  }
-}
-
 describe('the gateway daemon', () => {
   let site: Site;
   let ip: string;
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -334,3 +334,25 @@
   });
   response.write(Buffer.alloc(half, 'a'));
 };
+
+/** Applies a faulty behaviour to only the first request that reaches any of the targets. */
+export function breakFirst(targets: readonly RecordingTarget[], behaviour: Behaviour): void {
+  let hasFailed = false;
+  for (const target of targets) {
+    target.behaviour = (request, response) => {
+      request.resume();
+      if (hasFailed) {
+        target.answer(request, response);
+        return;
+      }
+      hasFailed = true;
+      behaviour(request, response);
+    };
+  }
+}
+
+/** Sends the bytes as a target's whole answer; the connection stays open. */
+export function sendRaw(request: http.IncomingMessage, bytes: string): void {
+  request.resume();
+  request.socket.write(Buffer.from(bytes, 'latin1'));
+}
