Read or refuse the rest of a body whose request has been answered

Cause: such a body has two readers and no owner. It is piped to the target; when the target's side ends early, Node unpipes and pauses it, and Node's server discards only what was never consumed. So nobody reads the rest, and the connection stays in the middle of the old body. It is the same for a target that rejects, answers or fails an upload without reading it, sends what is no answer, or does not answer in time, and for a long chunked body without a target. Bodies that were refused by their head were discarded without any bound, and where the answer closed the connection, it was closed at once, so that a reset could destroy the answer.

Ruled out: the target's answer (no posting reached a target), the event loop, the keep-alive time-out (a connection with an unfinished body is not idle).

Change: when the body or the connection that it is streamed to ends, the other does not go on and the rest is discarded; an exchange whose answer is complete sends no more of its body; after the answer src/proxy/unread-body.ts owns the rest, on all listeners, of the product's own daemon as well. A counter tells what became of them.

--- a/src/entry/listeners.ts
+++ b/src/entry/listeners.ts
@@ -3,6 +3,7 @@
 import {
   type Kernel,
   type KeyPair,
+  clockService,
   logService,
   matchesSecret,
   metricsService,
@@ -46,9 +47,11 @@
   const log = kernel.find(logService);
   const metrics = kernel.find(metricsService);
   const shared = {
-    ...{ network: kernel.find(networkService), maxConnections: limits.max_connections },
+    ...{ network: kernel.find(networkService), clock: kernel.find(clockService) },
+    ...{ maxConnections: limits.max_connections },
     ...{ maxHeaderBytes: limits.max_header_bytes, headerTimeout: limits.header_timeout },
     bodyTimeout: limits.body_timeout,
+    onUnreadBody: (outcome: string) => metrics.count('body.unread', 1, { outcome }),
     onRefused: (detail: string) => {
       metrics.count('door.refused');
       log.debug('door.refused', { detail });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -362,13 +362,14 @@
       isUnconfirmed: () => this.#isUnconfirmed(),
     });
     this.#callerServer = new CallerServer({
-      ...{ address: gateway.callers, clock, eventLoop: this.#eventLoop },
+      ...{ address: gateway.callers, clock, eventLoop: this.#eventLoop, metrics: this.#metrics },
       listenQueue: computeListenQueue(capacity),
       serve: (request, response, cameAt) => this.#requestHandler.handle(request, response, cameAt),
     });
     this.#carryServer = new CallerServer({
       address: { host: gateway.ip, port: findCarryPort(gateway) },
-      ...{ clock, eventLoop: this.#eventLoop, listenQueue: computeListenQueue(capacity) },
+      ...{ clock, eventLoop: this.#eventLoop, metrics: this.#metrics },
+      listenQueue: computeListenQueue(capacity),
       serve: (request, response, cameAt) => this.#carryService.handle(request, response, cameAt),
     });
     this.#loadExchange = new LoadExchange({
--- a/src/gateway/requests/answers.ts
+++ b/src/gateway/requests/answers.ts
@@ -1,6 +1,7 @@
 /** Writes answers to callers: those that the gateway generates itself and those of targets. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { listPairs } from '../../proxy/headers.js';
+import { closeAfterLongBody } from '../../proxy/unread-body.js';
 import { HEADERS } from '../../platform/index.js';
 import type { TargetAnswer } from './answer-reader.js';
 
@@ -62,6 +63,7 @@
   answer: LocalAnswer,
 ): void {
   if (response.headersSent || response.destroyed) return;
+  closeAfterLongBody(response);
   const status = chooseStatus(answer);
   const reason = 'reason' in answer ? answer.reason : answer.kind;
   // Daemons of the previous build read these answers of a carrier, and know no other word for them.
@@ -98,6 +100,7 @@
 
 /** Forwards a target's answer unchanged, except for headers that apply to its connection only. */
 export function forwardAnswer(response: ServerResponse, answer: TargetAnswer): void {
+  closeAfterLongBody(response);
   const headers: string[] = [];
   for (const [name, value] of listPairs(answer.rawHeaders)) {
     const lower = name.toLowerCase();
--- a/src/gateway/requests/caller-server.ts
+++ b/src/gateway/requests/caller-server.ts
@@ -4,7 +4,8 @@
  */
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Address, Clock } from '../../kernel/index.js';
+import type { Address, Clock, TextMetrics } from '../../kernel/index.js';
+import { UnreadBodies } from '../../proxy/unread-body.js';
 import type { RequestLimits } from '../../routing/index.js';
 import type { AcceptMark, EventLoopMonitor } from '../event-loop-monitor.js';
 
@@ -13,6 +14,7 @@
   readonly address: Address;
   readonly clock: Clock;
   readonly eventLoop: EventLoopMonitor;
+  readonly metrics: TextMetrics;
   /** Length of the listen queue: connections that may wait to be accepted. */
   readonly listenQueue: number;
   /**
@@ -97,6 +99,10 @@
   /** Connections on which an answer was written that refuses everything else on the connection. */
   readonly #refused = new WeakSet<Socket>();
 
+  readonly #unreadBodies: UnreadBodies;
+
+  #maxBodyBytes = Infinity;
+
   /** The answer that will close each connection. */
   readonly #closingResponses = new WeakMap<Socket, ServerResponse>();
 
@@ -107,6 +113,11 @@
   readonly #bytesReadAtIdle = new WeakMap<Socket, number>();
 
   constructor(private readonly options: CallerServerOptions) {
+    this.#unreadBodies = new UnreadBodies({
+      clock: options.clock,
+      onOutcome: (outcome) => options.metrics.count('unread_bodies', { outcome }),
+      readMaxBodyBytes: () => this.#maxBodyBytes,
+    });
     this.#server = http.createServer({
       maxHeaderSize: MAX_PARSED_HEADER_BYTES,
       headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
@@ -119,6 +130,7 @@
     this.#server.maxHeadersCount = 0;
     this.#server.on('connection', (socket: Socket) => {
       this.#activeRequests.set(socket, 0);
+      this.#unreadBodies.watchConnection(socket);
       // Each pipelined request adds listeners that watch for the caller's disconnect.
       socket.setMaxListeners(0);
       this.#acceptMarks.set(socket, options.eventLoop.recordAccept());
@@ -163,7 +175,8 @@
 
   /** Applies the operators' time-outs for connections. */
   setLimits(limits: RequestLimits): void {
-    const { headerTimeout, idleTimeout } = limits;
+    const { headerTimeout, idleTimeout, bodyBytes } = limits;
+    this.#maxBodyBytes = bodyBytes;
     if (Number.isFinite(headerTimeout)) this.#server.headersTimeout = headerTimeout;
     if (Number.isFinite(idleTimeout)) this.#server.keepAliveTimeout = idleTimeout + IDLE_MARGIN_MS;
   }
@@ -205,10 +218,12 @@
 
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
-    if (this.#refused.has(socket) || (this.#isClosing && !socket.writable)) {
+    const isRefused = this.#refused.has(socket) || this.#unreadBodies.isClosing(socket);
+    if (isRefused || (this.#isClosing && !socket.writable)) {
       socket.destroy();
       return;
     }
+    this.#unreadBodies.watchRequest(request, response);
     this.#activeRequests.set(socket, (this.#activeRequests.get(socket) ?? 0) + 1);
     response.on('close', () => {
       this.#bytesReadAtIdle.set(socket, socket.bytesRead);
--- a/src/gateway/requests/outgoing-request.ts
+++ b/src/gateway/requests/outgoing-request.ts
@@ -37,6 +37,21 @@
 /** Interim answers (status 1xx) before the final one; a target that sends more is faulty. */
 const MAX_INTERIM_ANSWERS = 100;
 
+/**
+ * Streams a caller's body into a request. When one of them breaks off, the other does not go on: a
+ * body can be streamed only once, so its rest is discarded.
+ */
+function sendBody(body: Readable, request: http.ClientRequest): void {
+  request.once('close', () => {
+    body.unpipe(request);
+    body.resume();
+  });
+  body.once('close', () => {
+    if (!body.readableEnded) request.destroy();
+  });
+  body.pipe(request);
+}
+
 /** Sends a request with its body over a connection and passes on what comes of it. */
 export function sendRequest(
   { agent, socket }: TargetConnection,
@@ -70,14 +85,21 @@
     // Without a listener, the error of an answer that nobody reads would be thrown.
     response.on('error', () => undefined);
     const fault = findResponseFault(response);
-    if (fault === undefined) onResponse(response);
-    else fail({ kind: 'malformed', reason: fault });
+    if (fault !== undefined) {
+      fail({ kind: 'malformed', reason: fault });
+      return;
+    }
+    onResponse(response);
+    response.once('end', () => {
+      // The answer is complete, and nobody may be reading the rest of the body.
+      if (!isResendable(body) && !request.writableFinished) request.destroy();
+    });
   });
   request.on('close', () => {
     // When a target switches protocols, Node closes the connection without any other event.
     if (!hasResponse) fail({ kind: 'malformed', reason: 'closed without an answer' });
   });
   if (body === undefined || Buffer.isBuffer(body)) request.end(body);
-  else body.pipe(request);
+  else sendBody(body, request);
   return request;
 }
--- a/src/gateway/requests/request-reader.ts
+++ b/src/gateway/requests/request-reader.ts
@@ -6,6 +6,7 @@
 import { type Readable, Transform } from 'node:stream';
 import { checkHead, normalizeTarget } from '../../proxy/head-check.js';
 import { listPairs } from '../../proxy/headers.js';
+import { recordLongBody } from '../../proxy/unread-body.js';
 import { HEADERS } from '../../platform/index.js';
 import type { RequestLimits } from '../../routing/index.js';
 import { CARRIED_HEADER } from '../carrying/carried-terms.js';
@@ -86,6 +87,8 @@
     const onData = (chunk: Buffer) => {
       bytes += chunk.length;
       if (bytes > limits.bodyBytes) {
+        request.pause();
+        request.removeListener('data', onData);
         resolve({ kind: 'refused', answer: rejectBody(limits) });
         return;
       }
@@ -95,6 +98,7 @@
       request.pause();
       request.removeListener('data', onData);
       request.unshift(Buffer.concat(chunks));
+      recordLongBody(request);
       resolve({ kind: 'stream', source: createLimiter(request, limits) });
     };
     request.on('data', onData);
@@ -118,6 +122,10 @@
       else done(null, chunk);
     },
   });
+  request.once('close', () => {
+    // A pipe does not end when its source breaks off.
+    if (!request.readableEnded) limiter.destroy();
+  });
   return request.pipe(limiter);
 }
 
--- a/src/proxy/attempt.ts
+++ b/src/proxy/attempt.ts
@@ -21,6 +21,7 @@
   parseReport,
 } from './headers.js';
 import type { UnknownReason } from './outcome.js';
+import { closeAfterLongBody } from './unread-body.js';
 
 /** How an attempt ended. */
 export type AttemptResult =
@@ -206,6 +207,7 @@
     }
     status = code;
     isHeadSent = true;
+    closeAfterLongBody(response);
     response.writeHead(code, buildCallerHeaders(headers, call.id, options.keepsOutcomeHeader));
     response.on('drain', resume);
   }
--- a/src/proxy/http-listener.ts
+++ b/src/proxy/http-listener.ts
@@ -1,13 +1,16 @@
 /** An HTTP listener, for callers or for calls relayed between entries. */
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
-import type { Address, KeyPair, Listener, Network } from '../kernel/index.js';
+import type { Socket } from 'node:net';
+import type { Address, Clock, KeyPair, Listener, Network } from '../kernel/index.js';
 import { type HeadRefusal, checkHead, normalizeTarget } from './head-check.js';
 import { createNotRun } from './outcome.js';
+import { UnreadBodies, type UnreadBodyOutcome } from './unread-body.js';
 
 /** Configuration and callbacks of a listener. */
 export interface HttpListenerOptions {
   readonly network: Network;
+  readonly clock: Clock;
   readonly address: Address;
   /** Certificate and key; without them the listener is plain HTTP. */
   readonly keys?: KeyPair;
@@ -18,6 +21,8 @@
   /** Timeout for a pause within the body of a call, in milliseconds. */
   readonly bodyTimeout: number;
   readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
+  /** Called for each request that was answered before its body had been read. */
+  readonly onUnreadBody: (outcome: UnreadBodyOutcome) => void;
   /** Called for each request or connection that the listener rejects. */
   readonly onRefused: (detail: string) => void;
 }
@@ -71,9 +76,19 @@
 export async function startHttpListener(options: HttpListenerOptions): Promise<HttpListener> {
   const sockets = new Set<Duplex>();
   const openResponses = new Set<ServerResponse>();
+  const unreadBodies = new UnreadBodies({
+    clock: options.clock,
+    onOutcome: (outcome) => options.onUnreadBody(outcome),
+    readMaxBodyBytes: () => Infinity,
+  });
   let isDraining = false;
 
   function serveRequest(request: IncomingMessage, response: ServerResponse): void {
+    if (unreadBodies.isClosing(request.socket)) {
+      request.socket.destroy();
+      return;
+    }
+    unreadBodies.watchRequest(request, response);
     normalizeTarget(request);
     const refusal = checkHead(request);
     if (refusal !== undefined) {
@@ -142,6 +157,7 @@
         return;
       }
       sockets.add(socket);
+      unreadBodies.watchConnection(socket as Socket);
       socket.on('close', () => sockets.delete(socket));
       server.emit('connection', socket);
     },
--- a/src/proxy/outcome.ts
+++ b/src/proxy/outcome.ts
@@ -1,5 +1,6 @@
 /** Outcomes reported to a caller in place of an answer: the call was not run, or may have run. */
 import type { ServerResponse } from 'node:http';
+import { closeAfterLongBody } from './unread-body.js';
 
 /** Response header that carries the outcome. A response without it is the target's answer. */
 export const OUTCOME_HEADER = 'orchidbeam-outcome';
@@ -96,6 +97,7 @@
     headers['retry-after'] = Math.max(1, Math.ceil(outcome.retryAfter / 1000));
     headers['orchidbeam-retry-after'] = Math.ceil(outcome.retryAfter);
   }
+  closeAfterLongBody(response);
   response.writeHead(status, headers);
   response.end(body);
 }
