Bound what is read of an answer by the time of its request

Targets could send without end: the body of a rejection was read for as long as they sent, the connection of an answer that is not forwarded (no signature, a 503 that proves nothing, a failure that is repeated) stayed open with what had been read, and a signed answer over 256 KiB was streamed to its caller past the route's time-out.

Cause: the deadline of a request ended with the decision about its answer; what came after that belonged to nobody, on direct and on carried calls. At the deadline a streamed request was also counted and logged as one without an answer, and at its end as one whose caller had left.

Ruled out: heads, interim answers, chunk sizes, extensions and trailers without end, which the parser or the check of the head rejects; empty lines before a head, which the deadline ended before.

--- a/src/gateway/carrying/carried-attempt.ts
+++ b/src/gateway/carrying/carried-attempt.ts
@@ -143,12 +143,14 @@
     connection.idleLimit = parseIdleLimit(readHeader(headers, 'keep-alive'));
     const isSigned = readHeader(headers, HEADERS.signature) !== undefined;
     readAnswer(response, isSigned, {
-      onAnswer: (answer) =>
-        this.#settle(
-          isSigned
-            ? { kind: 'answered', answer }
-            : decodeLocalAnswer(answer.body, readHeader(headers, 'retry-after')),
-        ),
+      onAnswer: (answer) => {
+        if (isSigned) {
+          this.#settle({ kind: 'answered', answer });
+          return;
+        }
+        answer.rest?.destroy();
+        this.#settle(decodeLocalAnswer(answer.body, readHeader(headers, 'retry-after')));
+      },
       onBroken: breakOff,
     });
   }
--- a/src/gateway/carrying/carrying.ts
+++ b/src/gateway/carrying/carrying.ts
@@ -244,7 +244,10 @@
     const { counts } = this.context;
     if (answer.status >= MIN_FAILURE_STATUS) counts.failed += 1;
     else counts.answered += 1;
-    forwardAnswer(this.response, answer);
+    forwardAnswer(this.response, answer, {
+      ...{ clock: this.context.clock, deadline: this.request.deadline },
+      onCut: () => this.#log.logCutAnswer(),
+    });
   }
 
   #giveUp(reason: 'timeout'): CarryingEnd {
--- a/src/gateway/requests/answers.ts
+++ b/src/gateway/requests/answers.ts
@@ -1,5 +1,6 @@
 /** Writes answers to callers: those that the gateway generates itself and those of targets. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Clock } from '../../kernel/index.js';
 import { listPairs } from '../../proxy/headers.js';
 import { closeAfterLongBody } from '../../proxy/unread-body.js';
 import { HEADERS } from '../../platform/index.js';
@@ -80,8 +81,31 @@
   response.end(body);
 }
 
-/** Forwards the remainder of an answer; ends the other side when one side breaks off. */
-function forwardRest(response: ServerResponse, rest: IncomingMessage): void {
+/** Until when an answer may be streamed to its caller. */
+export interface StreamLimit {
+  readonly clock: Clock;
+  /** In milliseconds on the clock. */
+  readonly deadline: number;
+  /** Called when the answer is cut off because it was not complete by then. */
+  readonly onCut: () => void;
+}
+
+/** An answer whose head and first part have been forwarded. */
+interface StreamedAnswer {
+  readonly rest: IncomingMessage;
+  readonly isDelimited: boolean;
+}
+
+/**
+ * Forwards the remainder of an answer; ends the other side when one side breaks off. At the
+ * deadline an answer that the target has not completed is cut off; if only the end of its
+ * connection ends it, by a reset, as it would look complete otherwise.
+ */
+function forwardRest(
+  response: ServerResponse,
+  { rest, isDelimited }: StreamedAnswer,
+  { clock, deadline, onCut }: StreamLimit,
+): void {
   const endRest = () => {
     if (!rest.readableEnded) rest.destroy();
   };
@@ -89,7 +113,16 @@
     endRest();
     return;
   }
-  response.once('close', endRest);
+  const timer = clock.schedule(deadline - clock.now(), () => {
+    if (rest.complete) return;
+    onCut();
+    if (isDelimited) response.destroy();
+    else response.socket?.resetAndDestroy();
+  });
+  response.once('close', () => {
+    timer.cancel();
+    endRest();
+  });
   rest.on('aborted', () => response.destroy());
   rest.on('error', () => response.destroy());
   rest.on('end', () => {
@@ -99,7 +132,11 @@
 }
 
 /** Forwards a target's answer unchanged, except for headers that apply to its connection only. */
-export function forwardAnswer(response: ServerResponse, answer: TargetAnswer): void {
+export function forwardAnswer(
+  response: ServerResponse,
+  answer: TargetAnswer,
+  limit: StreamLimit,
+): void {
   closeAfterLongBody(response);
   const headers: string[] = [];
   for (const [name, value] of listPairs(answer.rawHeaders)) {
@@ -124,5 +161,5 @@
   }
   response.writeHead(status, headers);
   response.write(body);
-  forwardRest(response, rest);
+  forwardRest(response, { rest, isDelimited: answer.isDelimited }, limit);
 }
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -11,6 +11,7 @@
 import type { GatewayTarget, LossKind } from '../targets/target.js';
 import { type TargetAnswer, readAnswer } from './answer-reader.js';
 import { type ExchangeFailure, type OutgoingRequest, sendRequest } from './outgoing-request.js';
+import { finishUnusedAnswer } from './unused-answer.js';
 
 /** How an attempt ended. */
 export type AttemptOutcome =
@@ -191,7 +192,7 @@
     connection.idleLimit = parseIdleLimit(readHeader(headers, 'keep-alive'));
     this.#applyReport(report, status);
     if (report.isRejected || report.isMisdirected) {
-      response.resume();
+      finishUnusedAnswer(response, this.clock);
       this.#settle({ kind: 'not-run', cause: report.isMisdirected ? 'misdirected' : 'shed' });
       return;
     }
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -195,10 +195,11 @@
           this.#handleTargetsLost();
           break;
         case 'deadline':
-          this.#giveUp('timeout');
+          // An answer that is being forwarded ends by itself.
+          if (!this.response.headersSent) this.#giveUp('timeout');
           return;
         case 'gone':
-          this.context.counts.gone += 1;
+          if (!this.response.writableFinished) this.context.counts.gone += 1;
           return;
         default:
           event satisfies never;
@@ -437,8 +438,12 @@
     if (isFailure) {
       target.recordFailure(true);
       this.#log.logFailure(attempt, 'failed', `status ${answer.status}`);
-      if (this.#isRepeatable && this.#runningAttempts.size > 0) return;
+      if (this.#isRepeatable && this.#runningAttempts.size > 0) {
+        answer.rest?.destroy();
+        return;
+      }
       if (this.#isRepeatable && this.#spendRetry()) {
+        answer.rest?.destroy();
         this.context.counts.retries += 1;
         this.#askForTarget();
         return;
@@ -448,13 +453,17 @@
       recordCallTime(this.context, this.request.service, this.#runTime, attempt);
     }
     if (NOT_RUN_STATUSES.has(answer.status) || !answer.isSigned) {
+      answer.rest?.destroy();
       this.#sendLocalAnswer({ kind: 'unknown', reason: 'lost' });
       return;
     }
     if (isFailure) this.context.counts.failed += 1;
     else this.context.counts.answered += 1;
     this.#log.logAnswer(attempt, this.context.routeTime.readWork());
-    forwardAnswer(this.response, answer);
+    forwardAnswer(this.response, answer, {
+      ...{ clock: this.context.clock, deadline: this.request.deadline },
+      onCut: () => this.#log.logCutAnswer(),
+    });
   }
 
   /** Retries the request after a failed attempt, or gives it up. */
--- a/src/gateway/requests/request-log.ts
+++ b/src/gateway/requests/request-log.ts
@@ -143,6 +143,14 @@
     });
   }
 
+  /** Logs that a streamed answer was not complete at the deadline, so that it was cut off. */
+  logCutAnswer(): void {
+    const { log, metrics } = this.options;
+    const { id, route, service } = this.request;
+    metrics.count('answers_cut', { service: service.name });
+    log.info('answer.cut', { id, route: route.name, service: service.name });
+  }
+
   #computeUnread(): number {
     return Math.round(this.request.headReadAt - this.request.estimatedArrivalAt);
   }
--- a/src/proxy/head-check.ts
+++ b/src/proxy/head-check.ts
@@ -21,7 +21,7 @@
   'idempotency-key',
 ]);
 const DOT_SEGMENT_PATTERN = /(?:^|[/\\])(?:\.|%2e){1,2}(?:[/\\]|%2f|%5c|$)/i;
-/** The name of a header, or a method. */
+/** Matches the name of a header. */
 export const TOKEN_PATTERN = /^[!#$%&'*+.^_`|~\w-]+$/;
 const HOST_PATTERN = /^[\w.-]+(?::\d{1,5})?$/;
 
