Forward one answer to a hedged request whose answer is being streamed

Cause: such an answer is forwarded while it arrives, and meanwhile the request went on reacting to its other attempts. The attempt that it had been hedged with was not aborted; when it was answered, its head was written as well.

Ruled out: targets and connections, as each answer came once, on its own connection.

Change: when an answer is forwarded, the other attempts are aborted, and what they bring later is released: slots, and answers that were begun. That is also done with what is left when a request ends. So there is one head, and nothing else uses the request.

--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -160,9 +160,7 @@
       request.service.lostListeners.delete(this.#onTargetsLost);
       this.#isFinished = true;
       this.#runTime.finish();
-      for (const event of this.#events) {
-        if (event.kind === 'placed') releaseSlot(event.placement);
-      }
+      for (const event of this.#events) this.#discardEvent(event);
       for (const timer of this.#timers) timer.cancel();
       for (const target of this.#triedTargets) target.slowListeners.delete(this.#onTargetSlow);
       if (this.#queuedCall !== undefined) request.service.queue.remove(this.#queuedCall);
@@ -179,6 +177,7 @@
   async #handleEvents(): Promise<void> {
     while (!this.response.writableEnded && !this.response.destroyed && !this.#isLeaving) {
       const event = await this.#waitForEvent();
+      if (this.response.headersSent && this.#discardEvent(event)) continue;
       switch (event.kind) {
         case 'ended':
           this.#runningAttempts.delete(event.attempt);
@@ -207,6 +206,31 @@
     }
   }
 
+  /**
+   * Releases what an event has brought that comes after the answer. Returns whether nothing else is
+   * to be done about it.
+   */
+  #discardEvent(event: ForwardingEvent): boolean {
+    switch (event.kind) {
+      case 'ended':
+        if (event.outcome.kind === 'answered') event.outcome.answer.rest?.destroy();
+        this.#runningAttempts.delete(event.attempt);
+        this.request.service.queue.pump();
+        return true;
+      case 'placed':
+        releaseSlot(event.placement);
+        return true;
+      case 'look':
+      case 'targets-lost':
+        return true;
+      case 'deadline':
+      case 'gone':
+        return false;
+      default:
+        return event satisfies never;
+    }
+  }
+
   #pushEvent(event: ForwardingEvent): void {
     this.#events.push(event);
     this.#wake();
@@ -460,6 +484,7 @@
     if (isFailure) this.context.counts.failed += 1;
     else this.context.counts.answered += 1;
     this.#log.logAnswer(attempt, this.context.routeTime.readWork());
+    for (const other of this.#runningAttempts) other.abort();
     forwardAnswer(this.response, answer, {
       ...{ clock: this.context.clock, deadline: this.request.deadline },
       onCut: () => this.#log.logCutAnswer(),
--- a/test/gateway.test.ts
+++ b/test/gateway.test.ts
@@ -185,6 +185,30 @@
       const reply = await sendTo(ip).catch(() => undefined);
       expect(reply?.whole ?? false).to.equal(false);
     });
+    // Guards against a second head for a hedged request whose answer is being streamed already: it
+    // can't be written, and cut off the first answer.
+    it('answers a hedged request while the answer of another one is streamed: the caller gets one whole answer', async () => {
+      for (let count = 0; count < 6; count += 1) await sendTo(ip);
+      let attempts = 0;
+      const part = Buffer.alloc(300_000, 'x');
+      for (const target of site.targets) {
+        target.behaviour = async (request, response) => {
+          attempts += 1;
+          const isFirst = attempts === 1;
+          request.resume();
+          await pause(isFirst ? 400 : 300);
+          response.writeHead(200, { ...signed, 'Content-Length': 2 * part.length });
+          response.write(part);
+          await pause(isFirst ? 500 : 0);
+          response.end(part);
+        };
+      }
+      const reply = await sendTo(ip);
+      expect(attempts).to.equal(2);
+      expect(reply).to.include({ status: 200, whole: true });
+      expect(reply.text.length).to.equal(2 * part.length);
+      expect(site.events.map(({ event }) => event)).to.not.include('request.broken');
+    });
     it('completes an answer without a length: the caller gets it', async () => {
       for (const target of site.targets) {
         target.behaviour = (request, response) => {
