Put calls that take more than their share behind others of their priority

What callers saw: beside a crowd that sends requests ahead on its connections, callers with one request each were refused as "busy" although they would have been served at once.

Cause: the queue orders calls by priority and time only, so hundreds of calls of one connection count as many callers. Sorting it cost more than the calls: each comparison read the clock and the estimates of two entries, some milliseconds for 300 entries in every iteration of the event loop.

Change: a call may be secondary, and then goes after the others of its rank and priority. Ranks are computed once for each entry before sorting.

Test: test/backlog.test.ts, "take more than their share".

--- a/src/balance/wait-queue.ts
+++ b/src/balance/wait-queue.ts
@@ -2,7 +2,8 @@
  * A queue of calls that wait for one resource: a free slot at the targets, or this daemon's own
  * processor.
  *
- * Calls admitted as in time go first, by priority and then by the time at which they become late.
+ * Calls admitted as in time go first, by priority and then by the time at which they become late;
+ * within a priority, those that take more than their share go last.
  * Calls that may be late, and then those that are late, get the capacity left over. Whether a call
  * waits at all is decided when it arrives, and again when the outlook changes.
  */
@@ -20,6 +21,11 @@
 export interface QueuedCall {
   /** 0 is the most urgent. */
   readonly priority: number;
+  /**
+   * Whether it goes after the others of its priority, as it takes more than its share: its caller
+   * has other calls in progress on the connection, or it costs much to handle.
+   */
+  readonly isSecondary?: boolean;
   /** Expected duration at an idle target of usual speed. */
   readonly work: number;
   /**
@@ -53,6 +59,8 @@
   readonly call: C;
   /** Whether it was admitted as in time. */
   readonly isAdmittedInTime: boolean;
+  /** Its rank when the entries were last sorted. */
+  rank: Rank;
 }
 
 /** Numbers of calls that go before another one. */
@@ -147,7 +155,7 @@
 
   /** Adds a call. @param isAdmittedInTime whether it goes with the calls in time */
   add(call: C, isAdmittedInTime: boolean): void {
-    this.#entries.set(call, { call, isAdmittedInTime });
+    this.#entries.set(call, { call, isAdmittedInTime, rank: RANKS.uncertain });
   }
 
   /** Removes a call: it starts, its caller has left, or it is abandoned. */
@@ -172,7 +180,7 @@
     const removed: { readonly call: C; readonly wait: number }[] = [];
     for (const entry of this.#sortEntries()) {
       const { call } = entry;
-      if (this.#getRank(entry) === RANKS.inTime) {
+      if (entry.rank === RANKS.inTime) {
         ahead.inTime += 1;
         continue;
       }
@@ -206,34 +214,44 @@
     return { now: this.clock.now(), aimAt, deadline, duration, spread };
   }
 
-  #isLate({ aimAt, work }: C): boolean {
-    return this.clock.now() + work * this.#slowdown > aimAt;
+  #isLate({ aimAt, work }: C, now = this.clock.now()): boolean {
+    return now + work * this.#slowdown > aimAt;
   }
 
+  /** Sorts the entries by turn; what the turn depends on is read once for each. */
   #sortEntries(): readonly QueueEntry<C>[] {
+    const now = this.clock.now();
     const entries = [...this.#entries.values()];
-    return entries.length < 2 ? entries : entries.sort((a, b) => this.#compareEntries(a, b));
+    for (const entry of entries) entry.rank = this.#getRank(entry, now);
+    return entries.length < 2
+      ? entries
+      : entries.sort((a, b) => rankCalls(a.call, a.rank, b.call, b.rank));
   }
 
-  #getRank({ call, isAdmittedInTime }: QueueEntry<C>): Rank {
-    if (this.#isLate(call)) return RANKS.late;
+  #getRank({ call, isAdmittedInTime }: QueueEntry<C>, now: number): Rank {
+    if (this.#isLate(call, now)) return RANKS.late;
     return isAdmittedInTime ? RANKS.inTime : RANKS.uncertain;
   }
 
-  #compareEntries(a: QueueEntry<C>, b: QueueEntry<C>): number {
-    const rank = this.#getRank(a);
-    const urgency = rank - this.#getRank(b) || a.call.priority - b.call.priority;
-    if (urgency !== 0) return urgency;
-    return rank === RANKS.late ? a.call.deadline - b.call.deadline : a.call.aimAt - b.call.aimAt;
-  }
-
   #countAhead(call: C): AheadCounts {
+    const now = this.clock.now();
+    const ownRank = this.#isLate(call, now) ? RANKS.late : RANKS.inTime;
     const ahead = { inTime: 0, late: 0 };
     for (const entry of this.#entries.values()) {
-      if (this.#compareEntries(entry, { call, isAdmittedInTime: true }) > 0) continue;
-      if (this.#getRank(entry) === RANKS.inTime) ahead.inTime += 1;
+      const rank = this.#getRank(entry, now);
+      if (rankCalls(entry.call, rank, call, ownRank) > 0) continue;
+      if (rank === RANKS.inTime) ahead.inTime += 1;
       else ahead.late += 1;
     }
     return ahead;
   }
 }
+
+/** Compares two calls by turn. */
+function rankCalls(a: QueuedCall, rankA: Rank, b: QueuedCall, rankB: Rank): number {
+  const urgency = rankA - rankB || a.priority - b.priority;
+  if (urgency !== 0) return urgency;
+  const isSecondary = a.isSecondary === true;
+  if (isSecondary !== (b.isSecondary === true)) return isSecondary ? 1 : -1;
+  return rankA === RANKS.late ? a.deadline - b.deadline : a.aimAt - b.aimAt;
+}
--- a/test/backlog.test.ts
+++ b/test/backlog.test.ts
@@ -103,6 +103,15 @@
     expect(loop.list('dropped')).to.deep.equal(['left']);
     expect(loop.list('begun')).to.deep.equal(['there']);
   });
+  // Callers with one request each were refused behind those that had sent hundreds ahead.
+  it('starts requests that take more than their share after the others of their priority', async () => {
+    loop.startCost = 5;
+    for (let index = 0; index < 8; index += 1) loop.add(`ahead-${index}`, { isSecondary: true });
+    loop.add('ordinary');
+    loop.add('urgent', { isSecondary: true, priority: 0 });
+    for (let index = 0; index < 3; index += 1) await loop.endIteration();
+    expect(loop.list('begun').slice(0, 2)).to.deep.equal(['urgent', 'ordinary']);
+  });
   it('starts requests at the end of the event-loop iteration that read them, if there is time', async () => {
     for (const name of ['a', 'b', 'c']) loop.add(name);
     expect(loop.outcomes).to.deep.equal([]);
