Bound what clients may make the gateway hold, at every listener

What callers saw: clients that send legal bodies many at once, chunks of one byte, heads of very many fields, requests ahead without reading the answers, or half a body, ended the gateway process or kept it from serving others.

Causes - A body that is buffered kept one object for each piece that the parser passes on, so a million chunks of a byte took some hundred megabytes. - Nothing bounded how many requests of a connection are accepted and not answered, nor what all connections together hold. - Node handles all that has arrived on a connection at once: up to 64 KB, or 1,600 requests, or 10,900 chunks, for each of the connections in turn, while everybody else waits. - Bodies were read without regard to the deadline. - The other listeners had no bound at all: requests sent ahead for /metrics or /feed made as many copies of the answer.

Change: src/overload. A guard stands between each connection and its parser: it passes input on in pieces, has connections with much to read take turns, leaves unread what can't be accepted now (eight requests of a connection, 256 KB of unread answers), and charges an estimate of what is held to a budget of the whole process. When that is exceeded, the connections that hold the most are refused (503, not run, while their request is being read) or closed. When there are too many connections, idle ones that never sent a request go first. Bodies are copied into one buffer, chunks that are streamed are joined, a body that is not complete at the deadline gets 408, and an answer of which nothing is read for the idle timeout ends its connection. Readiness, directory, metrics and feed answer one request of a connection after the other.

--- a/src/gateway/carrying/carried-attempt.ts
+++ b/src/gateway/carrying/carried-attempt.ts
@@ -142,17 +142,21 @@
     }
     connection.idleLimit = parseIdleLimit(readHeader(headers, 'keep-alive'));
     const isSigned = readHeader(headers, HEADERS.signature) !== undefined;
-    readAnswer(response, isSigned, {
-      onAnswer: (answer) => {
-        if (isSigned) {
-          this.#settle({ kind: 'answered', answer });
-          return;
-        }
-        answer.rest?.destroy();
-        this.#settle(decodeLocalAnswer(answer.body, readHeader(headers, 'retry-after')));
+    readAnswer(
+      response,
+      { isSigned, memory: this.outgoing.memory },
+      {
+        onAnswer: (answer) => {
+          if (isSigned) {
+            this.#settle({ kind: 'answered', answer });
+            return;
+          }
+          answer.rest?.destroy();
+          this.#settle(decodeLocalAnswer(answer.body, readHeader(headers, 'retry-after')));
+        },
+        onBroken: breakOff,
       },
-      onBroken: breakOff,
-    });
+    );
   }
 }
 
--- a/src/gateway/carrying/carrying.ts
+++ b/src/gateway/carrying/carrying.ts
@@ -114,7 +114,8 @@
   async #send(carrier: Carrier, key: string): Promise<CarriedOutcome> {
     const { clock } = this.context;
     const { request, progress } = this;
-    const { id: requestId, method, path, service, caller, aimAt, deadline, body } = request;
+    const { id: requestId, method, path, service, caller, aimAt, deadline } = request;
+    const { body, memory } = request;
     const now = clock.now();
     const line = { carrier: carrier.ip, requestId, method, path };
     const terms = {
@@ -132,7 +133,7 @@
     progress.ledger.recordSent();
     this.#running = startCarriedAttempt(
       carrier,
-      { requestId, method, path, headers, body },
+      { requestId, method, path, headers, body, memory },
       findMaxIdle(isRepeatable),
     );
     this.#scheduleCheck(this.#running, now);
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -1,6 +1,11 @@
 /** The HTTP endpoints besides the callers' own: lookup of addresses, readiness, metrics. */
-import http from 'node:http';
+import type { Server } from 'node:http';
 import { type Address, parseRequestUrl } from '../kernel/index.js';
+import {
+  type GatewayListener,
+  type ServerProtection,
+  createGuardedServer,
+} from '../overload/index.js';
 import {
   PATHS,
   type ResolveQuery,
@@ -8,19 +13,29 @@
   parseResolveQuery,
 } from '../platform/index.js';
 
+/** One of these endpoints: where it listens, and how it is protected from its clients. */
+export interface EndpointOptions {
+  readonly address: Address;
+  readonly protection: ServerProtection<GatewayListener>;
+}
+
 /** Starts a listener that computes each answer synchronously from the path and query. */
 function serveAnswers(
-  address: Address,
+  name: GatewayListener,
+  { address, protection }: EndpointOptions,
   createAnswer: (url: URL) => { readonly status: number; readonly body: string },
-): Promise<http.Server> {
-  const server = http.createServer({ keepAliveTimeout: 30_000 }, (request, response) => {
-    const url = parseRequestUrl(request.url);
-    const { status, body } = url === undefined ? BAD_REQUEST : createAnswer(url);
-    response.writeHead(status, {
-      'Content-Type': 'application/json',
-      'Content-Length': Buffer.byteLength(body),
-    });
-    response.end(body);
+): Promise<Server> {
+  const server = createGuardedServer({
+    ...{ name, protection },
+    handle: (request, response) => {
+      const url = parseRequestUrl(request.url);
+      const { status, body } = url === undefined ? BAD_REQUEST : createAnswer(url);
+      response.writeHead(status, {
+        'Content-Type': 'application/json',
+        'Content-Length': Buffer.byteLength(body),
+      });
+      response.end(body);
+    },
   });
   return new Promise((resolve, reject) => {
     server.once('error', reject);
@@ -36,11 +51,11 @@
 
 /** Serves lookups: the addresses that a caller should use, and for how many milliseconds. */
 export function serveDirectory(
-  address: Address,
+  options: EndpointOptions,
   listAddresses: (query: ResolveQuery) => readonly string[],
   readTtl: () => number,
-): Promise<http.Server> {
-  return serveAnswers(address, (url) => {
+): Promise<Server> {
+  return serveAnswers('directory', options, (url) => {
     if (url.pathname !== PATHS.resolve) return NOT_FOUND;
     const addresses = listAddresses(parseResolveQuery(url.searchParams));
     if (addresses.length === 0) return UNAVAILABLE;
@@ -49,16 +64,16 @@
 }
 
 /** Serves the platform's readiness check of this daemon. */
-export function serveReadiness(address: Address, isReady: () => boolean): Promise<http.Server> {
-  return serveAnswers(address, (url) => {
+export function serveReadiness(options: EndpointOptions, isReady: () => boolean): Promise<Server> {
+  return serveAnswers('readiness', options, (url) => {
     if (url.pathname !== PATHS.ready) return NOT_FOUND;
     return isReady() ? { status: 200, body: '{}' } : UNAVAILABLE;
   });
 }
 
 /** Serves the metrics as text. */
-export function serveMetrics(address: Address, format: () => string): Promise<http.Server> {
-  return serveAnswers(address, (url) =>
+export function serveMetrics(options: EndpointOptions, format: () => string): Promise<Server> {
+  return serveAnswers('metrics', options, (url) =>
     url.pathname === METRICS_PATH ? { status: 200, body: format() } : NOT_FOUND,
   );
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,6 +21,12 @@
   Roster,
   serveFeed,
 } from '../peering/index.js';
+import {
+  type GatewayListener,
+  type ServerProtection,
+  computeGatewayLimits,
+  createProtection,
+} from '../overload/index.js';
 import { kvStoreService } from '../platform/index.js';
 import type { RouteTable } from '../routing/index.js';
 import { FleetView, type PropagationTimes, StoreReader, planPropagation } from '../view/index.js';
@@ -40,6 +46,7 @@
 import { ReachMonitor } from './targets/reach-monitor.js';
 import { Prober } from './targets/prober.js';
 import { RequestHandler } from './requests/request-handler.js';
+import { MAX_ADDED_HEADER_BYTES } from './requests/request-reader.js';
 import type { GatewaySettings } from './settings.js';
 import { STATE_WAIT_MS, findStateWait, isFirstStart } from './start-up.js';
 import { type GatewayStatus, describeStatus, listGauges } from './status.js';
@@ -113,6 +120,8 @@
   /** Accepts the calls that other daemons ask this one to carry. */
   readonly #carryServer: CallerServer;
 
+  readonly #protection: ServerProtection<GatewayListener>;
+
   readonly #reachMonitor: ReachMonitor;
 
   readonly #prober: Prober;
@@ -361,12 +370,27 @@
       readTable: () => (this.#state === 'starting' ? undefined : this.#view.table),
       isUnconfirmed: () => this.#isUnconfirmed(),
     });
+    const limits = computeGatewayLimits(machine.memory, machine.descriptors);
+    this.#protection = createProtection(limits, {
+      clock,
+      scheduleAfterIteration: (action) => this.#eventLoop.scheduleAfterIteration(action),
+      isAccepting: () => this.#eventLoop.mayHavePendingConnections,
+      onClose: (listener, reason) => {
+        this.#metrics.count('clients_closed', { listener, reason });
+        log.info('client.closed', { listener, reason });
+      },
+    });
     this.#callerServer = new CallerServer({
+      ...{ name: 'callers', protection: this.#protection, addedHeaderBytes: 0 },
+      isBusy: () => this.#requestHandler.isBusy,
       ...{ address: gateway.callers, clock, eventLoop: this.#eventLoop, metrics: this.#metrics },
       listenQueue: computeListenQueue(capacity),
       serve: (request, response, cameAt) => this.#requestHandler.handle(request, response, cameAt),
     });
     this.#carryServer = new CallerServer({
+      ...{ name: 'carrying', protection: this.#protection },
+      isBusy: () => this.#requestHandler.isBusy,
+      addedHeaderBytes: MAX_ADDED_HEADER_BYTES,
       address: { host: gateway.ip, port: findCarryPort(gateway) },
       ...{ clock, eventLoop: this.#eventLoop, metrics: this.#metrics },
       listenQueue: computeListenQueue(capacity),
@@ -408,6 +432,7 @@
     const { gateway } = this.#settings;
     const [port = 0] = gateway.peer_ports;
     const { signal } = this.#abortController;
+    const protection = this.#protection;
     // Every task of this daemon listens for the abort, some of them more than once.
     setMaxListeners(0, signal);
     this.#fleetRole.start();
@@ -416,13 +441,16 @@
       seeds: gateway.seeds.map(({ host }) => host).join(','),
     });
     this.#servers.push(
-      await serveReadiness(gateway.readiness, () => this.#state === 'ready'),
-      await serveFeed({ host: gateway.ip, port }, ({ position, members }) => ({
+      await serveReadiness(
+        { address: gateway.readiness, protection },
+        () => this.#state === 'ready',
+      ),
+      await serveFeed({ host: gateway.ip, port }, protection, ({ position, members }) => ({
         delta: this.#view.diffSince(position, this.#clock.now()),
         members: members === this.#roster.readFingerprint() ? [] : this.#roster.list(),
       })),
       await serveDirectory(
-        gateway.directory,
+        { address: gateway.directory, protection },
         (query) => this.#directory.listAddresses(query),
         () => this.#directory.readAnswerTtl(),
       ),
@@ -430,7 +458,8 @@
     if (gateway.metrics !== 'none') {
       this.#metrics.addGauges(() => listGauges(this.#readStatus()));
       this.#metrics.addGauges(() => listQuotaGauges(this.#quotas.describe()));
-      this.#servers.push(await serveMetrics(gateway.metrics, () => this.#metrics.format()));
+      const address = gateway.metrics;
+      this.#servers.push(await serveMetrics({ address, protection }, () => this.#metrics.format()));
     }
     for (const server of this.#callServers) await server.listen();
     this.#peerLink.addSeeds(gateway.seeds.map(({ host }) => host));
--- a/src/gateway/requests/answer-reader.ts
+++ b/src/gateway/requests/answer-reader.ts
@@ -1,5 +1,6 @@
 /** Reads answers from targets and from daemons that carry calls. */
 import type { IncomingMessage } from 'node:http';
+import type { RequestMemory } from '../../overload/index.js';
 import { readHeader } from '../../platform/index.js';
 
 /**
@@ -29,10 +30,18 @@
   onBroken(): void;
 }
 
+/** What is known of an answer when its head has arrived. */
+export interface AnswerContext {
+  /** Whether the target has signed it. */
+  readonly isSigned: boolean;
+  /** What the caller's request and its answer hold; undefined where memory is not limited. */
+  readonly memory: RequestMemory | undefined;
+}
+
 /** Reads the body of an answer up to the limit; a longer one is passed on as a stream. */
 export function readAnswer(
   response: IncomingMessage,
-  isSigned: boolean,
+  { isSigned, memory }: AnswerContext,
   { onAnswer, onBroken }: AnswerListener,
 ): void {
   const chunks: Buffer[] = [];
@@ -50,6 +59,7 @@
   const onData = (chunk: Buffer) => {
     chunks.push(chunk);
     length += chunk.length;
+    memory?.charge(chunk.length);
     if (length <= MAX_BUFFERED_ANSWER_BYTES) return;
     response.pause();
     response.removeListener('data', onData);
--- a/src/gateway/requests/attempt.ts
+++ b/src/gateway/requests/attempt.ts
@@ -196,10 +196,14 @@
       this.#settle({ kind: 'not-run', cause: report.isMisdirected ? 'misdirected' : 'shed' });
       return;
     }
-    readAnswer(response, report.isSigned, {
-      onAnswer: (answer) => this.#settle({ kind: 'answered', answer }),
-      onBroken: () => this.#settleLost('the answer broke off', ''),
-    });
+    readAnswer(
+      response,
+      { isSigned: report.isSigned, memory: this.outgoing.memory },
+      {
+        onAnswer: (answer) => this.#settle({ kind: 'answered', answer }),
+        onBroken: () => this.#settleLost('the answer broke off', ''),
+      },
+    );
   }
 
   #applyReport(report: SelfReport, status: number): void {
--- a/src/gateway/requests/caller-server.ts
+++ b/src/gateway/requests/caller-server.ts
@@ -5,9 +5,18 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Address, Clock, TextMetrics } from '../../kernel/index.js';
+import {
+  type ConnectionGuard,
+  type GatewayListener,
+  type ServerProtection,
+  createGuard,
+} from '../../overload/index.js';
 import { UnreadBodies } from '../../proxy/unread-body.js';
+import { HEADERS, readHeader } from '../../platform/index.js';
 import type { RequestLimits } from '../../routing/index.js';
 import type { AcceptMark, EventLoopMonitor } from '../event-loop-monitor.js';
+import { writeLocalAnswer } from './answers.js';
+import { PipelinedRequests } from './pipelined-requests.js';
 
 /** Dependencies of the listener. */
 export interface CallerServerOptions {
@@ -17,6 +26,12 @@
   readonly metrics: TextMetrics;
   /** Length of the listen queue: connections that may wait to be accepted. */
   readonly listenQueue: number;
+  readonly name: 'callers' | 'carrying';
+  readonly protection: ServerProtection<GatewayListener>;
+  /** Whether requests wait for this daemon's CPU. */
+  readonly isBusy: () => boolean;
+  /** Bytes by which heads may be longer than the operators' limit. */
+  readonly addedHeaderBytes: number;
   /**
    * Handles a request; `estimatedArrivalAt` is when it is estimated to have arrived, on the
    * kernel's clock.
@@ -28,11 +43,14 @@
   ) => void;
 }
 
-/**
- * Longest head that the parser accepts, in bytes; the operators' own limit is checked after
- * parsing.
- */
-const MAX_PARSED_HEADER_BYTES = 131_072;
+/** Longest head that the parser accepts while no configuration is known, in bytes. */
+const DEFAULT_HEADER_BYTES = 65_536;
+
+/** How long a connection whose input was rejected stays open for its answer, in milliseconds. */
+const REJECTED_LINGER_MS = 1000;
+
+/** Retry-After of a request that is refused for what it costs, in milliseconds. */
+const COSTLY_RETRY_AFTER_MS = 500;
 
 /**
  * Connections are kept open this much longer than callers are told, so that no caller sends into a
@@ -101,6 +119,12 @@
 
   readonly #unreadBodies: UnreadBodies;
 
+  readonly #guard: ConnectionGuard;
+
+  readonly #pipelinedRequests: PipelinedRequests;
+
+  #idleTimeout = DEFAULT_IDLE_TIMEOUT_MS;
+
   #maxBodyBytes = Infinity;
 
   /** The answer that will close each connection. */
@@ -118,8 +142,10 @@
       onOutcome: (outcome) => options.metrics.count('unread_bodies', { outcome }),
       readMaxBodyBytes: () => this.#maxBodyBytes,
     });
+    this.#pipelinedRequests = new PipelinedRequests(options.isBusy);
+    this.#guard = createGuard(options.name, options.protection, () => this.#idleTimeout);
     this.#server = http.createServer({
-      maxHeaderSize: MAX_PARSED_HEADER_BYTES,
+      maxHeaderSize: DEFAULT_HEADER_BYTES,
       headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
       requestTimeout: 0,
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
@@ -130,6 +156,7 @@
     this.#server.maxHeadersCount = 0;
     this.#server.on('connection', (socket: Socket) => {
       this.#activeRequests.set(socket, 0);
+      this.#guard.watchConnection(socket);
       this.#unreadBodies.watchConnection(socket);
       // Each pipelined request adds listeners that watch for the caller's disconnect.
       socket.setMaxListeners(0);
@@ -151,6 +178,8 @@
       }
       // The answer below promises that whatever else arrives on this connection will not run.
       this.#refused.add(socket as Socket);
+      this.#guard.reject(socket as Socket);
+      options.clock.schedule(REJECTED_LINGER_MS, () => socket.destroy());
       const { bytesRead } = socket as Socket;
       if (
         status === REQUEST_TIMEOUT &&
@@ -175,10 +204,19 @@
 
   /** Applies the operators' time-outs for connections. */
   setLimits(limits: RequestLimits): void {
-    const { headerTimeout, idleTimeout, bodyBytes } = limits;
+    const { headerTimeout, idleTimeout, bodyBytes, headerBytes } = limits;
     this.#maxBodyBytes = bodyBytes;
+    if (Number.isFinite(headerBytes)) {
+      // The parser of each new connection takes it from here, and rejects a head of this length.
+      Object.assign(this.#server, {
+        maxHeaderSize: headerBytes + this.options.addedHeaderBytes + 1,
+      });
+    }
     if (Number.isFinite(headerTimeout)) this.#server.headersTimeout = headerTimeout;
-    if (Number.isFinite(idleTimeout)) this.#server.keepAliveTimeout = idleTimeout + IDLE_MARGIN_MS;
+    if (Number.isFinite(idleTimeout)) {
+      this.#idleTimeout = idleTimeout + IDLE_MARGIN_MS;
+      this.#server.keepAliveTimeout = this.#idleTimeout;
+    }
   }
 
   /** Counts the requests in progress. */
@@ -212,6 +250,7 @@
 
   /** Stops listening and closes all connections. */
   close(): void {
+    this.#guard.stop();
     this.#server.close();
     for (const socket of this.#activeRequests.keys()) socket.destroy();
   }
@@ -223,6 +262,9 @@
       socket.destroy();
       return;
     }
+    const mayServe = this.#guard.watchRequest(request, response);
+    // The request may have been the one that its connection was closed for.
+    if (socket.destroyed) return;
     this.#unreadBodies.watchRequest(request, response);
     this.#activeRequests.set(socket, (this.#activeRequests.get(socket) ?? 0) + 1);
     response.on('close', () => {
@@ -231,11 +273,20 @@
       if (active !== undefined) this.#activeRequests.set(socket, active - 1);
     });
     if (this.#isDraining && !this.#setClosingResponse(socket, response)) return;
+    if (!mayServe) {
+      const reason = 'too-many-fields';
+      writeLocalAnswer(response, readHeader(request.headers, HEADERS.requestId) ?? '', {
+        ...{ kind: 'not-run', reason, retryAfter: COSTLY_RETRY_AFTER_MS },
+      });
+      return;
+    }
     const estimatedArrivalAt = this.options.eventLoop.estimateArrival(
       this.#acceptMarks.get(socket),
     );
     this.#acceptMarks.delete(socket);
-    this.options.serve(request, response, estimatedArrivalAt);
+    this.#pipelinedRequests.add(socket, response, () =>
+      this.options.serve(request, response, estimatedArrivalAt),
+    );
   }
 
   /**
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -361,7 +361,7 @@
           ...[HEADERS.timeLeft, String(Math.max(1, Math.floor(timeLeft)))],
           ...[HEADERS.expectedIncarnation, target.record.incarnation],
         ]),
-        body: request.body,
+        ...{ body: request.body, memory: request.memory },
       },
       { isRepeatable: this.#isRepeatable, clock: this.context.clock },
     );
--- a/src/gateway/requests/outgoing-request.ts
+++ b/src/gateway/requests/outgoing-request.ts
@@ -1,6 +1,7 @@
 /** A request as it is sent over one connection, and the answer or failure that comes of it. */
 import http, { type IncomingMessage } from 'node:http';
 import type { Readable } from 'node:stream';
+import type { RequestMemory } from '../../overload/index.js';
 import { findResponseFault } from '../../proxy/answer-check.js';
 import type { TargetConnection } from '../targets/connections.js';
 
@@ -42,6 +43,8 @@
   /** Without those that frame the body. */
   readonly headers: readonly string[];
   readonly body: OutgoingBody;
+  /** What the caller's request and its answer hold; undefined where memory is not limited. */
+  readonly memory?: RequestMemory;
 }
 
 /** Why a request that was sent gets no answer. */
--- /dev/null
+++ b/src/gateway/requests/pipelined-requests.ts
@@ -0,0 +1,58 @@
+/**
+ * Starts the requests that a caller has sent ahead on one connection. Their answers have to leave in
+ * order, so while this daemon is busy nothing is gained by working on them all at once: then one
+ * after the other is started, and callers with one request each go first.
+ */
+import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { MAX_PIPELINED_REQUESTS } from '../../overload/index.js';
+
+/** While the caller leaves more than this of its answers unread, one request after the other is started. */
+const MAX_UNSENT_BYTES = 65_536;
+
+interface Pipeline {
+  /** Requests that were started and not answered. */
+  running: number;
+  readonly waiting: (() => void)[];
+}
+
+/** The requests of all connections of one listener. */
+export class PipelinedRequests {
+  readonly #pipelines = new WeakMap<Socket, Pipeline>();
+
+  /** @param isBusy whether other requests wait for this daemon */
+  constructor(private readonly isBusy: () => boolean) {}
+
+  /** Starts a request now, or when earlier ones of its connection have been answered. */
+  add(socket: Socket, response: ServerResponse, start: () => void): void {
+    const pipeline = this.#find(socket);
+    response.once('close', () => {
+      pipeline.running -= 1;
+      this.#startNext(socket, pipeline);
+    });
+    pipeline.waiting.push(start);
+    this.#startNext(socket, pipeline);
+  }
+
+  #find(socket: Socket): Pipeline {
+    const known = this.#pipelines.get(socket);
+    if (known !== undefined) return known;
+    const pipeline: Pipeline = { running: 0, waiting: [] };
+    this.#pipelines.set(socket, pipeline);
+    return pipeline;
+  }
+
+  #startNext(socket: Socket, pipeline: Pipeline): void {
+    while (pipeline.running < this.#findLimit(socket)) {
+      const start = pipeline.waiting.shift();
+      if (start === undefined || socket.destroyed) return;
+      pipeline.running += 1;
+      start();
+    }
+  }
+
+  /** Finds how many requests of a connection may be in progress. */
+  #findLimit(socket: Socket): number {
+    return this.isBusy() || socket.writableLength > MAX_UNSENT_BYTES ? 1 : MAX_PIPELINED_REQUESTS;
+  }
+}
--- a/src/gateway/requests/request-handler.ts
+++ b/src/gateway/requests/request-handler.ts
@@ -8,6 +8,7 @@
   type TextMetrics,
 } from '../../kernel/index.js';
 import { RouteTime, type RouteTimeState } from '../../balance/index.js';
+import { findRequestMemory } from '../../overload/index.js';
 import { HEADERS, readHeader } from '../../platform/index.js';
 import { type Route, type RouteTable, TrafficSplitter } from '../../routing/index.js';
 import type { QuotaTicket } from '../quota/quota-ticket.js';
@@ -29,6 +30,7 @@
   buildCommonHeaders,
   checkRequest,
   isContinueExpected,
+  isCostly,
   readBody,
 } from './request-reader.js';
 import type { EventLoopMonitor } from '../event-loop-monitor.js';
@@ -70,6 +72,9 @@
 /** Longest time that a request is held, whatever its caller and its route state, in milliseconds. */
 const MAX_HOLD_MS = 60_000;
 
+/** A longer backlog shows that this daemon is busy. */
+const MAX_CALM_BACKLOG = 16;
+
 /** A request that was matched to a route and a service. */
 interface AdmittedRequest {
   readonly kind: 'admitted';
@@ -167,6 +172,11 @@
     return this.#backlog.size;
   }
 
+  /** Whether more requests wait to be started than come in one iteration of a calm event loop. */
+  get isBusy(): boolean {
+    return this.#backlog.size > MAX_CALM_BACKLOG;
+  }
+
   /** Describes the estimates of each route, by its name. */
   describeRouteTimes(): Readonly<Record<string, RouteTimeState>> {
     const now = this.options.clock.now();
@@ -227,6 +237,7 @@
     const routeTime = this.#findRouteTime(route.name);
     this.#backlog.add({
       ...{ estimatedArrivalAt, aimAt, deadline, priority: route.priority },
+      isSecondary: isCostly(request),
       // Only the wait in the backlog may cause a refusal here, so a call time without evidence
       // counts as 0.
       get work() {
@@ -280,7 +291,11 @@
     response: ServerResponse,
     admitted: TimedRequest,
   ): Promise<void> {
-    const result = await readBody(request, admitted.table.limits);
+    const memory = findRequestMemory(request);
+    const result = await readBody(request, {
+      ...{ limits: admitted.table.limits, clock: this.options.clock },
+      ...{ deadline: admitted.deadline, memory },
+    });
     if (result.kind === 'gone' || hasCallerLeft(request, response)) {
       admitted.ticket.giveBack();
       return;
@@ -367,7 +382,7 @@
       } as const;
       return createRejected(answer, false);
     }
-    const refusal = checkRequest(request, table.limits);
+    const refusal = checkRequest(request, table.limits, carried !== undefined);
     if (refusal !== undefined) return createRejected(refusal, false);
     const [path = '/'] = (request.url ?? '/').split('?', 1);
     const [host = ''] = (request.headers.host ?? '').split(':', 1);
@@ -422,14 +437,17 @@
       ...{ method: request.method ?? 'GET', path: request.url ?? '/' },
       ...{ body, bodyBytes: getBodyLength(body) ?? 0 },
     };
+    const memory = findRequestMemory(request);
     const { host = '' } = request.headers;
     const caller = findCaller(request, admitted.carried);
     return {
       ...{ organisation: identity?.organisation, credential: identity?.credential, ticket },
       ...{ id, route, headReadAt, estimatedArrivalAt, aimAt, deadline, caller, ...outgoing },
+      ...{ memory, isCostly: isCostly(request) },
       service: this.options.targets.getService(admitted.service),
       identity: new RequestIdentity({ ...outgoing, host, caller }),
-      buildHeaders: (hopHeaders) => [...commonHeaders, ...hopHeaders],
+      // Servers may ignore headers beyond a number, so those of this daemon go first.
+      buildHeaders: (hopHeaders) => [...hopHeaders, ...commonHeaders],
     };
   }
 
--- a/src/gateway/requests/request-reader.ts
+++ b/src/gateway/requests/request-reader.ts
@@ -3,7 +3,15 @@
  * builds the headers for targets.
  */
 import type { IncomingMessage } from 'node:http';
-import { type Readable, Transform } from 'node:stream';
+import type { Readable } from 'node:stream';
+import type { Clock } from '../../kernel/index.js';
+import {
+  BodyBuffer,
+  MANY_FIELDS,
+  PieceJoiner,
+  type RequestMemory,
+  findRequestMemory,
+} from '../../overload/index.js';
 import { checkHead, normalizeTarget } from '../../proxy/head-check.js';
 import { listPairs } from '../../proxy/headers.js';
 import { recordLongBody } from '../../proxy/unread-body.js';
@@ -23,8 +31,19 @@
 const BODY_TOO_LARGE = 413;
 const HEADERS_TOO_LARGE = 431;
 
-/** Bytes that each header line takes besides its name and value. */
-const HEADER_LINE_BYTES = 4;
+const REQUEST_TIMEOUT = 408;
+
+/** Bytes that each header line takes at least, besides its name and value. */
+const HEADER_LINE_BYTES = 3;
+
+/** Bytes by which the head of a carried call may be longer, for the headers that daemons add. */
+export const MAX_ADDED_HEADER_BYTES = 4096;
+
+/** Estimated memory of a body that is streamed, in bytes. */
+const STREAM_BYTES = 131_072;
+
+/** Retry-After of a request whose body this daemon has no memory for, in milliseconds. */
+const NO_MEMORY_RETRY_AFTER_MS = 500;
 
 function countHeaderBytes(request: IncomingMessage): number {
   let bytes = (request.url ?? '').length + (request.method ?? '').length;
@@ -43,11 +62,13 @@
 export function checkRequest(
   request: IncomingMessage,
   limits: RequestLimits,
+  isCarried = false,
 ): LocalAnswer | undefined {
   normalizeTarget(request);
   const refusal = checkHead(request);
   if (refusal !== undefined) return reject(refusal.status, refusal.detail);
-  if (countHeaderBytes(request) > limits.headerBytes) {
+  const maxHeaderBytes = limits.headerBytes + (isCarried ? MAX_ADDED_HEADER_BYTES : 0);
+  if (countHeaderBytes(request) > maxHeaderBytes) {
     return reject(HEADERS_TOO_LARGE, `headers over ${limits.headerBytes} bytes`);
   }
   if (Number(request.headers['content-length'] ?? 0) > limits.bodyBytes) {
@@ -56,6 +77,19 @@
   return undefined;
 }
 
+/** Requests with longer bodies cost this daemon much more than others. */
+const LONG_BODY_BYTES = 65_536;
+
+/**
+ * Whether a request takes more than its share of this daemon: others of its connection are in
+ * progress, or it is long.
+ */
+export function isCostly(request: IncomingMessage): boolean {
+  if (findRequestMemory(request)?.isPipelined === true) return true;
+  if (request.rawHeaders.length / 2 > MANY_FIELDS) return true;
+  return Number(request.headers['content-length'] ?? 0) > LONG_BODY_BYTES;
+}
+
 /** Whether the caller sends the body only after `100 Continue`. */
 export function isContinueExpected(request: IncomingMessage): boolean {
   return request.headers.expect !== undefined && request.httpVersion === '1.1';
@@ -68,8 +102,18 @@
   /** The caller has left. */
   | { readonly kind: 'gone' };
 
+/** How a body is read. */
+export interface BodyOptions {
+  readonly limits: RequestLimits;
+  readonly clock: Clock;
+  /** Until when a body that is buffered has to be complete, on the clock. */
+  readonly deadline: number;
+  /** What the request holds; undefined where memory is not limited. */
+  readonly memory: RequestMemory | undefined;
+}
+
 /** Reads a body whole, or returns its stream if it is too long to buffer. */
-export function readBody(request: IncomingMessage, limits: RequestLimits): Promise<BodyResult> {
+export function readBody(request: IncomingMessage, options: BodyOptions): Promise<BodyResult> {
   const { headers } = request;
   const length = Number(headers['content-length'] ?? 0);
   const isChunked = headers['transfer-encoding'] !== undefined;
@@ -79,52 +123,79 @@
     return Promise.resolve({ kind: 'read', body });
   }
   if (length > MAX_BUFFERED_BODY_BYTES) {
+    options.memory?.charge(STREAM_BYTES);
     return Promise.resolve({ kind: 'read', body: { kind: 'stream', source: request, length } });
   }
+  return receiveBody(request, options);
+}
+
+/** Buffers a body. One that turns out to be too long for that is streamed. */
+function receiveBody(request: IncomingMessage, options: BodyOptions): Promise<BodyResult> {
+  const { limits, clock, deadline, memory } = options;
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const { 'content-length': length } = request.headers;
+    const buffer = new BodyBuffer(length === undefined ? undefined : Number(length));
+    let isSettled = false;
+    const settle = (result: BodyResult) => {
+      isSettled = true;
+      timer.cancel();
+      request.removeListener('data', onData);
+      if (memory !== undefined) memory.onEvict = undefined;
+      resolve(result);
+    };
+    const refuse = (answer: LocalAnswer) => {
+      request.pause();
+      // The listeners below keep it until the connection is closed.
+      buffer.take();
+      settle({ kind: 'refused', answer });
+    };
+    const timer = clock.schedule(deadline - clock.now(), () =>
+      refuse(reject(REQUEST_TIMEOUT, 'the body was not complete in time')),
+    );
     const onData = (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > limits.bodyBytes) {
-        request.pause();
-        request.removeListener('data', onData);
-        resolve({ kind: 'refused', answer: rejectBody(limits) });
+      const capacityBefore = buffer.capacity;
+      buffer.append(chunk);
+      if (buffer.length > limits.bodyBytes) {
+        refuse(rejectBody(limits));
         return;
       }
-      chunks.push(chunk);
-      if (bytes <= MAX_BUFFERED_BODY_BYTES) return;
-      // Too long to buffer: what was read is put back, and the whole body is streamed.
+      memory?.charge(buffer.capacity - capacityBefore);
+      // The charge may have ended the reading.
+      if (isSettled || buffer.length <= MAX_BUFFERED_BODY_BYTES) return;
+      // What was read is put back, and the whole body is streamed.
       request.pause();
-      request.removeListener('data', onData);
-      request.unshift(Buffer.concat(chunks));
-      recordLongBody(request);
-      const source = createLimiter(request, limits);
-      resolve({ kind: 'read', body: { kind: 'stream', source, length: undefined } });
+      memory?.release(buffer.capacity);
+      settle({ kind: 'read', body: forwardRest(request, buffer, options) });
     };
+    if (memory !== undefined) {
+      memory.onEvict = () =>
+        refuse({ kind: 'not-run', reason: 'no-memory', retryAfter: NO_MEMORY_RETRY_AFTER_MS });
+    }
     request.on('data', onData);
-    request.on('end', () =>
-      resolve({ kind: 'read', body: { kind: 'whole', data: Buffer.concat(chunks) } }),
-    );
-    request.on('close', () => resolve({ kind: 'gone' }));
-    request.on('error', () => resolve({ kind: 'gone' }));
+    request.on('end', () => settle({ kind: 'read', body: { kind: 'whole', data: buffer.take() } }));
+    request.on('close', () => settle({ kind: 'gone' }));
+    request.on('error', () => settle({ kind: 'gone' }));
   });
 }
 
+function forwardRest(
+  request: IncomingMessage,
+  buffer: BodyBuffer,
+  { limits, memory }: BodyOptions,
+): OutgoingBody {
+  memory?.charge(MAX_BUFFERED_BODY_BYTES + STREAM_BYTES);
+  request.unshift(buffer.take());
+  recordLongBody(request);
+  return { kind: 'stream', source: createLimiter(request, limits), length: undefined };
+}
+
 function rejectBody({ bodyBytes }: RequestLimits): LocalAnswer {
   return reject(BODY_TOO_LARGE, `a body over ${bodyBytes} bytes`);
 }
 
 /** Streams a body up to the limit; a longer one destroys the request. */
 function createLimiter(request: IncomingMessage, { bodyBytes }: RequestLimits): Readable {
-  let bytes = 0;
-  const limiter = new Transform({
-    transform(chunk: Buffer, _encoding, done) {
-      bytes += chunk.length;
-      if (bytes > bodyBytes) request.destroy();
-      else done(null, chunk);
-    },
-  });
+  const limiter = new PieceJoiner(bodyBytes, () => request.destroy());
   request.once('close', () => {
     // A pipe does not end when its source breaks off.
     if (!request.readableEnded) limiter.destroy();
@@ -165,13 +236,12 @@
 ): readonly string[] {
   const options = listConnectionOptions(request);
   const identityHeaders = identity === undefined ? NO_HEADERS : IDENTITY_HEADERS;
-  const headers: string[] = [];
+  const { organisation } = identity ?? {};
+  const headers = organisation === undefined ? [] : [HEADERS.organisation, organisation.name];
   for (const [name, value] of listPairs(request.rawHeaders)) {
     const lower = name.toLowerCase();
     if (DROPPED_HEADERS.has(lower) || options.has(lower) || identityHeaders.has(lower)) continue;
     headers.push(name, value);
   }
-  const { organisation } = identity ?? {};
-  if (organisation !== undefined) headers.push(HEADERS.organisation, organisation.name);
   return headers;
 }
--- a/src/gateway/requests/routed-request.ts
+++ b/src/gateway/requests/routed-request.ts
@@ -1,6 +1,7 @@
 /** A request on its way to a target, and what the modules that serve it depend on. */
 import type { RouteTime } from '../../balance/index.js';
 import type { Clock, Log, TextMetrics } from '../../kernel/index.js';
+import type { RequestMemory } from '../../overload/index.js';
 import type { Organisation, Route } from '../../routing/index.js';
 import type { QuotaTicket } from '../quota/quota-ticket.js';
 import type { TargetService } from '../targets/target-service.js';
@@ -33,6 +34,10 @@
   /** Recognises other tries of the same request. */
   readonly identity: RequestIdentity;
   readonly body: OutgoingBody;
+  /** Whether it takes more than its share of this daemon. */
+  readonly isCostly?: boolean;
+  /** What it and its answer hold; undefined where memory is not limited. */
+  readonly memory?: RequestMemory;
   /** Length of the body, as far as it is known. */
   readonly bodyBytes: number;
   /** The IP address of the caller. */
--- a/src/gateway/requests/slot-call.ts
+++ b/src/gateway/requests/slot-call.ts
@@ -20,10 +20,10 @@
   runTime: CallRunTime,
   { tried, suspect, isRepeatable, isUnsent }: SlotCallTerms,
 ): SlotCall {
-  const { route, aimAt, deadline, bodyBytes } = request;
+  const { route, aimAt, deadline, bodyBytes, isCostly: isSecondary = false } = request;
   return {
     ...{ priority: route.priority, aimAt: Math.min(aimAt, deadline), deadline, bodyBytes },
-    ...{ tried, regions: route.regions, suspect },
+    ...{ tried, regions: route.regions, suspect, isSecondary },
     trial: isUnsent ? { isRepeatable } : undefined,
     get work() {
       return runTime.work;
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -60,9 +60,22 @@
   ),
 } satisfies Fields;
 
+const DEFAULT_MEMORY_MB = 250;
+const DEFAULT_DESCRIPTORS = 4096;
+
 const machineFields = {
   cpu_share: describeNumber('Share of a core that this VM has', [0, 1000]),
   core_speed: describeNumber('Speed of that core, as a multiple of the usual', [0, 1000], 1),
+  memory: describeInteger(
+    'Memory of this VM in MB; clients may occupy a part of it',
+    [64, 1_000_000],
+    DEFAULT_MEMORY_MB,
+  ),
+  descriptors: describeInteger(
+    'File descriptors that the daemon may open; connections of callers may take a part of them',
+    [256, 10_000_000],
+    DEFAULT_DESCRIPTORS,
+  ),
 } satisfies Fields;
 
 const platformFields = {
--- /dev/null
+++ b/src/overload/request-memory.ts
@@ -0,0 +1,61 @@
+/** The memory that one request and its answer hold, charged to the account of their connection. */
+import type { IncomingMessage } from 'node:http';
+import type { MemoryAccount } from './memory-budget.js';
+
+/** What one request holds; given back when its answer has been read, or its connection closed. */
+export class RequestMemory {
+  #held = 0;
+
+  #isClosed = false;
+
+  /**
+   * Refuses the request when its connection holds too much; without it, the connection is closed.
+   * Set only while the request is known not to have been forwarded.
+   */
+  onEvict: (() => void) | undefined;
+
+  /** @param isPipelined whether earlier requests of its connection were not answered when it came */
+  constructor(
+    private readonly account: MemoryAccount,
+    readonly isPipelined: boolean,
+  ) {}
+
+  /** Adds to what is held, in bytes. */
+  charge(bytes: number): void {
+    if (this.#isClosed) return;
+    this.#held += bytes;
+    this.account.charge(bytes);
+  }
+
+  /** Gives back some of what is held. */
+  release(bytes: number): void {
+    const released = Math.min(bytes, this.#held);
+    this.#held -= released;
+    if (!this.#isClosed) this.account.release(released);
+  }
+
+  /** Gives back everything; later charges have no effect. */
+  close(): void {
+    this.release(this.#held);
+    this.#isClosed = true;
+    this.onEvict = undefined;
+  }
+
+  /** Forgets what is held, as the account of the connection was closed. */
+  forget(): void {
+    this.#held = 0;
+    this.#isClosed = true;
+  }
+}
+
+const memories = new WeakMap<IncomingMessage, RequestMemory>();
+
+/** Assigns the memory of a request. */
+export function setRequestMemory(request: IncomingMessage, memory: RequestMemory): void {
+  memories.set(request, memory);
+}
+
+/** Returns the memory of a request; undefined where its listener does not limit memory. */
+export function findRequestMemory(request: IncomingMessage): RequestMemory | undefined {
+  return memories.get(request);
+}
--- a/src/peering/feed.ts
+++ b/src/peering/feed.ts
@@ -13,6 +13,11 @@
   isJsonObject,
   parseRequestUrl,
 } from '../kernel/index.js';
+import {
+  type GatewayListener,
+  type ServerProtection,
+  createGuardedServer,
+} from '../overload/index.js';
 import type { Evacuations, RemovedTarget, ViewDelta, ViewPosition } from '../view/index.js';
 import type { TargetRecord } from '../platform/index.js';
 import type { MemberInfo } from './roster.js';
@@ -158,9 +163,10 @@
  */
 export function serveFeed(
   address: Address,
+  protection: ServerProtection<GatewayListener>,
   answer: (request: FeedRequest) => FeedResponse,
 ): Promise<http.Server> {
-  const server = http.createServer({ keepAliveTimeout: 30_000 }, (request, response) => {
+  const handle = (request: http.IncomingMessage, response: http.ServerResponse) => {
     const url = parseRequestUrl(request.url);
     if (url === undefined) {
       response.writeHead(400).end();
@@ -178,7 +184,8 @@
       return;
     }
     sendResponse(response, answer({ position, members })).catch(() => response.destroy());
-  });
+  };
+  const server = createGuardedServer({ name: 'feed', protection, handle });
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(address.port, address.host, () => resolve(server));
--- a/src/standin/site.ts
+++ b/src/standin/site.ts
@@ -33,13 +33,15 @@
   readonly coldRate?: unknown;
   /** The organisations; left out of the configuration unless given. */
   readonly tenants?: unknown;
+  /** Limits that differ from the usual ones, by their names in the configuration. */
+  readonly limits?: Readonly<Record<string, number>>;
 }
 
 /** Composes a configuration as the operators store it. */
 export function writeConfiguration(
   version: number,
   rules: readonly RuleOptions[],
-  { coldRate, tenants }: ServiceOptions = {},
+  { coldRate, tenants, limits }: ServiceOptions = {},
 ): string {
   const services = ['alpha', 'beta'];
   return JSON.stringify({
@@ -49,6 +51,7 @@
     limits: {
       ...{ max_header_bytes: 8192, max_body_bytes: 4_000_000 },
       ...{ header_timeout_ms: 3000, idle_timeout_ms: 5000 },
+      ...limits,
     },
     listeners: [
       {
@@ -98,6 +101,9 @@
   });
 }
 
+/** Longest head that a stand-in target accepts, in bytes. */
+const MAX_HEAD_BYTES = 65_536;
+
 /** How a stand-in target handles one request. */
 export type Behaviour = (request: IncomingMessage, response: ServerResponse) => void;
 
@@ -157,7 +163,7 @@
 
   readonly #sockets = new Set<Socket>();
 
-  readonly #server = http.createServer((request, response) => {
+  readonly #server = http.createServer({ maxHeaderSize: MAX_HEAD_BYTES }, (request, response) => {
     this.#handleRequest(request, response).catch(() => response.destroy());
   });
 
@@ -167,6 +173,7 @@
 
   /** Starts listening on a free loopback port. */
   async start(): Promise<this> {
+    this.#server.maxHeadersCount = 0;
     this.#server.on('connection', (socket) => {
       this.connections += 1;
       this.#sockets.add(socket);
--- a/test/feed.test.ts
+++ b/test/feed.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'chai';
 import { ManualClock } from '../src/kernel/index.js';
 import { FeedClient, serveFeed } from '../src/peering/index.js';
+import { protection } from './helpers/protection.js';
 
 const REQUEST = { position: { targets: 1, configuration: 1, evacuations: 0 }, members: 0 };
 
@@ -65,7 +66,7 @@
     const received: unknown[] = [];
     const clock = new ManualClock();
     for (const count of [2, 500]) {
-      const server = await serveFeed(address, () => ({
+      const server = await serveFeed(address, protection, () => ({
         ...{ members: [] },
         delta: {
           position: { targets: 2, configuration: 1, evacuations: 0 },
--- /dev/null
+++ b/test/memory-budget.test.ts
@@ -0,0 +1,113 @@
+/** The memory that the connections of a process hold together. */
+import { expect } from 'chai';
+import {
+  BodyBuffer,
+  type MemoryAccount,
+  MemoryBudget,
+  ReadTurns,
+  computeGatewayLimits,
+} from '../src/overload/index.js';
+
+const LIMIT = 1000;
+
+describe('a memory budget', () => {
+  let budget: MemoryBudget;
+  let evicted: string[];
+  beforeEach(() => {
+    budget = new MemoryBudget(LIMIT);
+    evicted = [];
+  });
+  const open = (name: string, bytes: number): MemoryAccount => {
+    const account = budget.open({ evict: () => evicted.push(name) });
+    account.charge(bytes);
+    return account;
+  };
+
+  it('ends the owner that holds the most, not the one that asks', () => {
+    open('large', 700);
+    open('small', 200);
+    open('new', 150);
+    expect(evicted).to.deep.equal(['large']);
+    expect(budget.held).to.equal(350);
+  });
+  it('ends one that alone exceeds it', () => {
+    open('huge', LIMIT + 1);
+    expect(evicted).to.deep.equal(['huge']);
+    expect(budget.held).to.equal(0);
+  });
+  it('bounds a crowd in which each one holds little, and spares those that hold less', () => {
+    open('ordinary', 5);
+    for (let index = 0; index < 500; index += 1) open('crowd', 20);
+    expect(budget.held).to.be.at.most(LIMIT);
+    expect(evicted).to.not.include('ordinary');
+  });
+  it('forgets what was given back', () => {
+    const account = open('one', 900);
+    account.release(2000);
+    expect(budget.held).to.equal(0);
+    open('other', 900);
+    expect(evicted).to.deep.equal([]);
+  });
+  it('leaves room on every machine', () => {
+    const onSmallest = computeGatewayLimits(250, 4100);
+    expect(onSmallest.heldBytes).to.be.within(16 * 1_048_576, 64 * 1_048_576);
+    const connections = Object.values(onSmallest.connections).reduce((sum, count) => sum + count);
+    expect(connections).to.be.below(4100 - 200);
+    expect(computeGatewayLimits(64, 256).heldBytes).to.be.above(0);
+  });
+});
+
+describe('a body that arrives in pieces', () => {
+  it('occupies little more than its bytes, however short the pieces are', () => {
+    const buffer = new BodyBuffer(100_000);
+    for (let index = 0; index < 100_000; index += 1) buffer.append(Buffer.from([index % 256]));
+    expect(buffer.capacity).to.equal(100_000);
+    const data = buffer.take();
+    expect([data.length, data[255], data[99_999]]).to.deep.equal([100_000, 255, 159]);
+    expect(buffer.capacity).to.equal(0);
+  });
+});
+
+describe('the turns of connections that have more to read', () => {
+  const play = (readers: number, isAccepting: boolean, turnMs = 0) => {
+    let now = 0;
+    let actions: (() => void)[] = [];
+    const turns = new ReadTurns({
+      ...{ clock: { now: () => now }, isAccepting: () => isAccepting },
+      scheduleAfterIteration: (action) => actions.push(action),
+    });
+    const read: number[] = [];
+    for (let index = 0; index < readers; index += 1) {
+      const reader = {
+        readNext: () => {
+          read.push(index);
+          now += turnMs;
+          turns.add(reader);
+        },
+      };
+      turns.add(reader);
+    }
+    return {
+      read,
+      endIteration: () => {
+        const ended = actions;
+        actions = [];
+        for (const action of ended) action();
+      },
+    };
+  };
+
+  it('are given to a few in each iteration, and to all in the end', () => {
+    const { read, endIteration } = play(20, false);
+    endIteration();
+    expect(read.length).to.be.below(20);
+    for (let iteration = 0; iteration < 10; iteration += 1) endIteration();
+    expect(new Set(read).size).to.equal(20);
+  });
+  it('are fewer while connections wait to be accepted, or when each takes long', () => {
+    for (const { read, endIteration } of [play(20, true), play(20, false, 5)]) {
+      endIteration();
+      expect(read).to.deep.equal([0]);
+    }
+  });
+});
--- a/test/strange.test.ts
+++ b/test/strange.test.ts
@@ -19,6 +19,7 @@
 import { writeTarget } from '../src/standin/index.js';
 import { StoreReader } from '../src/view/index.js';
 import { createTargets, createView } from './helpers/targets.js';
+import { protection } from './helpers/protection.js';
 
 /** A watch that never reports a change. */
 const pendingWatch = new Promise<WatchAnswer>(() => {});
@@ -272,7 +273,7 @@
 describe('lookups of addresses', () => {
   it('get an answer, whatever the path', async () => {
     const server = await serveDirectory(
-      { host: '127.0.0.1', port: 0 },
+      { address: { host: '127.0.0.1', port: 0 }, protection },
       () => ['10.0.0.1:1'],
       () => 1000,
     );
