Bound what clients may make the entry daemon hold, and slots from slow uploads

What callers saw: the same clients against the product's own daemon. With the guard of the gateway on its callers' and relay listeners alone, its process still passed 250 MB with unfinished heads of many fields, with a mix of all clients at the relay and at the administration listener (251, 252 and 251 MB), and ordinary calls were refused while streamed bodies held the slots (35 of 190 served beside chunks of one byte).

Causes - The administration listener had no bounds, and read bodies piece by piece. - Nothing limits Node's heap, so garbage waits; young generations of 16 MB. - A chunked body was streamed from its first byte, so each caller that sends slowly took a slot of a target. In the gateway the same holds for bodies over 1 MiB.

Change: all HTTP listeners of the entry share one budget; the administration listener is a guarded server. The program runs with the heap options of the gateway. Chunked bodies are buffered up to the limit for retries before a slot is taken. An upload that is streamed to a target and brings less than 8 KB in half a second loses its slot if calls wait, in both daemons (504, or unknown); one that waits for the target does not. Streams are joined from small pieces. The settings gain limits.memory.

--- a/src/admin/server.ts
+++ b/src/admin/server.ts
@@ -1,5 +1,5 @@
 /** The administration listener: HTTP for operators, who prove who they are on each request. */
-import http, { type IncomingMessage, type ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
   type Address,
   type Kernel,
@@ -12,6 +12,7 @@
 } from '../kernel/index.js';
 import type { Operator } from '../config/index.js';
 import type { Entry } from '../entry/index.js';
+import { BodyBuffer, createGuardedServer, findRequestMemory } from '../overload/index.js';
 import { Authenticator, readCredentials } from './auth.js';
 import { type AdminAnswer, routeRequest } from './routes.js';
 
@@ -28,14 +29,24 @@
 class BodyTooLarge extends Error {}
 
 async function readJson(request: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-    size += (chunk as Buffer).length;
-    if (size > MAX_BODY) throw new BodyTooLarge();
-    chunks.push(chunk as Buffer);
-  }
-  return size === 0 ? undefined : (JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown);
+  const body = await readBody(request);
+  return body.length === 0 ? undefined : (JSON.parse(body.toString('utf8')) as unknown);
+}
+
+function readBody(request: IncomingMessage): Promise<Buffer> {
+  const memory = findRequestMemory(request);
+  const buffer = new BodyBuffer();
+  return new Promise((resolve, reject) => {
+    request.on('data', (piece: Buffer) => {
+      const capacityBefore = buffer.capacity;
+      buffer.append(piece);
+      memory?.charge(buffer.capacity - capacityBefore);
+      if (buffer.length > MAX_BODY) reject(new BodyTooLarge());
+    });
+    request.on('end', () => resolve(buffer.take()));
+    request.on('error', reject);
+    request.on('close', () => reject(new Error('the request broke off')));
+  });
 }
 
 /** The operators of the configuration, and the one of the settings, who can act before any other. */
@@ -92,7 +103,7 @@
     return result;
   }
 
-  const server = http.createServer({ requestTimeout: REQUEST_TIMEOUT }, (request, response) => {
+  const handle = (request: IncomingMessage, response: ServerResponse) => {
     answer(request)
       .catch((error: Error): AdminAnswer => {
         log.error('admin.failed', { error: error.message });
@@ -100,6 +111,10 @@
       })
       .then((result) => writeAnswer(response, result))
       .catch(() => response.destroy());
+  };
+  const server = createGuardedServer({
+    ...{ name: 'administration', protection: entry.protection, handle },
+    requestTimeout: REQUEST_TIMEOUT,
   });
   const listener: Listener = await kernel.find(networkService).listen({
     address: entry.settings.entry.admin,
--- a/src/balance/index.ts
+++ b/src/balance/index.ts
@@ -36,3 +36,4 @@
 export * from './call-path.js';
 export * from './quota-bucket.js';
 export * from './quota-demand.js';
+export { UploadPace, type UploadState } from './upload-pace.js';
--- a/src/bin/entry.ts
+++ b/src/bin/entry.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --max-old-space-size=160 --max-semi-space-size=2
 /** The entry daemon as a process: `orchidbeam-entry --settings FILE`. */
 import { readFileSync, watch } from 'node:fs';
 import { parseArgs } from 'node:util';
--- a/src/demo/launch.ts
+++ b/src/demo/launch.ts
@@ -1,6 +1,6 @@
 /** Starts and ends the processes of a whole system on this machine, for the demo and experiments. */
 import { type ChildProcess, spawn } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { once } from 'node:events';
 import net from 'node:net';
 import { tmpdir } from 'node:os';
@@ -24,6 +24,7 @@
   readonly domain: string;
   readonly callers: Address;
   readonly peers: Address;
+  readonly relay: Address;
   readonly admin: Address;
 }
 
@@ -53,6 +54,12 @@
   return (process.env.ORCHIDBEAM_NODE_OPTIONS ?? '').split(' ').filter((option) => option !== '');
 }
 
+/** The options with which a program's first line runs it. */
+function readProgramOptions(file: string): readonly string[] {
+  const [firstLine = ''] = readFileSync(file, 'utf8').split('\n', 1);
+  return / -S node (--.+)$/.exec(firstLine)?.[1]?.split(' ') ?? [];
+}
+
 function findProgram(name: string): string {
   return fileURLToPath(new URL(`../bin/${name}.js`, import.meta.url));
 }
@@ -91,7 +98,9 @@
 
   /** Starts a program and waits for the first line it prints. */
   async start(name: string, program: string, args: readonly string[]): Promise<Launched> {
-    const child = spawn(process.execPath, [...readNodeOptions(), findProgram(program), ...args], {
+    const file = findProgram(program);
+    const options = [...readProgramOptions(file), ...readNodeOptions()];
+    const child = spawn(process.execPath, [...options, file, ...args], {
       stdio: ['pipe', 'pipe', this.echo ? 'inherit' : 'ignore'],
     });
     const { stdout } = child;
@@ -142,7 +151,7 @@
     const args = ['--settings', file];
     if (launch.strategy !== undefined) args.push('--strategy', launch.strategy);
     const launched = await this.start(launch.name, 'entry', args);
-    return { ...launched, domain: launch.domain, callers, peers, admin };
+    return { ...launched, domain: launch.domain, callers, peers, relay, admin };
   }
 
   /** Ends one process with a signal and waits for it. */
--- a/src/entry/call-handler.ts
+++ b/src/entry/call-handler.ts
@@ -17,7 +17,7 @@
   createUnknown,
   findClass,
   sendContinue,
-  isBufferable,
+  findBufferSize,
   readCall,
   readCallId,
   readBody,
@@ -186,7 +186,7 @@
     try {
       return await this.#runAtMostOnce(context, ruling, body);
     } finally {
-      if (body.kind === 'buffered') this.#buffers.release(body.data.length);
+      if (body.kind === 'buffered') this.#buffers.release(body.reserved);
     }
   }
 
@@ -231,13 +231,16 @@
   /** Buffers a short body; undefined when the caller ended it early. */
   async #readBody({ call, request, response }: CallContext): Promise<Body | undefined> {
     if (call.bodyLength === 0) return { kind: 'none' };
-    if (!isBufferable(call) || !this.#buffers.take(call.bodyLength))
-      return { kind: 'stream', request };
+    const size = findBufferSize(call);
+    if (size === undefined || !this.#buffers.take(size)) return { kind: 'stream', request };
     sendContinue(request, response);
     try {
-      return { kind: 'buffered', data: await readBody(request) };
+      const data = await readBody(request);
+      if (data !== undefined) return { kind: 'buffered', data, reserved: size };
+      this.#buffers.release(size);
+      return { kind: 'stream', request };
     } catch {
-      this.#buffers.release(call.bodyLength);
+      this.#buffers.release(size);
       return undefined;
     }
   }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -15,6 +15,7 @@
 import { ConfigStore, type Manifest } from '../config/index.js';
 import { DEFAULT_MEMBERSHIP_TIMES, Membership, type MembershipTimes } from '../member/index.js';
 import { Claims } from '../once/index.js';
+import type { EntryListener, ServerProtection } from '../overload/index.js';
 import {
   type ExchangeMessage,
   type Knowledge,
@@ -36,7 +37,7 @@
 } from '../spread/index.js';
 import { CallHandler } from './call-handler.js';
 import { Clients } from './clients.js';
-import { type EntryListeners, startListeners } from './listeners.js';
+import { type EntryListeners, createEntryProtection, startListeners } from './listeners.js';
 import { Prober } from './prober.js';
 import { ServiceTable } from './service-table.js';
 import { type EntryStatus, describeService } from './status.js';
@@ -90,6 +91,9 @@
 
   #listeners: EntryListeners | undefined;
 
+  /** What protects all listeners of this entry from their clients. */
+  readonly protection: ServerProtection<EntryListener>;
+
   #peers: PeerServer | undefined;
 
   #isRefreshScheduled = false;
@@ -117,6 +121,7 @@
       clock,
     );
     this.#claims = new Claims(this.#claimPlatform, clock, random);
+    this.protection = createEntryProtection(kernel, settings);
   }
 
   /** The services that this entry runs; available after {@link start}. */
@@ -159,7 +164,7 @@
     this.#listeners = await startListeners(kernel, settings, {
       serveCall: (request, response, relayed) => this.#handler?.serve(request, response, relayed),
       findService: (name) => this.#table?.findByName(name),
-      keys: this.options.callersKeys,
+      ...{ keys: this.options.callersKeys, protection: this.protection },
     });
     const { callers, relay } = this.#listeners;
 
--- a/src/entry/listeners.ts
+++ b/src/entry/listeners.ts
@@ -9,6 +9,12 @@
   metricsService,
   networkService,
 } from '../kernel/index.js';
+import {
+  type EntryListener,
+  type ServerProtection,
+  computeEntryLimits,
+  createProtection,
+} from '../overload/index.js';
 import { type HttpListener, RELAY_HEADER, startHttpListener } from '../proxy/index.js';
 import type { EntrySettings } from '../settings/index.js';
 import { DISCOVERY_PATH, answerDiscovery } from './discovery.js';
@@ -26,6 +32,12 @@
   readonly findService: (name: string) => ServiceRuntime | undefined;
 }
 
+/** Options of the listeners; `keys` makes the one for callers use TLS. */
+export interface ListenerOptions extends ListenerHandlers {
+  readonly keys?: KeyPair;
+  readonly protection: ServerProtection<EntryListener>;
+}
+
 /** The running listeners. */
 export interface EntryListeners {
   readonly callers: HttpListener;
@@ -37,25 +49,44 @@
 const NOT_FOUND = 404;
 const UNAVAILABLE = 503;
 
-/** Starts both listeners; `keys` makes the callers' listener use TLS. */
+/** Creates what protects the listeners of an entry from their clients. */
+export function createEntryProtection(
+  kernel: Kernel,
+  { limits }: EntrySettings,
+): ServerProtection<EntryListener> {
+  const log = kernel.find(logService);
+  const metrics = kernel.find(metricsService);
+  return createProtection(computeEntryLimits(limits.memory, limits.max_connections), {
+    clock: kernel.find(clockService),
+    ...{ scheduleAfterIteration: setImmediate, isAccepting: () => false },
+    onClose: (listener, reason) => {
+      metrics.count('client.closed', 1, { listener, reason });
+      log.info('client.closed', { listener, reason });
+    },
+  });
+}
+
+/** Starts both listeners. */
 export async function startListeners(
   kernel: Kernel,
   settings: EntrySettings,
-  { serveCall, findService, keys }: ListenerHandlers & { readonly keys?: KeyPair },
+  { serveCall, findService, keys, protection }: ListenerOptions,
 ): Promise<EntryListeners> {
   const { limits, security, entry } = settings;
   const log = kernel.find(logService);
   const metrics = kernel.find(metricsService);
+  const clock = kernel.find(clockService);
+  const refuse = (detail: string) => {
+    metrics.count('door.refused');
+    log.debug('door.refused', { detail });
+  };
   const shared = {
-    ...{ network: kernel.find(networkService), clock: kernel.find(clockService) },
-    ...{ maxConnections: limits.max_connections },
+    protection,
+    ...{ network: kernel.find(networkService), clock },
     ...{ maxHeaderBytes: limits.max_header_bytes, headerTimeout: limits.header_timeout },
     bodyTimeout: limits.body_timeout,
     onUnreadBody: (outcome: string) => metrics.count('body.unread', 1, { outcome }),
-    onRefused: (detail: string) => {
-      metrics.count('door.refused');
-      log.debug('door.refused', { detail });
-    },
+    onRefused: refuse,
   };
 
   function serveDiscovery(url: string, response: ServerResponse): void {
@@ -85,9 +116,11 @@
     else response.writeHead(FORBIDDEN).end();
   }
 
-  const relay = await startHttpListener({ ...shared, address: entry.relay, handle: serveRelay });
+  const relay = await startHttpListener({
+    ...{ ...shared, name: 'relay', address: entry.relay, handle: serveRelay },
+  });
   const callers = await startHttpListener({
-    ...{ ...shared, address: entry.callers, handle: serveCaller, keys },
+    ...{ ...shared, name: 'callers', address: entry.callers, handle: serveCaller, keys },
   });
   return { callers, relay };
 }
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -17,6 +17,7 @@
   findSecondAttemptReason,
 } from '../../balance/index.js';
 import { HEADERS } from '../../platform/index.js';
+import { watchUpload } from '../../proxy/upload-watch.js';
 import type { TargetAnswer } from './answer-reader.js';
 import { forwardAnswer } from './answers.js';
 import {
@@ -47,6 +48,7 @@
   | { readonly kind: 'placed'; readonly placement: PlacementResult }
   | { readonly kind: 'look' }
   | { readonly kind: 'targets-lost' }
+  | { readonly kind: 'slow-upload' }
   | { readonly kind: 'deadline' }
   | { readonly kind: 'gone' };
 
@@ -78,7 +80,7 @@
 type LossOutcome = Extract<AttemptOutcome, { kind: 'lost' | 'full' }>;
 
 /** Why a request ends without a target's answer. */
-type GiveUpReason = PlacementRefusal | 'timeout' | 'lost' | 'poison';
+type GiveUpReason = PlacementRefusal | 'timeout' | 'lost' | 'poison' | 'slow-upload';
 
 /** How forwarding ended: the call was answered or given up, or no target can be reached from here. */
 export type ForwardingEnd = 'finished' | 'unreached';
@@ -109,6 +111,8 @@
 
   #timers: Timer[] = [];
 
+  #uploadWatch: Timer | undefined;
+
   #isFinished = false;
 
   /** Whether the call leaves for another path. */
@@ -162,6 +166,7 @@
       this.#runTime.finish();
       for (const event of this.#events) this.#discardEvent(event);
       for (const timer of this.#timers) timer.cancel();
+      this.#uploadWatch?.cancel();
       for (const target of this.#triedTargets) target.slowListeners.delete(this.#onTargetSlow);
       if (this.#queuedCall !== undefined) request.service.queue.remove(this.#queuedCall);
       for (const attempt of this.#runningAttempts) attempt.abort();
@@ -193,6 +198,10 @@
         case 'targets-lost':
           this.#handleTargetsLost();
           break;
+        case 'slow-upload':
+          this.context.metrics.count('uploads_too_slow', { service: this.request.service.name });
+          this.#giveUp('slow-upload');
+          break;
         case 'deadline':
           // An answer that is being forwarded ends by itself.
           if (!this.response.headersSent) this.#giveUp('timeout');
@@ -222,6 +231,7 @@
         return true;
       case 'look':
       case 'targets-lost':
+      case 'slow-upload':
         return true;
       case 'deadline':
       case 'gone':
@@ -366,6 +376,7 @@
       { isRepeatable: this.#isRepeatable, clock: this.context.clock },
     );
     this.#runningAttempts.add(attempt);
+    this.#watchUpload();
     if (this.#suspectConstraints !== undefined) this.#watchSuspect(attempt);
     if (this.#isRepeatable) target.slowListeners.add(this.#onTargetSlow);
     attempt.done
@@ -373,6 +384,17 @@
       .catch((error: Error) => this.context.log.error('request.broken', { error: error.message }));
   }
 
+  /** Ends the request when its caller sends the body too slowly while other calls wait. */
+  #watchUpload(): void {
+    const { body, service } = this.request;
+    if (body.kind !== 'stream' || body.request === undefined) return;
+    this.#uploadWatch = watchUpload({
+      ...{ clock: this.context.clock, request: body.request },
+      hasWaitingCalls: () => service.queue.size > 0,
+      onTooSlow: () => this.#pushEvent({ kind: 'slow-upload' }),
+    });
+  }
+
   /**
    * While a suspect runs, keeps copies of it from being sent and other suspects away from its
    * target.
@@ -596,7 +618,8 @@
       );
       return;
     }
-    this.#sendLocalAnswer({ kind: 'unknown', reason: reason === 'timeout' ? 'timeout' : 'lost' });
+    const isLate = reason === 'timeout' || reason === 'slow-upload';
+    this.#sendLocalAnswer({ kind: 'unknown', reason: isLate ? 'timeout' : 'lost' });
   }
 
   /** Chooses when a caller may retry, where the queue gave no time. */
--- a/src/gateway/requests/outgoing-request.ts
+++ b/src/gateway/requests/outgoing-request.ts
@@ -10,7 +10,13 @@
   | { readonly kind: 'none' }
   | { readonly kind: 'whole'; readonly data: Buffer }
   /** Too long to buffer: it can be sent only once. A chunked one has no `length`. */
-  | { readonly kind: 'stream'; readonly source: Readable; readonly length: number | undefined };
+  | {
+      readonly kind: 'stream';
+      readonly source: Readable;
+      readonly length: number | undefined;
+      /** The request that it is received with, by which its progress can be told. */
+      readonly request?: IncomingMessage;
+    };
 
 /** The body of a request that has none. */
 export const NO_BODY: OutgoingBody = { kind: 'none' };
--- a/src/gateway/requests/request-reader.ts
+++ b/src/gateway/requests/request-reader.ts
@@ -124,7 +124,10 @@
   }
   if (length > MAX_BUFFERED_BODY_BYTES) {
     options.memory?.charge(STREAM_BYTES);
-    return Promise.resolve({ kind: 'read', body: { kind: 'stream', source: request, length } });
+    return Promise.resolve({
+      kind: 'read',
+      body: { kind: 'stream', source: request, length, request },
+    });
   }
   return receiveBody(request, options);
 }
@@ -186,7 +189,7 @@
   memory?.charge(MAX_BUFFERED_BODY_BYTES + STREAM_BYTES);
   request.unshift(buffer.take());
   recordLongBody(request);
-  return { kind: 'stream', source: createLimiter(request, limits), length: undefined };
+  return { kind: 'stream', source: createLimiter(request, limits), length: undefined, request };
 }
 
 function rejectBody({ bodyBytes }: RequestLimits): LocalAnswer {
--- a/src/overload/guarded-server.ts
+++ b/src/overload/guarded-server.ts
@@ -46,6 +46,8 @@
   readonly name: Name;
   readonly protection: ServerProtection<Name>;
   readonly handle: RequestListener;
+  /** Longest time in which a request has to arrive, in milliseconds. */
+  readonly requestTimeout?: number;
 }
 
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
@@ -85,19 +87,19 @@
 export function createGuardedServer<Name extends string>(
   options: GuardedServerOptions<Name>,
 ): http.Server {
-  const { handle, name, protection } = options;
+  const { handle, name, protection, requestTimeout = REQUEST_TIMEOUT_MS } = options;
   const sequence = new AnswerSequence();
   const guard = createGuard(name, protection, () => UNREAD_TIMEOUT_MS);
   const server = http.createServer(
     {
-      ...{ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS },
+      ...{ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, requestTimeout },
       ...{ headersTimeout: REQUEST_TIMEOUT_MS, noDelay: true },
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     },
     (request, response) => {
       const mayServe = guard.watchRequest(request, response);
       if (request.socket.destroyed) return;
-      // A body is not wanted here, and nothing behind it is read.
+      // Nothing behind a body is read, whether the answer needs the body or not.
       if (hasBody(request)) response.shouldKeepAlive = false;
       sequence.add(request, response, () => {
         if (response.destroyed) return;
--- a/src/overload/limits.ts
+++ b/src/overload/limits.ts
@@ -17,13 +17,20 @@
 
 const BYTES_PER_MB = 1_048_576;
 
-/** Memory of a process without clients, in MB. */
-const IDLE_MEMORY_MB = 80;
+/** How the memory of a machine is divided for one kind of daemon. */
+interface MemoryPlan {
+  /** Memory of the process without clients, in MB. */
+  readonly idleMb: number;
+  /** The rest is for garbage, connections, and what the estimates leave out. */
+  readonly heldPart: number;
+}
+
+const GATEWAY_MEMORY: MemoryPlan = { idleMb: 80, heldPart: 0.25 };
 
-/** The rest is for garbage, connections, and what the estimates leave out. */
-const HELD_PART = 0.25;
+/** It loads more libraries, and nothing limits the heap in which garbage waits for its collection. */
+const ENTRY_MEMORY: MemoryPlan = { idleMb: 130, heldPart: 0.15 };
 
-const MIN_HELD_MB = 16;
+const MIN_HELD_MB = 12;
 
 /** Node's heap, where much of it is, does not grow with the machine. */
 const MAX_HELD_MB = 64;
@@ -39,8 +46,8 @@
 
 const FEW_CONNECTIONS = 32;
 
-function computeHeldBytes(memory: number): number {
-  const heldMb = (memory - IDLE_MEMORY_MB) * HELD_PART;
+function computeHeldBytes(memory: number, { idleMb, heldPart }: MemoryPlan): number {
+  const heldMb = (memory - idleMb) * heldPart;
   return Math.min(MAX_HELD_MB, Math.max(MIN_HELD_MB, heldMb)) * BYTES_PER_MB;
 }
 
@@ -56,7 +63,7 @@
 ): ClientLimits<GatewayListener> {
   const take = (part: number) => Math.max(1, Math.floor((descriptors - FILE_DESCRIPTORS) * part));
   return {
-    heldBytes: computeHeldBytes(memory),
+    heldBytes: computeHeldBytes(memory, GATEWAY_MEMORY),
     connections: {
       ...{ callers: take(CALLERS_PART), carrying: take(CARRYING_PART) },
       ...{ directory: take(DIRECTORY_PART), feed: take(FEED_PART) },
@@ -76,7 +83,7 @@
   connections: number,
 ): ClientLimits<EntryListener> {
   return {
-    heldBytes: computeHeldBytes(memory),
+    heldBytes: computeHeldBytes(memory, ENTRY_MEMORY),
     connections: { callers: connections, relay: connections, administration: FEW_CONNECTIONS },
   };
 }
--- a/src/proxy/attempt.ts
+++ b/src/proxy/attempt.ts
@@ -9,6 +9,7 @@
 import type { Dispatcher } from 'undici';
 import { assertInvariant } from '../kernel/index.js';
 import type { TargetReport } from '../balance/index.js';
+import { PieceJoiner } from '../overload/index.js';
 import { findAnswerFault } from './answer-check.js';
 import type { Body } from './body.js';
 import type { Call } from './call.js';
@@ -137,8 +138,22 @@
   }
 }
 
-function readStream(request: IncomingMessage): AsyncIterable<Buffer> {
-  return request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>;
+/** Streams a body; nothing of it is read before the first piece is asked for. */
+async function* readStream(request: IncomingMessage): AsyncGenerator<Buffer> {
+  const stream = new PieceJoiner();
+  const breakOff = () => {
+    // A pipe does not end when its source breaks off.
+    if (!request.readableEnded) stream.destroy(new Error('the caller ended the body early'));
+  };
+  request.once('close', breakOff);
+  request.pipe(stream);
+  try {
+    yield* stream as AsyncIterable<Buffer>;
+  } finally {
+    request.removeListener('close', breakOff);
+    request.unpipe(stream);
+    stream.destroy();
+  }
 }
 
 function writeInformational(response: ServerResponse, status: number, headers: FlatHeaders): void {
--- a/src/proxy/body.ts
+++ b/src/proxy/body.ts
@@ -1,11 +1,13 @@
 /** The body of a call: none, short and buffered so that it can be resent, or streamed only once. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { BodyBuffer } from '../overload/index.js';
 import type { Call } from './call.js';
 
 /** How the body of a call is passed on. */
 export type Body =
   | { readonly kind: 'none' }
-  | { readonly kind: 'buffered'; readonly data: Buffer }
+  /** `reserved` is what it takes of the {@link BufferBudget}, in bytes. */
+  | { readonly kind: 'buffered'; readonly data: Buffer; readonly reserved: number }
   | { readonly kind: 'stream'; readonly request: IncomingMessage };
 
 /** Longest body that is buffered. */
@@ -36,18 +38,36 @@
   response.writeContinue();
 }
 
-/** Reads the whole body; rejects when the caller ends it early. */
-export async function readBody(request: IncomingMessage): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks);
+/**
+ * Reads the whole body; rejects when the caller ends it early. Returns undefined when it is longer
+ * than what is buffered: what was read is put back then, and the request is paused.
+ */
+export function readBody(request: IncomingMessage): Promise<Buffer | undefined> {
+  const buffer = new BodyBuffer();
+  return new Promise((resolve, reject) => {
+    const onData = (piece: Buffer) => {
+      buffer.append(piece);
+      if (buffer.length <= MAX_BUFFERED_BODY_BYTES) return;
+      request.pause();
+      request.removeListener('data', onData);
+      request.unshift(buffer.take());
+      resolve(undefined);
+    };
+    request.on('data', onData);
+    request.on('end', () => resolve(buffer.take()));
+    request.on('close', () => reject(new Error('the caller ended the body early')));
+    request.on('error', reject);
+    request.resume();
+  });
 }
 
-/** Whether the body of a call is short enough to be buffered for retries at other targets. */
-export function isBufferable(call: Call): boolean {
-  return call.bodyLength > 0 && call.bodyLength <= MAX_BUFFERED_BODY_BYTES;
+/**
+ * How many bytes are reserved to buffer the body of a call, so that it can be retried at other
+ * targets, and that a caller who sends slowly occupies no target; undefined when it is too long.
+ */
+export function findBufferSize({ bodyLength }: Call): number | undefined {
+  if (bodyLength > MAX_BUFFERED_BODY_BYTES) return undefined;
+  return bodyLength < 0 ? MAX_BUFFERED_BODY_BYTES : bodyLength;
 }
 
 /** Whether a body can be sent again. */
--- a/src/proxy/forwarder.ts
+++ b/src/proxy/forwarder.ts
@@ -14,6 +14,7 @@
 import { AnswerGate, type Attempt, type AttemptResult, startAttempt } from './attempt.js';
 import { type Body, sendContinue, isReplayable } from './body.js';
 import type { Call } from './call.js';
+import { watchUpload } from './upload-watch.js';
 import { buildTargetHeaders } from './headers.js';
 import { SendLedger } from './ledger.js';
 import { type Outcome, createNotRun, createUnknown } from './outcome.js';
@@ -212,7 +213,16 @@
       },
     });
     this.#runningAttempts.add(attempt);
+    const uploadWatch =
+      body.kind === 'stream'
+        ? watchUpload({
+            ...{ clock: this.context.clock, request },
+            hasWaitingCalls: () => this.context.pool.waiting > 0,
+            onTooSlow: () => attempt.abort('the upload is too slow'),
+          })
+        : undefined;
     const ended = attempt.done.then((result) => {
+      uploadWatch?.cancel();
       this.#runningAttempts.delete(attempt);
       slot.release(createAttemptEnd(result));
       return result;
@@ -263,7 +273,9 @@
     if (!sent && !this.#ledger.mayHaveRun) {
       return this.#reportNotRun('deadline', 'the deadline passed before the call was sent', 0);
     }
-    const detail = 'the deadline passed while a target had the call';
+    const detail = this.#isExpired
+      ? 'the deadline passed while a target had the call'
+      : 'the caller sent the body too slowly while other calls waited';
     return { kind: 'told', outcome: createUnknown('deadline', detail) };
   }
 
--- a/src/proxy/http-listener.ts
+++ b/src/proxy/http-listener.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net';
 import type { Address, Clock, KeyPair, Listener, Network } from '../kernel/index.js';
 import { type HeadRefusal, checkHead, normalizeTarget } from './head-check.js';
+import { type EntryListener, type ServerProtection, createGuard } from '../overload/index.js';
 import { createNotRun } from './outcome.js';
 import { UnreadBodies, type UnreadBodyOutcome } from './unread-body.js';
 
@@ -14,7 +15,8 @@
   readonly address: Address;
   /** Certificate and key; without them the listener is plain HTTP. */
   readonly keys?: KeyPair;
-  readonly maxConnections: number;
+  readonly name: EntryListener;
+  readonly protection: ServerProtection<EntryListener>;
   readonly maxHeaderBytes: number;
   /** Timeout for receiving the headers of a call, in milliseconds. */
   readonly headerTimeout: number;
@@ -47,6 +49,12 @@
 const BAD_REQUEST = 400;
 const NOT_IMPLEMENTED = 501;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+
+/** How long a connection whose input was rejected stays open for its answer, in milliseconds. */
+const REJECTED_LINGER_MS = 1000;
+
+/** A request with very many fields, while others like it are served. */
+const COSTLY_REFUSAL: HeadRefusal = { status: 503, detail: 'too many requests with many fields' };
 const TIMEOUT_CHECK_INTERVAL_MS = 1000;
 
 function writeRawRefusal(socket: Duplex, status: number, detail: string): void {
@@ -81,6 +89,7 @@
     onOutcome: (outcome) => options.onUnreadBody(outcome),
     readMaxBodyBytes: () => Infinity,
   });
+  const guard = createGuard(options.name, options.protection, () => options.bodyTimeout);
   let isDraining = false;
 
   function serveRequest(request: IncomingMessage, response: ServerResponse): void {
@@ -88,9 +97,12 @@
       request.socket.destroy();
       return;
     }
+    const mayServe = guard.watchRequest(request, response);
+    // The request may have been the one that its connection was closed for.
+    if (request.socket.destroyed) return;
     unreadBodies.watchRequest(request, response);
     normalizeTarget(request);
-    const refusal = checkHead(request);
+    const refusal = mayServe ? checkHead(request) : COSTLY_REFUSAL;
     if (refusal !== undefined) {
       options.onRefused(refusal.detail);
       refuseRequest(response, refusal);
@@ -131,9 +143,11 @@
       socket.destroy();
       return;
     }
+    guard.reject(socket as Socket);
     const last = responses.at(-1);
     if (last === undefined) {
       writeRawRefusal(socket, PARSER_STATUS[code] ?? BAD_REQUEST, error.message);
+      options.clock.schedule(REJECTED_LINGER_MS, () => socket.destroy());
       return;
     }
     // Pipelined calls before the malformed bytes are answered first, as answers must stay in order.
@@ -151,15 +165,11 @@
     address: options.address,
     keys: options.keys,
     onConnection: (socket) => {
-      if (sockets.size >= options.maxConnections) {
-        options.onRefused('too many connections');
-        socket.destroy();
-        return;
-      }
       sockets.add(socket);
       unreadBodies.watchConnection(socket as Socket);
       socket.on('close', () => sockets.delete(socket));
       server.emit('connection', socket);
+      guard.watchConnection(socket as Socket);
     },
   });
 
@@ -179,6 +189,7 @@
       }
     },
     destroy() {
+      guard.stop();
       listener.close().catch(() => undefined);
       for (const socket of sockets) socket.destroy();
       server.close();
--- a/src/settings/entry.ts
+++ b/src/settings/entry.ts
@@ -62,9 +62,16 @@
   peers_ca: describeOptionalText("PEM file of the authority that signs the entries' certificates"),
 } satisfies Fields;
 
+const DEFAULT_MEMORY_MB = 250;
+
 const limitsFields = {
   max_calls: describeInteger('Most calls held by this daemon at once', [1, 100_000], 5000),
   max_connections: describeInteger('Most connections of callers at once', [1, 100_000], 10_000),
+  memory: describeInteger(
+    'Memory of this VM in MB; clients may occupy a part of it',
+    [64, 1_000_000],
+    DEFAULT_MEMORY_MB,
+  ),
   header_timeout: describeDuration('Longest wait for the headers of a call', 10_000),
   body_timeout: describeDuration('Longest pause inside the body of a call', 30_000),
   max_header_bytes: describeInteger('Most bytes of headers in a call', [1024, 65_536], 16_384),
--- a/test/misbehaving-clients.test.ts
+++ b/test/misbehaving-clients.test.ts
@@ -45,6 +45,8 @@
 const RULES = [
   { prefix: '/read/', timeout: 4000 },
   { prefix: '/big/', timeout: 4000, service: 'beta' },
+  // The service of the ordinary callers' requests.
+  { prefix: '/load/', kind: 'upload', timeout: 4000 },
   { prefix: '/up/', kind: 'upload', timeout: 4000, service: 'beta' },
 ] as const;
 
@@ -152,6 +154,7 @@
   { kind: 'slow heads', path: '/read/1', connections: 1000 },
   { kind: 'slow bodies', path: '/up/1', connections: 500 },
   { kind: 'half bodies', path: '/up/1', connections: 500 },
+  { kind: 'long bodies that stop', path: '/load/1', connections: 100 },
   { kind: 'unread answers', path: '/big/1', connections: 200 },
   { kind: 'answers read slowly', path: '/big/1', connections: 200 },
   { kind: 'silent connections', path: '/', connections: 4000 },
