--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -26,6 +26,7 @@
   type ServerProtection,
   computeGatewayLimits,
   createProtection,
+  listProtectionGauges,
 } from '../overload/index.js';
 import { kvStoreService } from '../platform/index.js';
 import type { RouteTable } from '../routing/index.js';
@@ -458,6 +459,7 @@
     if (gateway.metrics !== 'none') {
       this.#metrics.addGauges(() => listGauges(this.#readStatus()));
       this.#metrics.addGauges(() => listQuotaGauges(this.#quotas.describe()));
+      this.#metrics.addGauges(() => listProtectionGauges(protection));
       const address = gateway.metrics;
       this.#servers.push(await serveMetrics({ address, protection }, () => this.#metrics.format()));
     }
--- a/src/overload/guarded-server.ts
+++ b/src/overload/guarded-server.ts
@@ -41,6 +41,19 @@
   return { clock, onClose, limits, budget, turns: new ReadTurns({ clock, ...eventLoop }) };
 }
 
+/** Lists the gauges of what the clients of a process hold. */
+export function listProtectionGauges({
+  budget,
+  turns,
+}: Pick<ServerProtection<string>, 'budget' | 'turns'>): Readonly<Record<string, number>> {
+  return {
+    client_memory_bytes: budget.held,
+    client_memory_limit_bytes: budget.limit,
+    clients_evicted: budget.evictions,
+    connections_waiting_to_be_read: turns.size,
+  };
+}
+
 /** Options of one such server. */
 export interface GuardedServerOptions<Name extends string> {
   readonly name: Name;
--- a/src/overload/index.ts
+++ b/src/overload/index.ts
@@ -23,5 +23,6 @@
   createGuard,
   createGuardedServer,
   createProtection,
+  listProtectionGauges,
 } from './guarded-server.js';
 export { PieceJoiner } from './piece-joiner.js';
