Charge what paused connections hold, and use discarded buffers again

What callers saw: beside 500 clients that send half of a body, or send it slowly, the gateway process used 226 to 249 MB of 250.

Cause, from the sizes of its array buffers every 100 ms: they grew to 145 MB, and not as garbage, while the accounts held 34 MB. A paused socket goes on receiving until its buffer of 64 KB is full, which was not charged, and refused bodies were kept by the listeners of their requests or left to the collector, which buffers hardly set going.

Change: 64 KB are charged for each connection that is paused. Buffers of bodies that are refused or broken off are used again, up to 8 MB of them. Connections hold a fifth of the machine's memory above 80 MB, not a quarter.

Beside it: the guard no longer resumes a connection that Node's server has paused; the server's parser asserts that it gets no input then (found by reading). CONNECT ends the guard's input in the entry daemon. The servers for short answers read or refuse the rest of a body as the other listeners do, so they lie beside unread-body.ts now.

--- a/src/admin/server.ts
+++ b/src/admin/server.ts
@@ -12,7 +12,8 @@
 } from '../kernel/index.js';
 import type { Operator } from '../config/index.js';
 import type { Entry } from '../entry/index.js';
-import { BodyBuffer, createGuardedServer, findRequestMemory } from '../overload/index.js';
+import { BodyBuffer, findRequestMemory } from '../overload/index.js';
+import { createGuardedServer } from '../proxy/guarded-server.js';
 import { Authenticator, readCredentials } from './auth.js';
 import { type AdminAnswer, routeRequest } from './routes.js';
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -15,7 +15,8 @@
 import { ConfigStore, type Manifest } from '../config/index.js';
 import { DEFAULT_MEMBERSHIP_TIMES, Membership, type MembershipTimes } from '../member/index.js';
 import { Claims } from '../once/index.js';
-import type { EntryListener, ServerProtection } from '../overload/index.js';
+import type { EntryListener } from '../overload/index.js';
+import type { ServerProtection } from '../proxy/guarded-server.js';
 import {
   type ExchangeMessage,
   type Knowledge,
--- a/src/entry/listeners.ts
+++ b/src/entry/listeners.ts
@@ -9,12 +9,8 @@
   metricsService,
   networkService,
 } from '../kernel/index.js';
-import {
-  type EntryListener,
-  type ServerProtection,
-  computeEntryLimits,
-  createProtection,
-} from '../overload/index.js';
+import { type EntryListener, computeEntryLimits } from '../overload/index.js';
+import { type ServerProtection, createProtection } from '../proxy/guarded-server.js';
 import { type HttpListener, RELAY_HEADER, startHttpListener } from '../proxy/index.js';
 import type { EntrySettings } from '../settings/index.js';
 import { DISCOVERY_PATH, answerDiscovery } from './discovery.js';
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -1,11 +1,8 @@
 /** The HTTP endpoints besides the callers' own: lookup of addresses, readiness, metrics. */
 import type { Server } from 'node:http';
 import { type Address, parseRequestUrl } from '../kernel/index.js';
-import {
-  type GatewayListener,
-  type ServerProtection,
-  createGuardedServer,
-} from '../overload/index.js';
+import type { GatewayListener } from '../overload/index.js';
+import { type ServerProtection, createGuardedServer } from '../proxy/guarded-server.js';
 import {
   PATHS,
   type ResolveQuery,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,13 +21,12 @@
   Roster,
   serveFeed,
 } from '../peering/index.js';
+import { type GatewayListener, computeGatewayLimits } from '../overload/index.js';
 import {
-  type GatewayListener,
   type ServerProtection,
-  computeGatewayLimits,
   createProtection,
   listProtectionGauges,
-} from '../overload/index.js';
+} from '../proxy/guarded-server.js';
 import { kvStoreService } from '../platform/index.js';
 import type { RouteTable } from '../routing/index.js';
 import { FleetView, type PropagationTimes, StoreReader, planPropagation } from '../view/index.js';
--- a/src/gateway/requests/caller-server.ts
+++ b/src/gateway/requests/caller-server.ts
@@ -5,12 +5,8 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Address, Clock, TextMetrics } from '../../kernel/index.js';
-import {
-  type ConnectionGuard,
-  type GatewayListener,
-  type ServerProtection,
-  createGuard,
-} from '../../overload/index.js';
+import type { ConnectionGuard, GatewayListener } from '../../overload/index.js';
+import { type ServerProtection, createGuard } from '../../proxy/guarded-server.js';
 import { UnreadBodies } from '../../proxy/unread-body.js';
 import { HEADERS, readHeader } from '../../platform/index.js';
 import type { RequestLimits } from '../../routing/index.js';
--- a/src/gateway/requests/request-reader.ts
+++ b/src/gateway/requests/request-reader.ts
@@ -136,8 +136,7 @@
 function receiveBody(request: IncomingMessage, options: BodyOptions): Promise<BodyResult> {
   const { limits, clock, deadline, memory } = options;
   return new Promise((resolve) => {
-    const { 'content-length': length } = request.headers;
-    const buffer = new BodyBuffer(length === undefined ? undefined : Number(length));
+    const buffer = new BodyBuffer();
     let isSettled = false;
     const settle = (result: BodyResult) => {
       isSettled = true;
@@ -149,7 +148,7 @@
     const refuse = (answer: LocalAnswer) => {
       request.pause();
       // The listeners below keep it until the connection is closed.
-      buffer.take();
+      buffer.discard();
       settle({ kind: 'refused', answer });
     };
     const timer = clock.schedule(deadline - clock.now(), () =>
@@ -176,8 +175,12 @@
     }
     request.on('data', onData);
     request.on('end', () => settle({ kind: 'read', body: { kind: 'whole', data: buffer.take() } }));
-    request.on('close', () => settle({ kind: 'gone' }));
-    request.on('error', () => settle({ kind: 'gone' }));
+    const leave = () => {
+      buffer.discard();
+      settle({ kind: 'gone' });
+    };
+    request.on('close', leave);
+    request.on('error', leave);
   });
 }
 
--- a/src/overload/body-buffer.ts
+++ b/src/overload/body-buffer.ts
@@ -1,22 +1,50 @@
 /**
  * A body that is read piece by piece. Each piece that the parser passes on costs an object of its
  * own, many times its size if it is short, so pieces are copied into one growing buffer.
+ *
+ * A buffer that nobody else has seen is used again. Memory that is left to the garbage collector
+ * occupies the machine until it runs, and buffers hardly make it run.
  */
 
-const MIN_CAPACITY_BYTES = 16_384;
+/** Capacities of the buffers, in bytes; longer ones have the length that they need. */
+const CAPACITIES: readonly number[] = [16_384, 65_536, 262_144, 1_048_576];
 
-/** Each growth leaves a buffer behind that occupies memory until it is collected. */
-const GROWTH_FACTOR = 4;
+/** What is kept for later use, in bytes. */
+const MAX_POOLED_BYTES = 8_388_608;
+
+/** Buffers that were given back, by capacity. */
+class BufferPool {
+  readonly #free = new Map<number, Buffer[]>();
+
+  #bytes = 0;
+
+  take(capacity: number): Buffer {
+    const pooled = this.#free.get(capacity)?.pop();
+    if (pooled === undefined) return Buffer.allocUnsafeSlow(capacity);
+    this.#bytes -= capacity;
+    return pooled;
+  }
+
+  put(buffer: Buffer): void {
+    const { length: capacity } = buffer;
+    if (!CAPACITIES.includes(capacity) || this.#bytes + capacity > MAX_POOLED_BYTES) return;
+    this.#bytes += capacity;
+    const free = this.#free.get(capacity);
+    if (free === undefined) this.#free.set(capacity, [buffer]);
+    else free.push(buffer);
+  }
+}
+
+const pool = new BufferPool();
+
+const EMPTY = Buffer.alloc(0);
 
 /** Collects the pieces of one body. */
 export class BodyBuffer {
-  #data: Buffer = Buffer.alloc(0);
+  #data: Buffer = EMPTY;
 
   #length = 0;
 
-  /** @param maxLength length that the body will not exceed, if it is known */
-  constructor(private readonly maxLength = Infinity) {}
-
   /** Bytes that were added. */
   get length(): number {
     return this.#length;
@@ -30,25 +58,33 @@
   /** Adds a piece. */
   append(piece: Buffer): void {
     const needed = this.#length + piece.length;
-    if (needed > this.#data.length) {
-      const grown = Buffer.allocUnsafeSlow(this.#chooseCapacity(needed));
-      this.#data.copy(grown, 0, 0, this.#length);
-      this.#data = grown;
-    }
+    if (needed > this.#data.length) this.#grow(needed);
     piece.copy(this.#data, this.#length);
     this.#length = needed;
   }
 
-  #chooseCapacity(needed: number): number {
-    const grown = Math.max(MIN_CAPACITY_BYTES, this.#data.length * GROWTH_FACTOR);
-    return Math.max(needed, Math.min(grown, this.maxLength));
+  #grow(needed: number): void {
+    const grown = pool.take(CAPACITIES.find((capacity) => capacity >= needed) ?? 2 * needed);
+    this.#data.copy(grown, 0, 0, this.#length);
+    pool.put(this.#data);
+    this.#data = grown;
   }
 
   /** Returns what was added and starts anew. */
   take(): Buffer {
     const taken = this.#data.subarray(0, this.#length);
-    this.#data = Buffer.alloc(0);
-    this.#length = 0;
+    this.#clear();
     return taken;
   }
+
+  /** Drops what was added, so that its memory is used again. */
+  discard(): void {
+    pool.put(this.#data);
+    this.#clear();
+  }
+
+  #clear(): void {
+    this.#data = EMPTY;
+    this.#length = 0;
+  }
 }
--- a/src/overload/connection-guard.ts
+++ b/src/overload/connection-guard.ts
@@ -79,6 +79,9 @@
 const MAX_REQUESTS_WITH_MANY_FIELDS = 16;
 const MAX_REQUESTS_WITH_MANY_FIELDS_IN_CROWD = 2;
 
+/** What a socket may still receive while it is paused, in bytes. */
+const PAUSED_SOCKET_BYTES = 65_536;
+
 const SWEEP_INTERVAL_MS = 1000;
 
 function estimateRequestBytes({ rawHeaders }: IncomingMessage): number {
@@ -113,6 +116,9 @@
   /** Whether it is not read until somebody reads the body of its last request. */
   #isHeldForBody = false;
 
+  /** Whether the server has paused it, which resumes it as well. */
+  #isPausedByServer = false;
+
   #isRejected = false;
 
   /** Requests that were answered. */
@@ -139,6 +145,9 @@
     this.openedAt = options.clock.now();
     this.lastActiveAt = this.openedAt;
     socket.on('data', (chunk: Buffer) => this.#handleInput(chunk));
+    socket.on('resume', () => {
+      this.#isPausedByServer = false;
+    });
     socket.on('close', () => {
       options.turns.remove(this);
       this.#closeAccount();
@@ -178,7 +187,7 @@
   readNext(): void {
     this.#isWaitingForTurn = false;
     this.#isFull = false;
-    this.socket.resume();
+    if (!this.#isPausedByServer) this.socket.resume();
   }
 
   /** Refuses its request, if that is all there is; else closes it. */
@@ -222,7 +231,7 @@
     this.#parseInput(chunk, startedAt);
     if (this.#isRejected || this.socket.destroyed) return;
     if (this.#recordTime(clock.now() - startedAt, startedAt)) return;
-    this.socket.pause();
+    if (this.#postponedCharge === 0) this.#pause(0);
     this.#waitForTurn();
   }
 
@@ -263,6 +272,7 @@
       if (this.#isRejected) return;
     }
     this.feed(piece);
+    this.#isPausedByServer = this.socket.isPaused();
     // The rest of a piece that ends a body may be the start of the next head; it is not charged.
     if (!this.#isInHead()) {
       this.#account.release(this.#headCharge);
@@ -310,14 +320,19 @@
   #continueBody(): void {
     if (!this.#isHeldForBody) return;
     this.#isHeldForBody = false;
-    this.socket.resume();
+    if (!this.#isPausedByServer) this.socket.resume();
   }
 
   #postpone(rest: Buffer): void {
+    this.#pause(rest.length);
+    if (!this.socket.destroyed) this.socket.unshift(rest);
+  }
+
+  /** Pauses the connection; what it may hold then is charged until it is read again. */
+  #pause(restBytes: number): void {
     this.socket.pause();
-    this.socket.unshift(rest);
-    this.#postponedCharge += rest.length;
-    this.#account.charge(rest.length);
+    this.#postponedCharge = restBytes + PAUSED_SOCKET_BYTES;
+    this.#account.charge(this.#postponedCharge);
   }
 
   #waitForTurn(): void {
--- a/src/overload/index.ts
+++ b/src/overload/index.ts
@@ -17,12 +17,4 @@
   computeEntryLimits,
   computeGatewayLimits,
 } from './limits.js';
-export {
-  type GuardedServerOptions,
-  type ServerProtection,
-  createGuard,
-  createGuardedServer,
-  createProtection,
-  listProtectionGauges,
-} from './guarded-server.js';
 export { PieceJoiner } from './piece-joiner.js';
--- a/src/overload/limits.ts
+++ b/src/overload/limits.ts
@@ -25,7 +25,7 @@
   readonly heldPart: number;
 }
 
-const GATEWAY_MEMORY: MemoryPlan = { idleMb: 80, heldPart: 0.25 };
+const GATEWAY_MEMORY: MemoryPlan = { idleMb: 80, heldPart: 0.2 };
 
 /** It loads more libraries, and nothing limits the heap in which garbage waits for its collection. */
 const ENTRY_MEMORY: MemoryPlan = { idleMb: 130, heldPart: 0.15 };
--- a/src/peering/feed.ts
+++ b/src/peering/feed.ts
@@ -13,11 +13,8 @@
   isJsonObject,
   parseRequestUrl,
 } from '../kernel/index.js';
-import {
-  type GatewayListener,
-  type ServerProtection,
-  createGuardedServer,
-} from '../overload/index.js';
+import type { GatewayListener } from '../overload/index.js';
+import { type ServerProtection, createGuardedServer } from '../proxy/guarded-server.js';
 import type { Evacuations, RemovedTarget, ViewDelta, ViewPosition } from '../view/index.js';
 import type { TargetRecord } from '../platform/index.js';
 import type { MemberInfo } from './roster.js';
--- a/src/overload/guarded-server.ts
+++ b/src/proxy/guarded-server.ts
@@ -6,10 +6,14 @@
 import http, { type IncomingMessage, type RequestListener, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Clock } from '../kernel/index.js';
-import { ConnectionGuard, type GuardClosure } from './connection-guard.js';
-import type { ClientLimits } from './limits.js';
-import { MemoryBudget } from './memory-budget.js';
-import { ReadTurns } from './read-turns.js';
+import {
+  type ClientLimits,
+  ConnectionGuard,
+  type GuardClosure,
+  MemoryBudget,
+  ReadTurns,
+} from '../overload/index.js';
+import { MAX_DISCARDED_BYTES, UnreadBodies } from './unread-body.js';
 
 /** What all listeners of a process share; `Name` is that of a listener. */
 export interface ServerProtection<Name extends string> {
@@ -103,6 +107,10 @@
   const { handle, name, protection, requestTimeout = REQUEST_TIMEOUT_MS } = options;
   const sequence = new AnswerSequence();
   const guard = createGuard(name, protection, () => UNREAD_TIMEOUT_MS);
+  const unreadBodies = new UnreadBodies({
+    ...{ clock: protection.clock, onOutcome: () => undefined },
+    readMaxBodyBytes: () => MAX_DISCARDED_BYTES,
+  });
   const server = http.createServer(
     {
       ...{ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, requestTimeout },
@@ -110,8 +118,13 @@
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     },
     (request, response) => {
+      if (unreadBodies.isClosing(request.socket)) {
+        request.socket.destroy();
+        return;
+      }
       const mayServe = guard.watchRequest(request, response);
       if (request.socket.destroyed) return;
+      unreadBodies.watchRequest(request, response);
       // Nothing behind a body is read, whether the answer needs the body or not.
       if (hasBody(request)) response.shouldKeepAlive = false;
       sequence.add(request, response, () => {
@@ -121,7 +134,10 @@
       });
     },
   );
-  server.on('connection', (socket) => guard.watchConnection(socket));
+  server.on('connection', (socket) => {
+    unreadBodies.watchConnection(socket);
+    guard.watchConnection(socket);
+  });
   server.on('close', () => guard.stop());
   return server;
 }
--- a/src/proxy/http-listener.ts
+++ b/src/proxy/http-listener.ts
@@ -4,7 +4,8 @@
 import type { Socket } from 'node:net';
 import type { Address, Clock, KeyPair, Listener, Network } from '../kernel/index.js';
 import { type HeadRefusal, checkHead, normalizeTarget } from './head-check.js';
-import { type EntryListener, type ServerProtection, createGuard } from '../overload/index.js';
+import type { EntryListener } from '../overload/index.js';
+import { type ServerProtection, createGuard } from './guarded-server.js';
 import { createNotRun } from './outcome.js';
 import { UnreadBodies, type UnreadBodyOutcome } from './unread-body.js';
 
@@ -128,6 +129,8 @@
   server.on('checkContinue', serveRequest);
   server.on('checkExpectation', serveRequest);
   server.on('connect', (_request: IncomingMessage, socket: Duplex) => {
+    // The parser has left the connection.
+    guard.reject(socket as Socket);
     options.onRefused('CONNECT');
     writeRawRefusal(socket, NOT_IMPLEMENTED, 'CONNECT is not served');
   });
