Count the first of several requests sent ahead as one of them

What callers saw: beside 50 connections that send requests ahead to a route that is served, 154 to 177 of 190 ordinary requests were served, the others refused as "busy"; beside 200 that leave 200 KB answers unread 121 of 182 at load 16.

Cause: the first request of a connection counted like that of an ordinary caller, although hundreds had arrived behind it, and each connection that is closed for its memory comes back with another first one.

Change: a request without a body behind which more has arrived is pipelined.

Beside it: the guard is split into the one of a connection and that of a listener, and forgets requests with many fields when their connection closes (found by reading: responses behind the first on a connection get no event then, so their places were never free again; test/guarded-server.test.ts).

--- a/src/overload/connection-guard.ts
+++ b/src/overload/connection-guard.ts
@@ -9,66 +9,19 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Clock, Timer } from '../kernel/index.js';
-import type { MemoryAccount, MemoryBudget, MemoryOwner } from './memory-budget.js';
-import type { ReadTurns, Reader } from './read-turns.js';
-import { RequestMemory, setRequestMemory } from './request-memory.js';
-
-/** Why a connection is closed by its guard. */
-export type GuardClosure =
-  /** It holds more memory than others while all together hold too much. */
-  | 'memory'
-  /** There are too many connections, and it has been idle for long. */
-  | 'connections'
-  /** It has not read any of an answer for too long. */
-  | 'unread-answer';
+import type { Timer } from '../kernel/index.js';
+import {
+  type Feed,
+  GuardedConnection,
+  type GuardedConnectionOptions,
+} from './guarded-connection.js';
 
 /** Dependencies of a guard. */
-export interface GuardOptions {
-  readonly clock: Clock;
-  readonly budget: MemoryBudget;
-  readonly turns: ReadTurns;
+export interface GuardOptions extends GuardedConnectionOptions {
   /** Connections that the listener holds at most. */
   readonly maxConnections: number;
-  /** How long a client may leave an answer unread without closing, in milliseconds. */
-  readonly readUnreadTimeout: () => number;
-  /** Called when the guard closes a connection, or refuses one of its requests instead. */
-  readonly onClose: (reason: GuardClosure) => void;
 }
 
-/**
- * Requests of one connection that are accepted and not answered. Further ones stay unread, and are
- * read when an earlier one has been answered.
- */
-export const MAX_PIPELINED_REQUESTS = 8;
-
-/** While this many bytes of answers wait to be sent on a connection, nothing more is read from it. */
-const MAX_UNSENT_BYTES = 262_144;
-
-/** The parser gets the input of a connection in pieces; each one may be twice as long as the last. */
-const MIN_PIECE_BYTES = 1024;
-const MAX_PIECE_BYTES = 16_384;
-
-/** How long the input of one connection is handled before others get their turn, in milliseconds. */
-const MAX_TURN_MS = 0.5;
-
-/**
- * A connection whose input took longer than this within the window, in milliseconds, is read only
- * in its turns. The second value holds while other connections wait for theirs.
- */
-const MAX_UNSHARED_MS = 1;
-const MAX_UNSHARED_IN_CROWD_MS = 0.1;
-const SHARE_WINDOW_MS = 100;
-
-/** Estimated memory of a request and its response, without header fields and body, in bytes. */
-const REQUEST_BYTES = 8192;
-
-/** Estimated memory of a header field besides its characters, in bytes. */
-const FIELD_BYTES = 256;
-
-/** A head that is not complete is estimated at this many times its bytes, as if made of short fields. */
-const INCOMPLETE_HEAD_FACTOR = 12;
-
 /** Requests with more header fields than this take the parser, and whoever reads them, much longer. */
 export const MANY_FIELDS = 256;
 
@@ -79,284 +32,17 @@
 const MAX_REQUESTS_WITH_MANY_FIELDS = 16;
 const MAX_REQUESTS_WITH_MANY_FIELDS_IN_CROWD = 2;
 
-/** What a socket may still receive while it is paused, in bytes. */
-const PAUSED_SOCKET_BYTES = 65_536;
-
+/** Interval between two checks for answers that are not read, in milliseconds. */
 const SWEEP_INTERVAL_MS = 1000;
 
-function estimateRequestBytes({ rawHeaders }: IncomingMessage): number {
-  let bytes = REQUEST_BYTES + (rawHeaders.length / 2) * FIELD_BYTES;
-  for (const part of rawHeaders) bytes += part.length;
-  return bytes;
-}
-
-type Feed = (chunk: Buffer) => void;
-
-/** One connection behind the guard. */
-class GuardedConnection implements MemoryOwner, Reader {
-  readonly #account: MemoryAccount;
-
-  /** Requests that are accepted and not answered. */
-  readonly #open = new Map<ServerResponse, RequestMemory>();
-
-  /** The request that was received last. */
-  #lastRequest: IncomingMessage | undefined;
-
-  /** Charged for a head that is not complete. */
-  #headCharge = 0;
-
-  /** Charged for input that waits to be parsed. */
-  #postponedCharge = 0;
-
-  #isWaitingForTurn = false;
-
-  /** Whether it is not read until one of its requests has been answered. */
-  #isFull = false;
-
-  /** Whether it is not read until somebody reads the body of its last request. */
-  #isHeldForBody = false;
-
-  /** Whether the server has paused it, which resumes it as well. */
-  #isPausedByServer = false;
-
-  #isRejected = false;
-
-  /** Requests that were answered. */
-  answered = 0;
-
-  lastActiveAt: number;
-
-  readonly openedAt: number;
-
-  #isDraining = false;
-
-  /** How long its input took in the current window, in milliseconds, and when the window began. */
-  #spent = { time: 0, since: 0 };
-
-  /** Bytes that its client had not read when that was last checked, and since when it reads none. */
-  #unsent = { bytes: 0, since: 0 };
-
-  constructor(
-    readonly socket: Socket,
-    private readonly feed: Feed,
-    private readonly options: GuardOptions,
-  ) {
-    this.#account = options.budget.open(this);
-    this.openedAt = options.clock.now();
-    this.lastActiveAt = this.openedAt;
-    socket.on('data', (chunk: Buffer) => this.#handleInput(chunk));
-    socket.on('resume', () => {
-      this.#isPausedByServer = false;
-    });
-    socket.on('close', () => {
-      options.turns.remove(this);
-      this.#closeAccount();
-    });
-  }
-
-  /** Requests that are accepted and not answered. */
-  get openRequests(): number {
-    return this.#open.size;
-  }
-
-  /** Starts to account for a request that has just been received. */
-  watchRequest(request: IncomingMessage, response: ServerResponse): void {
-    this.#lastRequest = request;
-    this.#account.release(this.#headCharge);
-    this.#headCharge = 0;
-    const memory = new RequestMemory(this.#account, this.#open.size > 0);
-    setRequestMemory(request, memory);
-    this.#open.set(response, memory);
-    response.once('close', () => {
-      memory.close();
-      this.#open.delete(response);
-      this.answered += 1;
-      this.lastActiveAt = this.options.clock.now();
-      if (this.#isFull) this.#waitForTurn();
-    });
-    // The request itself does not resume its connection when it has asked for more before.
-    request.on('resume', () => this.#continueBody());
-    memory.charge(estimateRequestBytes(request));
-  }
-
-  /** Ignores whatever else arrives, as the parser has rejected the input. */
-  reject(): void {
-    this.#isRejected = true;
-  }
-
-  readNext(): void {
-    this.#isWaitingForTurn = false;
-    this.#isFull = false;
-    if (!this.#isPausedByServer) this.socket.resume();
-  }
-
-  /** Refuses its request, if that is all there is; else closes it. */
-  evict(): void {
-    const memories = [...this.#open.values()];
-    const [memory] = memories;
-    const refuse = memories.length === 1 ? memory?.onEvict : undefined;
-    this.#closeAccount();
-    if (refuse === undefined) this.close('memory');
-    else {
-      this.options.onClose('memory');
-      refuse();
-    }
-  }
-
-  close(reason: GuardClosure): void {
-    if (this.socket.destroyed) return;
-    this.options.onClose(reason);
-    this.#isRejected = true;
-    this.socket.destroy();
-  }
-
-  /** Closes it if its client has read nothing of an answer for too long. */
-  checkUnread(): void {
-    const bytes = this.socket.bytesWritten - this.socket.writableLength;
-    const now = this.options.clock.now();
-    if (this.socket.writableLength === 0 || bytes !== this.#unsent.bytes) {
-      this.#unsent = { bytes, since: now };
-    } else if (now - this.#unsent.since > this.options.readUnreadTimeout()) {
-      this.close('unread-answer');
-    }
-  }
-
-  #handleInput(chunk: Buffer): void {
-    if (this.#isRejected) return;
-    const { clock } = this.options;
-    const startedAt = clock.now();
-    this.lastActiveAt = startedAt;
-    this.#account.release(this.#postponedCharge);
-    this.#postponedCharge = 0;
-    this.#parseInput(chunk, startedAt);
-    if (this.#isRejected || this.socket.destroyed) return;
-    if (this.#recordTime(clock.now() - startedAt, startedAt)) return;
-    if (this.#postponedCharge === 0) this.#pause(0);
-    this.#waitForTurn();
-  }
-
-  /** Records how long some input took; returns whether the connection may be read out of turn. */
-  #recordTime(took: number, now: number): boolean {
-    if (now - this.#spent.since > SHARE_WINDOW_MS) this.#spent = { time: 0, since: now };
-    this.#spent.time += took;
-    const isCrowded = this.options.turns.size > 0;
-    return this.#spent.time <= (isCrowded ? MAX_UNSHARED_IN_CROWD_MS : MAX_UNSHARED_MS);
-  }
-
-  #parseInput(chunk: Buffer, startedAt: number): void {
-    const { clock } = this.options;
-    let offset = 0;
-    for (let size = MIN_PIECE_BYTES; offset < chunk.length; size *= 2) {
-      if (this.#mayNotRead()) {
-        this.#postpone(chunk.subarray(offset));
-        return;
-      }
-      if (offset > 0 && clock.now() - startedAt > MAX_TURN_MS) {
-        this.#postpone(chunk.subarray(offset));
-        this.#waitForTurn();
-        return;
-      }
-      if (this.#open.size > 0 && this.#isInHead()) size = MIN_PIECE_BYTES;
-      const end = offset + Math.min(size, MAX_PIECE_BYTES);
-      this.#feedPiece(chunk.subarray(offset, end));
-      if (this.#isRejected || this.socket.destroyed) return;
-      offset = end;
-    }
-  }
-
-  #feedPiece(piece: Buffer): void {
-    if (this.#isInHead()) {
-      const bytes = piece.length * INCOMPLETE_HEAD_FACTOR;
-      this.#headCharge += bytes;
-      this.#account.charge(bytes);
-      if (this.#isRejected) return;
-    }
-    this.feed(piece);
-    this.#isPausedByServer = this.socket.isPaused();
-    // The rest of a piece that ends a body may be the start of the next head; it is not charged.
-    if (!this.#isInHead()) {
-      this.#account.release(this.#headCharge);
-      this.#headCharge = 0;
-    }
-  }
-
-  /** Whether the next input belongs to the head of a request. */
-  #isInHead(): boolean {
-    return this.#lastRequest === undefined || this.#lastRequest.complete;
-  }
-
-  /** Whether input has to stay unread; it is read again when the reason has gone. */
-  #mayNotRead(): boolean {
-    const { socket } = this;
-    if (this.#isWaitingForTurn || socket.isPaused()) return true;
-    if (this.#isInHead() && this.#open.size >= MAX_PIPELINED_REQUESTS) {
-      this.#isFull = true;
-      return true;
-    }
-    if (socket.writableLength > MAX_UNSENT_BYTES) {
-      this.#waitForDrain();
-      return true;
-    }
-    return this.#hasUntakenBody();
-  }
-
-  #waitForDrain(): void {
-    if (this.#isDraining) return;
-    this.#isDraining = true;
-    this.socket.once('drain', () => {
-      this.#isDraining = false;
-      this.#waitForTurn();
-    });
-  }
-
-  /** Whether a part of the body has arrived that nobody reads; reading it resumes the connection. */
-  #hasUntakenBody(): boolean {
-    const request = this.#lastRequest;
-    if (request === undefined || request.complete) return false;
-    this.#isHeldForBody = request.readableLength > 0 && request.readableFlowing !== true;
-    return this.#isHeldForBody;
-  }
-
-  #continueBody(): void {
-    if (!this.#isHeldForBody) return;
-    this.#isHeldForBody = false;
-    if (!this.#isPausedByServer) this.socket.resume();
-  }
-
-  #postpone(rest: Buffer): void {
-    this.#pause(rest.length);
-    if (!this.socket.destroyed) this.socket.unshift(rest);
-  }
-
-  /** Pauses the connection; what it may hold then is charged until it is read again. */
-  #pause(restBytes: number): void {
-    this.socket.pause();
-    this.#postponedCharge = restBytes + PAUSED_SOCKET_BYTES;
-    this.#account.charge(this.#postponedCharge);
-  }
-
-  #waitForTurn(): void {
-    if (this.#isWaitingForTurn || this.socket.destroyed) return;
-    this.#isWaitingForTurn = true;
-    this.options.turns.add(this);
-  }
-
-  #closeAccount(): void {
-    for (const memory of this.#open.values()) memory.forget();
-    this.#headCharge = 0;
-    this.#postponedCharge = 0;
-    this.#account.close();
-  }
-}
-
 /** The guard of one listener. */
 export class ConnectionGuard {
   readonly #connections = new Map<Socket, GuardedConnection>();
 
   #timer: Timer | undefined;
 
-  /** Requests with many fields that are accepted and not answered. */
-  #withManyFields = 0;
+  /** Responses to requests with many fields, until they are complete. */
+  readonly #withManyFields = new Set<ServerResponse>();
 
   constructor(private readonly options: GuardOptions) {}
 
@@ -374,7 +60,7 @@
     };
     this.#makeRoom();
     this.#connections.set(socket, new GuardedConnection(socket, feed, this.options));
-    socket.on('close', () => this.#connections.delete(socket));
+    socket.on('close', () => this.#forget(socket));
     this.#timer ??= this.#scheduleSweep();
   }
 
@@ -389,14 +75,20 @@
       this.options.turns.size > 0
         ? MAX_REQUESTS_WITH_MANY_FIELDS_IN_CROWD
         : MAX_REQUESTS_WITH_MANY_FIELDS;
-    if (this.#withManyFields >= max) return false;
-    this.#withManyFields += 1;
-    response.once('close', () => {
-      this.#withManyFields -= 1;
-    });
+    if (this.#withManyFields.size >= max) return false;
+    this.#withManyFields.add(response);
+    response.once('close', () => this.#withManyFields.delete(response));
     return true;
   }
 
+  /** Forgets a connection that is closed; responses behind the first on it get no event. */
+  #forget(socket: Socket): void {
+    this.#connections.delete(socket);
+    for (const response of this.#withManyFields) {
+      if (response.req.socket === socket) this.#withManyFields.delete(response);
+    }
+  }
+
   /** Ignores further input of a connection, as the parser has rejected it. */
   reject(socket: Socket): void {
     this.#connections.get(socket)?.reject();
--- a/src/overload/index.ts
+++ b/src/overload/index.ts
@@ -1,12 +1,7 @@
 /** Bounds on what clients may make a process hold and do. */
 export { BodyBuffer } from './body-buffer.js';
-export {
-  ConnectionGuard,
-  type GuardClosure,
-  type GuardOptions,
-  MANY_FIELDS,
-  MAX_PIPELINED_REQUESTS,
-} from './connection-guard.js';
+export { ConnectionGuard, type GuardOptions, MANY_FIELDS } from './connection-guard.js';
+export { type GuardClosure, MAX_PIPELINED_REQUESTS, hasBody } from './guarded-connection.js';
 export { MemoryAccount, MemoryBudget, type MemoryOwner } from './memory-budget.js';
 export { ReadTurns, type Reader } from './read-turns.js';
 export { RequestMemory, findRequestMemory } from './request-memory.js';
--- a/src/overload/request-memory.ts
+++ b/src/overload/request-memory.ts
@@ -14,7 +14,7 @@
    */
   onEvict: (() => void) | undefined;
 
-  /** @param isPipelined whether earlier requests of its connection were not answered when it came */
+  /** @param isPipelined whether it came with others on its connection, before they were answered */
   constructor(
     private readonly account: MemoryAccount,
     readonly isPipelined: boolean,
--- a/src/proxy/guarded-server.ts
+++ b/src/proxy/guarded-server.ts
@@ -12,6 +12,7 @@
   type GuardClosure,
   MemoryBudget,
   ReadTurns,
+  hasBody,
 } from '../overload/index.js';
 import { MAX_DISCARDED_BYTES, UnreadBodies } from './unread-body.js';
 
@@ -143,7 +144,3 @@
 }
 
 const SERVICE_UNAVAILABLE = 503;
-
-function hasBody({ headers }: IncomingMessage): boolean {
-  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
-}
