Tell an orderly end of a connection from a reset

After a read that brought bytes, the stream layer reports a reset as an end of file, without an error on any object (node:http, 20.19, Linux). The address of the peer is known after a FIN and unknown after a reset, if it is read for the first time then. Weighed against it: a write after the end (asynchronous, and sends bytes), the socket's error (already gone), a native add-on.

Our own stand-in for links did what the incident did: it forwarded a reset that followed bytes as an orderly end. It uses the same watch now.

--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -7,6 +7,7 @@
 export * from './lag-tolerant-timeout.js';
 export * from './random.js';
 export * from './network.js';
+export * from './socket-end.js';
 export * from './log-format.js';
 export * from './log.js';
 export * from './metrics.js';
--- a/src/soak/link.ts
+++ b/src/soak/link.ts
@@ -3,7 +3,7 @@
  * connections.
  */
 import net from 'node:net';
-import type { Address } from '../kernel/index.js';
+import { type Address, SocketEndWatch } from '../kernel/index.js';
 
 /** A fault of a link. `in` is the direction to the upstream server, `out` the direction back. */
 export type LinkFault =
@@ -70,8 +70,12 @@
 
   #forward(from: net.Socket, to: net.Socket, direction: 'in' | 'out'): void {
     this.#sockets.add(from);
+    const endWatch = new SocketEndWatch(from);
     from.on('data', (chunk: Buffer) => this.#applyFault(() => to.write(chunk), direction));
-    from.on('end', () => this.#applyFault(() => to.end(), direction));
+    from.on('end', () => {
+      if (endWatch.end === 'broken') to.resetAndDestroy();
+      else this.#applyFault(() => to.end(), direction);
+    });
     from.on('error', () => to.resetAndDestroy());
     from.on('close', () => {
       this.#sockets.delete(from);
