Go on using a carrier whose answer broke off after its head

Cause: any loss counted as a failure of the carrier. One that has brought the head of an answer works; what failed is the answer, often at its target. A carrier that has ended refuses the next connection, which still counts.

--- a/src/gateway/carrying/carrying.ts
+++ b/src/gateway/carrying/carrying.ts
@@ -225,7 +225,8 @@
       this.#giveUp('timeout');
       return true;
     }
-    if (reason !== 'silent') pool.recordFailure(carrier);
+    // After the head it is the answer that failed, and not its carrier.
+    if (reason !== 'silent' && this.#running?.hasHead !== true) pool.recordFailure(carrier);
     const mayRepeat =
       route.kind === 'repeatable' &&
       !this.#isBodySpent() &&
