Reset a broken answer of the own daemon as well, also for HTTP/1.0

What callers saw: an answer that broke off after its head ended in an orderly close, which looks whole to a caller of HTTP/1.0 if the target sent chunks.

Change: the own daemon uses the framing and the abort of the gateway. It goes on refusing answers without a length, as `undici` does not tell how a connection ended. TLS connections can't be reset; they end without the alert that makes their end orderly.

--- a/src/proxy/attempt.ts
+++ b/src/proxy/attempt.ts
@@ -10,7 +10,9 @@
 import { assertInvariant } from '../kernel/index.js';
 import type { TargetReport } from '../balance/index.js';
 import { PieceJoiner } from '../overload/index.js';
+import { abortAnswer, setResetOnClose } from './answer-abort.js';
 import { findAnswerFault } from './answer-check.js';
+import { findFraming } from './answer-framing.js';
 import type { Body } from './body.js';
 import type { Call } from './call.js';
 import {
@@ -100,7 +102,6 @@
   abort(reason: string): void;
 }
 
-const NO_BODY_STATUSES = new Set([204, 304]);
 const EARLY_HINTS_STATUS = 103;
 const MIN_FINAL_STATUS = 200;
 
@@ -117,13 +118,6 @@
   return raw.map((part) => (typeof part === 'string' ? part : part.toString('latin1')));
 }
 
-/** Whether a complete answer can be told from one whose connection broke. */
-function isDelimited(method: string, status: number, headers: FlatHeaders): boolean {
-  if (method === 'HEAD' || NO_BODY_STATUSES.has(status)) return true;
-  if (findHeader(headers, 'content-length') !== undefined) return true;
-  return findHeader(headers, 'transfer-encoding') !== undefined;
-}
-
 function buildBody(body: Body): Dispatcher.DispatchOptions['body'] {
   switch (body.kind) {
     case 'none':
@@ -207,7 +201,9 @@
       stopWith({ kind: 'lost', reason: 'wrong-answer', detail });
       return;
     }
-    if (!isDelimited(call.method, code, headers)) {
+    const framing = findFraming({ method: call.method, status: code, rawHeaders: headers });
+    // `undici` does not tell how a connection has ended.
+    if (framing === 'close') {
       const detail = 'the answer ends with its connection, so its end cannot be told';
       stopWith({ kind: 'lost', reason: 'undelimited-answer', detail });
       return;
@@ -224,6 +220,7 @@
     isHeadSent = true;
     closeAfterLongBody(response);
     response.writeHead(code, buildCallerHeaders(headers, call.id, options.keepsOutcomeHeader));
+    setResetOnClose(response, framing);
     response.on('drain', resume);
   }
 
@@ -274,7 +271,7 @@
         return;
       }
       if (isHeadSent) {
-        response.destroy();
+        abortAnswer(response);
         resolveDone({ kind: 'cut', detail: error.message });
         return;
       }
