Keep what others name in maps, not in objects that inherit names

Cause: learned state was kept in plain objects by the names of services and routes. Asked for "__proto__", such an object returns its prototype, which was taken for stored estimates; the status line then formats one that is undefined. The class: a name that someone else chose, looked up in an object that inherits names. "constructor", "toString", "hasOwnProperty" and "valueOf" do the same.

Change: learned state is a map. Found in the same way: a target whose state is "constructor" was accepted with a function for its state, and so was a route of that kind; documents of that name were in force before they existed; a header of a caller called __proto__ was lost to policies. Labels of metrics are escaped, as a service's name may hold quotes and line ends.

--- a/src/config/change.ts
+++ b/src/config/change.ts
@@ -46,12 +46,17 @@
   readonly undoes?: string;
 }
 
+/** Finds the hash of a document. Its name may be one that every object inherits. */
+function findHash(hashes: Hashes, name: string): Hash {
+  return Object.hasOwn(hashes, name) ? hashes[name] : NO_DOCUMENT;
+}
+
 /** Makes the change that leads from `current` to the wishes; documents already so are left out. */
 export function createChange(header: ChangeHeader, current: Hashes, wishes: Wishes): Change {
   const edits: Edit[] = [];
   const texts: Record<Hash, string> = {};
   for (const [name, text] of wishes) {
-    const before = current[name] ?? NO_DOCUMENT;
+    const before = findHash(current, name);
     const after = text === undefined ? NO_DOCUMENT : hashText(text);
     if (before === after) continue;
     edits.push({ name, before, after });
@@ -62,17 +67,17 @@
 
 /** Returns the first edit whose document is no longer what the change started from. */
 export function findConflict(edits: readonly Edit[], current: Hashes): Edit | undefined {
-  return edits.find(({ name, before }) => (current[name] ?? NO_DOCUMENT) !== before);
+  return edits.find(({ name, before }) => findHash(current, name) !== before);
 }
 
 /** Applies edits to hashes. The edits must not conflict. */
 export function applyEdits(edits: readonly Edit[], current: Hashes): Hashes {
-  const next: Record<string, Hash> = { ...current };
+  const next = new Map(Object.entries(current));
   for (const { name, after } of edits) {
-    if (after === NO_DOCUMENT) delete next[name];
-    else next[name] = after;
+    if (after === NO_DOCUMENT) next.delete(name);
+    else next.set(name, after);
   }
-  return next;
+  return Object.fromEntries(next);
 }
 
 /** Returns the edits that undo the given ones. */
--- a/src/gateway/learned-state.ts
+++ b/src/gateway/learned-state.ts
@@ -50,10 +50,13 @@
   readonly at: number;
 }
 
-/** The learned state, by name of the service or route. */
+/** Estimates by the name of their service or route, which others choose. */
+export type LearnedEntries<T extends SampleInfo> = ReadonlyMap<string, T>;
+
+/** The learned state. */
 export interface LearnedState {
-  readonly services: Readonly<Record<string, LearnedServiceState>>;
-  readonly routes: Readonly<Record<string, LearnedRouteState>>;
+  readonly services: LearnedEntries<LearnedServiceState>;
+  readonly routes: LearnedEntries<LearnedRouteState>;
   /** Number of homes that the load needed. */
   readonly homes: number;
   /**
@@ -63,7 +66,9 @@
 }
 
 /** The state of a daemon that has learned nothing yet. */
-export const EMPTY_LEARNED_STATE: LearnedState = { services: {}, routes: {}, homes: 0, poison: [] };
+export const EMPTY_LEARNED_STATE: LearnedState = {
+  ...{ services: new Map(), routes: new Map(), homes: 0, poison: [] },
+};
 
 /** A value is written again when it differs from the stored one by more than this part of it. */
 const MIN_CHANGE_RATIO = 0.3;
@@ -123,15 +128,12 @@
 }
 
 /** Keeps the valid entries; the record may have been written by anybody. */
-function decodeEntries<T extends SampleInfo>(
-  value: unknown,
-  ranges: Ranges<T>,
-): Readonly<Record<string, T>> {
-  if (typeof value !== 'object' || value === null) return {};
-  const decoded: Record<string, T> = {};
+function decodeEntries<T extends SampleInfo>(value: unknown, ranges: Ranges<T>): LearnedEntries<T> {
+  const decoded = new Map<string, T>();
+  if (typeof value !== 'object' || value === null) return decoded;
   for (const [name, entry] of Object.entries(value)) {
     const valid = decodeEntry<T>(entry, ranges);
-    if (valid !== undefined) decoded[name] = valid;
+    if (valid !== undefined) decoded.set(name, valid);
   }
   return decoded;
 }
@@ -150,10 +152,16 @@
   return Math.min(MAX_STORED_HOMES, Math.max(0, homes));
 }
 
+/** The record as JSON. */
+interface StoredState extends Omit<LearnedState, 'services' | 'routes'> {
+  readonly services: unknown;
+  readonly routes: unknown;
+}
+
 /** Parses a record; invalid parts are left out. */
 export function parseLearnedState(text: string): LearnedState {
   try {
-    const value = JSON.parse(text) as Partial<LearnedState> | null;
+    const value = JSON.parse(text) as Partial<StoredState> | null;
     return {
       services: decodeEntries<LearnedServiceState>(value?.services, SERVICE_RANGES),
       routes: decodeEntries<LearnedRouteState>(value?.routes, ROUTE_RANGES),
@@ -169,8 +177,12 @@
 export function formatLearnedState({ services, routes, homes, poison }: LearnedState): string {
   const round = (_key: string, value: unknown) =>
     typeof value === 'number' ? Math.round(value * 100) / 100 : value;
-  const storedRoutes = Object.fromEntries(Object.entries(routes).slice(0, MAX_STORED_ROUTES));
-  return JSON.stringify({ services, routes: storedRoutes, homes, poison }, round);
+  const stored: StoredState = {
+    services: Object.fromEntries(services),
+    routes: Object.fromEntries([...routes].slice(0, MAX_STORED_ROUTES)),
+    ...{ homes, poison },
+  };
+  return JSON.stringify(stored, round);
 }
 
 function hasValueChanged<T extends object>(
@@ -204,12 +216,12 @@
   return (
     hasValueChanged({ homes: stored.homes }, { homes: next.homes }, ['homes']) ||
     hasPoisonChanged(next.poison, stored.poison) ||
-    Object.entries(next.services).some(([name, entry]) =>
-      hasValueChanged(stored.services[name], entry, SERVICE_FIELDS),
+    [...next.services].some(([name, entry]) =>
+      hasValueChanged(stored.services.get(name), entry, SERVICE_FIELDS),
     ) ||
-    Object.entries(next.routes)
+    [...next.routes]
       .slice(0, MAX_STORED_ROUTES)
-      .some(([name, entry]) => hasValueChanged(stored.routes[name], entry, ROUTE_FIELDS))
+      .some(([name, entry]) => hasValueChanged(stored.routes.get(name), entry, ROUTE_FIELDS))
   );
 }
 
@@ -217,8 +229,8 @@
 const MAX_LOGGED_LENGTH = 600;
 
 /** Formats entries as `name:value/value`, shortened to what fits into a line. */
-function describeEntries(entries: Readonly<Record<string, object>>): string {
-  const text = Object.entries(entries)
+function describeEntries(entries: ReadonlyMap<string, object>): string {
+  const text = [...entries]
     .map(([name, entry]) => {
       const values = Object.values(entry as Readonly<Record<string, number>>);
       return `${name}:${values.map((value) => Math.round(value * 100) / 100).join('/')}`;
@@ -259,15 +271,15 @@
   }
 
   /** Returns the entries that agree with their state some samples ago. */
-  select(entries: Readonly<Record<string, T>>): Readonly<Record<string, T>> {
-    const selected: Record<string, T> = {};
-    for (const [name, entry] of Object.entries(entries)) {
+  select(entries: LearnedEntries<T>): LearnedEntries<T> {
+    const selected = new Map<string, T>();
+    for (const [name, entry] of entries) {
       const baseline = this.#baselines.get(name);
       if (baseline !== undefined && entry.samples - baseline.samples < MIN_CONFIRMING_SAMPLES)
         continue;
       this.#baselines.set(name, entry);
       if (baseline === undefined || !isSteady(baseline, entry, this.#fields)) continue;
-      if (decodeEntry<T>(entry, this.ranges) !== undefined) selected[name] = entry;
+      if (decodeEntry<T>(entry, this.ranges) !== undefined) selected.set(name, entry);
     }
     return selected;
   }
@@ -340,8 +352,9 @@
     };
     if (!hasSignificantChange(learned, this.#stored)) return;
     const merged = {
-      services: { ...this.#stored.services, ...learned.services },
-      routes: { ...learned.routes, ...this.#stored.routes, ...learned.routes },
+      services: new Map([...this.#stored.services, ...learned.services]),
+      // What this daemon has learned comes first, as the record is limited.
+      routes: new Map([...learned.routes, ...this.#stored.routes, ...learned.routes]),
       ...{ homes: learned.homes, poison: learned.poison },
     };
     const text = formatLearnedState(merged);
--- a/src/gateway/requests/request-handler.ts
+++ b/src/gateway/requests/request-handler.ts
@@ -143,7 +143,7 @@
 
   readonly #routeTimes = new Map<string, RouteTime>();
 
-  #learnedRoutes: LearnedState['routes'] = {};
+  #learnedRoutes: LearnedState['routes'] = new Map();
 
   #isStopping = false;
 
@@ -162,7 +162,7 @@
   restoreLearnedState(learnedRoutes: LearnedState['routes']): void {
     this.#learnedRoutes = learnedRoutes;
     for (const [name, routeTime] of this.#routeTimes) {
-      const learned = learnedRoutes[name];
+      const learned = learnedRoutes.get(name);
       if (learned !== undefined) routeTime.setPrior(learned);
     }
   }
@@ -188,11 +188,11 @@
   /** Returns what this daemon has learnt about routes. */
   readLearnedState(): LearnedState['routes'] {
     const { clock } = this.options;
-    const learnedRoutes: Record<string, LearnedRouteState> = {};
+    const learnedRoutes = new Map<string, LearnedRouteState>();
     for (const [name, routeTime] of this.#routeTimes) {
       if (!routeTime.hasEnoughSamples) continue;
       const { work, spread, samples, age } = routeTime.describe(clock.now());
-      learnedRoutes[name] = { work, spread, samples, at: clock.wall() - age };
+      learnedRoutes.set(name, { work, spread, samples, at: clock.wall() - age });
     }
     return learnedRoutes;
   }
@@ -455,7 +455,7 @@
     const known = this.#routeTimes.get(route);
     if (known !== undefined) return known;
     const routeTime = new RouteTime();
-    const learned = this.#learnedRoutes[route];
+    const learned = this.#learnedRoutes.get(route);
     if (learned !== undefined) routeTime.setPrior(learned);
     this.#routeTimes.set(route, routeTime);
     return routeTime;
--- a/src/gateway/status.ts
+++ b/src/gateway/status.ts
@@ -1,6 +1,6 @@
 /** The status of a gateway daemon, as gauges of the metrics and as a periodic log line. */
 import type { RouteTimeState } from '../balance/index.js';
-import type { LogFields } from '../kernel/index.js';
+import { type LogFields, formatMetricName } from '../kernel/index.js';
 import type { MemberState } from '../peering/index.js';
 import type { ForwardingCounts } from './requests/routed-request.js';
 import type { TargetService } from './targets/target-service.js';
@@ -79,32 +79,35 @@
   };
   for (const [name, count] of Object.entries(status.requests)) gauges[`requests_${name}`] = count;
   for (const [kind, count] of Object.entries(status.storeCalls)) {
-    gauges[`store_calls{kind="${kind}"}`] = count;
+    gauges[formatMetricName('store_calls', { kind })] = count;
   }
   for (const service of status.services) {
-    const { name, queue, retryBudget, targets } = service;
-    gauges[`is_reached{service="${name}"}`] = Number(service.isReached);
-    gauges[`targets_limited{service="${name}"}`] = service.countLimited();
-    gauges[`targets_draining{service="${name}"}`] = service.countDraining();
-    gauges[`targets_backed_off{service="${name}"}`] = service.countBackedOff();
-    gauges[`targets_full{service="${name}"}`] = service.countFull();
-    gauges[`targets_failing{service="${name}"}`] = service.countFailing();
-    gauges[`failure_trials{service="${name}"}`] = service.failureTrials;
-    gauges[`limited_away{service="${name}"}`] = service.rateLimitDiversions;
-    gauges[`backed_off_away{service="${name}"}`] = service.backoffDiversions;
-    gauges[`waiting{service="${name}"}`] = queue.size;
-    gauges[`targets{service="${name}"}`] = targets.size;
-    gauges[`repeats_denied{service="${name}"}`] = retryBudget.counts.denied;
+    const { queue, retryBudget, targets } = service;
+    const set = (name: string, value: number) => {
+      gauges[formatMetricName(name, { service: service.name })] = value;
+    };
+    set('is_reached', Number(service.isReached));
+    set('targets_limited', service.countLimited());
+    set('targets_draining', service.countDraining());
+    set('targets_backed_off', service.countBackedOff());
+    set('targets_full', service.countFull());
+    set('targets_failing', service.countFailing());
+    set('failure_trials', service.failureTrials);
+    set('limited_away', service.rateLimitDiversions);
+    set('backed_off_away', service.backoffDiversions);
+    set('waiting', queue.size);
+    set('targets', targets.size);
+    set('repeats_denied', retryBudget.counts.denied);
     const { mean, slow, life } = service.readSlowdownParameters();
-    gauges[`slowdown_mean{service="${name}"}`] = mean;
-    gauges[`slowdown_slow{service="${name}"}`] = slow;
-    gauges[`report_life_ms{service="${name}"}`] = life;
-    gauges[`knee{service="${name}"}`] = service.knee.readFactor();
+    set('slowdown_mean', mean);
+    set('slowdown_slow', slow);
+    set('report_life_ms', life);
+    set('knee', service.knee.readFactor());
   }
   for (const [route, { work, spread, source, samples }] of Object.entries(status.routeTimes)) {
-    gauges[`route_work_ms{route="${route}",source="${source}"}`] = work;
-    gauges[`route_spread{route="${route}",source="${source}"}`] = spread;
-    gauges[`route_samples{route="${route}"}`] = samples;
+    gauges[formatMetricName('route_work_ms', { route, source })] = work;
+    gauges[formatMetricName('route_spread', { route, source })] = spread;
+    gauges[formatMetricName('route_samples', { route })] = samples;
   }
   return gauges;
 }
--- a/src/gateway/targets/target-set.ts
+++ b/src/gateway/targets/target-set.ts
@@ -29,7 +29,7 @@
 
   readonly #targetsByHash = new Map<number, GatewayTarget>();
 
-  #learnedState: LearnedState['services'] = {};
+  #learnedState: LearnedState['services'] = new Map();
 
   /** Services none of whose targets is usable. */
   readonly #unavailableServices = new Set<TargetService>();
@@ -51,7 +51,7 @@
     const existing = this.#services.get(name);
     if (existing !== undefined) return existing;
     const service = new TargetService(name, this.options);
-    const state = this.#learnedState[name];
+    const state = this.#learnedState.get(name);
     if (state !== undefined) service.restoreLearnedState(state);
     this.#services.set(name, service);
     return service;
@@ -61,17 +61,17 @@
   restoreLearnedState(learnedState: LearnedState['services']): void {
     this.#learnedState = learnedState;
     for (const [name, service] of this.#services) {
-      const state = learnedState[name];
+      const state = learnedState.get(name);
       if (state !== undefined) service.restoreLearnedState(state);
     }
   }
 
   /** Returns what this daemon has learned about its services. */
   readLearnedState(): LearnedState['services'] {
-    const learnedState: Record<string, LearnedServiceState> = {};
+    const learnedState = new Map<string, LearnedServiceState>();
     for (const [name, service] of this.#services) {
       const state = service.readLearnedState();
-      if (state !== undefined) learnedState[name] = state;
+      if (state !== undefined) learnedState.set(name, state);
     }
     return learnedState;
   }
--- a/src/kernel/text-metrics.ts
+++ b/src/kernel/text-metrics.ts
@@ -14,8 +14,9 @@
 /** Longest time that a histogram records; longer ones count as this. */
 const MAX_RECORDED_MS = 600_000;
 
-function formatName(name: string, labels: Labels): string {
-  const pairs = Object.entries(labels).map(([key, value]) => `${key}="${value}"`);
+/** Formats the name of a metric with its labels; a label may hold any text. */
+export function formatMetricName(name: string, labels: Labels): string {
+  const pairs = Object.entries(labels).map(([key, value]) => `${key}=${JSON.stringify(value)}`);
   return pairs.length === 0 ? name : `${name}{${pairs.join(',')}}`;
 }
 
@@ -32,13 +33,13 @@
 
   /** Adds `amount` to a counter. */
   count(name: string, labels: Labels = {}, amount = 1): void {
-    const key = formatName(name, labels);
+    const key = formatMetricName(name, labels);
     this.#counters.set(key, (this.#counters.get(key) ?? 0) + amount);
   }
 
   /** Records a time in milliseconds. */
   observe(name: string, labels: Labels, time: number): void {
-    const key = formatName(name, labels);
+    const key = formatMetricName(name, labels);
     const existing = this.#histograms.get(key);
     const entry = existing ?? {
       ...{ name, labels },
@@ -61,10 +62,10 @@
     }
     for (const { name, labels, histogram } of this.#histograms.values()) {
       for (const quantile of QUANTILES) {
-        const key = formatName(name, { ...labels, quantile: String(quantile / 100) });
+        const key = formatMetricName(name, { ...labels, quantile: String(quantile / 100) });
         lines.push(`${key} ${histogram.percentile(quantile)}`);
       }
-      lines.push(`${formatName(`${name}_count`, labels)} ${histogram.count}`);
+      lines.push(`${formatMetricName(`${name}_count`, labels)} ${histogram.count}`);
     }
     return `${lines.join('\n')}\n`;
   }
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -44,13 +44,13 @@
   readonly coldLeft: number;
 }
 
-const REQUEST_KINDS: Readonly<Record<string, RequestKind>> = {
-  safe: 'repeatable',
-  unsafe: 'once',
-  upload: 'upload',
+const REQUEST_KINDS: ReadonlyMap<string, RequestKind> = new Map([
+  ['safe', 'repeatable'],
+  ['unsafe', 'once'],
+  ['upload', 'upload'],
   // Answers are streamed to the caller beyond a buffer's length, whatever the kind.
-  download: 'repeatable',
-};
+  ['download', 'repeatable'],
+]);
 
 function readShares(action: JsonObject, rule: string): readonly Share[] {
   if (action.split === undefined) {
@@ -93,9 +93,9 @@
   const name = readText(rule.name, 'rule name');
   const match = readObject(rule.match, `${name}: match`);
   const action = readObject(rule.action, `${name}: action`);
-  const kind = REQUEST_KINDS[readText(rule.kind, `${name}: kind`)];
+  const kind = REQUEST_KINDS.get(readText(rule.kind, `${name}: kind`));
   if (kind === undefined)
-    throw new DecodeError(`${name}: kind`, Object.keys(REQUEST_KINDS).join(', '));
+    throw new DecodeError(`${name}: kind`, [...REQUEST_KINDS.keys()].join(', '));
   const timeout = action.timeout_ms;
   return {
     ...{ name, kind, pathPrefix: readText(match.path_prefix, `${name}: path_prefix`) },
@@ -161,14 +161,11 @@
   }
 }
 
-const TARGET_STATES: Readonly<Record<string, TargetRecord['state']>> = {
-  ready: 'ready',
-  draining: 'draining',
-};
+const TARGET_STATES: readonly TargetRecord['state'][] = ['ready', 'draining'];
 
 function readState(value: unknown): TargetRecord['state'] {
-  const state = typeof value === 'string' ? TARGET_STATES[value] : undefined;
-  if (state === undefined) throw new DecodeError('state', Object.keys(TARGET_STATES).join(', '));
+  const state = TARGET_STATES.find((known) => known === value);
+  if (state === undefined) throw new DecodeError('state', TARGET_STATES.join(', '));
   return state;
 }
 
--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -128,9 +128,9 @@
 
 /** Builds the view of a call that policies are evaluated on. */
 export function createCallView(call: Call, request: IncomingMessage, now: number): CallView {
-  const headers: Record<string, string> = {};
+  const headers = new Map<string, string>();
   for (const [name, value] of Object.entries(request.headers)) {
-    if (value !== undefined) headers[name] = Array.isArray(value) ? value.join(', ') : value;
+    if (value !== undefined) headers.set(name, Array.isArray(value) ? value.join(', ') : value);
   }
   return {
     method: call.method,
@@ -141,6 +141,6 @@
     bytes: call.bodyLength,
     deadline: call.timeAllowed - (now - call.receivedAt),
     draw: hashPair('draw', call.caller) / HASH_RANGE,
-    headers,
+    headers: Object.fromEntries(headers),
   };
 }
--- a/test/lessons.test.ts
+++ b/test/lessons.test.ts
@@ -25,16 +25,19 @@
 import { noopListener } from './helpers/listener.js';
 import { UNWATCHED_CONNECTIONS } from './helpers/targets.js';
 
+const ALPHA = { mean: 2, slow: 5, life: 150, knee: 1.7, samples: 400, at: 7000 };
+const ROUTE = { work: 220, spread: 1.35, samples: 50, at: 7000 };
+
 const LEARNED: LearnedState = {
-  services: { alpha: { mean: 2, slow: 5, life: 150, knee: 1.7, samples: 400, at: 7000 } },
-  routes: { 'r/a/': { work: 220, spread: 1.35, samples: 50, at: 7000 } },
+  services: new Map([['alpha', ALPHA]]),
+  routes: new Map([['r/a/', ROUTE]]),
   homes: 4,
   poison: [{ request: 'q1', ended: [7, 9], releases: ['v1'], at: 1_700_000_000_000 }],
 };
 
 const withReportLife = (life: number): LearnedState => ({
   ...LEARNED,
-  services: { alpha: { ...LEARNED.services.alpha, life } },
+  services: new Map([['alpha', { ...ALPHA, life }]]),
 });
 
 describe('the learned state of daemons', () => {
@@ -47,29 +50,27 @@
         expect(parseLearnedState(text)).to.deep.equal(EMPTY_LEARNED_STATE);
       }
       const partlyInvalid = JSON.stringify({
-        services: { ...LEARNED.services, bad: { mean: 1 }, none: null },
+        services: { alpha: ALPHA, bad: { mean: 1 }, none: null },
         routes: { worse: { work: -1, spread: 'x' } },
       });
       expect(parseLearnedState(partlyInvalid)).to.deep.equal({
         services: LEARNED.services,
-        routes: {},
+        routes: new Map(),
         homes: 0,
         poison: [],
       });
     });
     it('keeps only values that targets can have', () => {
-      const { alpha } = LEARNED.services;
-      const route = LEARNED.routes['r/a/'];
       const badServices = [
         ...[{ mean: 1e300 }, { mean: 0 }, { slow: 1e-300 }, { life: 1e300 }, { life: 0.5 }],
         ...[{ knee: 0.1 }, { knee: 51 }, { mean: null }, { mean: '2' }],
-      ].map((change, index) => [`s${index}`, { ...alpha, ...change }] as const);
+      ].map((change, index) => [`s${index}`, { ...ALPHA, ...change }] as const);
       const badRoutes = [
         ...[{ work: 600_000 }, { work: 1e300 }, { work: 1e-300 }, { spread: 100 }, { spread: 0.5 }],
-      ].map((change, index) => [`r${index}`, { ...route, ...change }] as const);
+      ].map((change, index) => [`r${index}`, { ...ROUTE, ...change }] as const);
       const text = JSON.stringify({
-        services: { ...Object.fromEntries(badServices), alpha },
-        routes: { ...Object.fromEntries(badRoutes), 'r/a/': route },
+        services: { ...Object.fromEntries(badServices), alpha: ALPHA },
+        routes: { ...Object.fromEntries(badRoutes), 'r/a/': ROUTE },
         ...{ homes: 1e300, poison: [] },
       });
       expect(parseLearnedState(text)).to.deep.equal({
@@ -77,10 +78,10 @@
       });
     });
     it('of a build that stored no samples is read', () => {
-      const { samples, at, ...route } = LEARNED.routes['r/a/'];
+      const { samples, at, ...route } = ROUTE;
       expect(samples + at).to.be.greaterThan(0);
       const read = parseLearnedState(JSON.stringify({ routes: { 'r/a/': route } }));
-      expect(read.routes).to.deep.equal({ 'r/a/': { ...route, samples: 0, at: 0 } });
+      expect(read.routes).to.deep.equal(new Map([['r/a/', { ...route, samples: 0, at: 0 }]]));
     });
     it('changes significantly when an entry is new or a value differs by more than 30 %', () => {
       expect(hasSignificantChange(LEARNED, EMPTY_LEARNED_STATE)).to.equal(true);
@@ -142,24 +143,22 @@
     /** Returns the state with samples that were taken since the last time. */
     const addSamples = ({ services, routes, ...rest }: LearnedState): LearnedState => {
       samples += 100;
-      const take = <T extends object>(entries: Readonly<Record<string, T>>) =>
-        Object.fromEntries(
-          Object.entries(entries).map(([name, entry]) => [name, { ...entry, samples }] as const),
-        );
+      const take = <T extends object>(entries: ReadonlyMap<string, T>) =>
+        new Map([...entries].map(([name, entry]) => [name, { ...entry, samples }] as const));
       return { services: take(services), routes: take(routes), ...rest };
     };
     const readStored = () => parseLearnedState(standin.get(KEYS.learnedState) ?? '');
-    const readStoredWork = () => readStored().routes['r/a/']?.work;
+    const readStoredWork = () => readStored().routes.get('r/a/')?.work;
     const withWork = (work: number): LearnedState => ({
       ...LEARNED,
-      routes: { 'r/a/': { ...LEARNED.routes['r/a/'], work } },
+      routes: new Map([['r/a/', { ...ROUTE, work }]]),
     });
 
     it('is written by one daemon after a significant change, and read by the next that starts', async () => {
       let learned = LEARNED;
       startStore(true, () => addSamples(learned));
       for (let check = 0; check < 2; check += 1) await advanceClocks();
-      const readLife = () => readStored().services.alpha.life;
+      const readLife = () => readStored().services.get('alpha')?.life;
       expect(readLife()).to.equal(150);
       expect(readStoredWork()).to.equal(220);
       learned = withReportLife(160);
@@ -170,7 +169,7 @@
       const { found } = startStore(false, () => EMPTY_LEARNED_STATE);
       await advanceClocks();
       expect(found).to.have.length(1);
-      expect(found[0].services.alpha).to.deep.include({ life: 500, mean: 2 });
+      expect(found[0].services.get('alpha')).to.deep.include({ life: 500, mean: 2 });
       for (const event of ['lessons.written', 'lessons.read']) {
         expect(lines.findLast((line) => line.includes(`event=${event} `))).to.match(
           /homes=4 poison=1 services="?alpha:.*2\/5\/500\/1.7.* routes="?r\/a\/:.*220\/1.35/,
@@ -204,15 +203,15 @@
       expect(standin.get(KEYS.learnedState)).to.equal(undefined);
       standin.put(KEYS.learnedState, formatLearnedState(LEARNED));
       const otherLearned = {
-        services: { beta: LEARNED.services.alpha },
-        routes: {},
+        services: new Map([['beta', ALPHA]]),
+        routes: new Map(),
         homes: 4,
         poison: [],
       };
       startStore(true, () => addSamples(otherLearned));
       for (let check = 0; check < 2; check += 1) await advanceClocks();
       const kept = parseLearnedState(standin.get(KEYS.learnedState) ?? '');
-      expect(Object.keys(kept.services)).to.have.members(['alpha', 'beta']);
+      expect([...kept.services.keys()]).to.have.members(['alpha', 'beta']);
       expect(kept.routes).to.deep.equal(LEARNED.routes);
     });
   });
@@ -231,10 +230,9 @@
         new WindowBudget(clock, () => ({ ratio: 0, slack: 0, window: 1000 })),
     });
     targets.getService('alpha');
-    targets.restoreLearnedState({
-      ...LEARNED.services,
-      late: { ...LEARNED.services.alpha, life: 900 },
-    });
+    targets.restoreLearnedState(
+      new Map([...LEARNED.services, ['late', { ...ALPHA, life: 900 }] as const]),
+    );
     expect(targets.getService('alpha').readSlowdownParameters()).to.deep.equal({
       mean: 2,
       slow: 5,
@@ -242,7 +240,7 @@
     });
     expect(targets.getService('alpha').knee.findConcurrencyLimit(6)).to.equal(4);
     expect(targets.getService('late').readSlowdownParameters().life).to.equal(900);
-    expect(targets.readLearnedState()).to.deep.equal({});
+    expect(targets.readLearnedState().size).to.equal(0);
     const log = createRateLimitedLog(clock, 'error', {}, { writableLength: 0, write: () => true });
     const metrics = new TextMetrics();
     const reception = new RequestHandler({
@@ -275,6 +273,6 @@
       }),
     });
     reception.restoreLearnedState(LEARNED.routes);
-    expect(reception.readLearnedState()).to.deep.equal({});
+    expect(reception.readLearnedState().size).to.equal(0);
   });
 });
