--- a/test/answer-ends.test.ts
+++ b/test/answer-ends.test.ts
@@ -272,5 +272,23 @@
     });
     after(() => site.stop());
     defineCases(() => ({ site, ip }));
+
+    describe('when that daemon ends', () => {
+      // Guards against a close of a carrier that looks like the end of the answer. Stops the carrier.
+      it('it does not look whole', async () => {
+        const answer = composeAnswer('carried', 'close', createBody(SIZES[1]));
+        for (const target of site.targets) {
+          target.behaviour = (request) => {
+            request.resume();
+            request.socket.on('error', () => undefined);
+            request.socket.write(halve(answer));
+          };
+        }
+        const request = { ip, path: '/once/1', method: 'POST', body: Buffer.from('x') };
+        const stopCarrier = () => site.gateways[1].gateway.destroy();
+        const received = await sendRaw({ ...request, id: 'carried', onFirstBytes: stopCarrier });
+        expect(received).to.include({ status: 200, looksWhole: false, end: 'reset' });
+      });
+    });
   });
 });
