Leave out the length that a 204 states

A 204 has no body, and a caller may wait for as many bytes as its length states; since the framing of answers is judged by their head it was forwarded.

--- a/src/gateway/requests/answers.ts
+++ b/src/gateway/requests/answers.ts
@@ -145,8 +145,11 @@
   rest.pipe(response, { end: false });
 }
 
-function hasStatedLength({ end: { framing } }: TargetAnswer): boolean {
-  return framing === 'none' || framing === 'length';
+const NO_CONTENT = 204;
+
+/** Whether the length that an answer states is forwarded: for a HEAD, it is the length of no body. */
+function isLengthForwarded({ status, end: { framing } }: TargetAnswer): boolean {
+  return framing === 'length' || (framing === 'none' && status !== NO_CONTENT);
 }
 
 /**
@@ -158,10 +161,11 @@
   for (const [name, value] of listPairs(answer.rawHeaders)) {
     const lower = name.toLowerCase();
     if (HOP_BY_HOP_HEADERS.has(lower) || lower === HEADERS.load.toLowerCase()) continue;
-    if (lower === 'content-length' && !hasStatedLength(answer)) continue;
+    if (lower === 'content-length' && !isLengthForwarded(answer)) continue;
     headers.push(name, value);
   }
-  if (!hasStatedLength(answer) && answer.rest === undefined) {
+  const { framing } = answer.end;
+  if (answer.rest === undefined && (framing === 'chunked' || framing === 'close')) {
     headers.push('Content-Length', String(answer.body.length));
   }
   return headers;
