Close the caller's connection after a broken answer of the own daemon, as before

The own daemon forwards only answers whose end is stated; a close in their middle shows. For HTTP/1.0, where chunks are not, the reset stays (setResetOnClose).

--- a/src/proxy/attempt.ts
+++ b/src/proxy/attempt.ts
@@ -10,7 +10,7 @@
 import { assertInvariant } from '../kernel/index.js';
 import type { TargetReport } from '../balance/index.js';
 import { PieceJoiner } from '../overload/index.js';
-import { abortAnswer, setResetOnClose } from './answer-abort.js';
+import { setResetOnClose } from './answer-abort.js';
 import { findAnswerFault } from './answer-check.js';
 import { findFraming } from './answer-framing.js';
 import type { Body } from './body.js';
@@ -271,7 +271,7 @@
         return;
       }
       if (isHeadSent) {
-        abortAnswer(response);
+        response.destroy();
         resolveDone({ kind: 'cut', detail: error.message });
         return;
       }
