Take the wire names in the soak from the platform's folder

Found on reading the change once more: the soak's answers spelt header names of the platform and composed them twice; the length of a judged body could be written from outside; a comment claimed more than holds.

--- a/src/gateway/requests/answer-reader.ts
+++ b/src/gateway/requests/answer-reader.ts
@@ -30,7 +30,7 @@
   onBroken(fault: AnswerFault): void;
 }
 
-/** The fields that mark the head of an answer to a request, and are in no other text. */
+/** Fields of which each answer of a target has one, and that other texts hardly quote. */
 const ANSWER_FIELDS: ReadonlySet<string> = new Set([
   HEADERS.requestId.toLowerCase(),
   HEADERS.signature.toLowerCase(),
--- a/src/proxy/answer-end.ts
+++ b/src/proxy/answer-end.ts
@@ -43,8 +43,7 @@
 
   readonly #scanner: SecondAnswerScanner | undefined;
 
-  /** Length of what has arrived of the body, in bytes. */
-  bodyBytes = 0;
+  #bodyBytes = 0;
 
   constructor({ framing, connection, fields }: AnswerEndOptions) {
     this.framing = framing;
@@ -54,10 +53,15 @@
 
   /** Observes the next part of the body. */
   observe(part: Buffer): void {
-    this.bodyBytes += part.length;
+    this.#bodyBytes += part.length;
     this.#scanner?.add(part);
   }
 
+  /** Length of what has arrived of the body, in bytes. */
+  get bodyBytes(): number {
+    return this.#bodyBytes;
+  }
+
   /** Whether another answer has begun in the body. */
   get hasSecondAnswer(): boolean {
     return this.#scanner?.hasFound === true;
--- a/src/soak/answer-forms.ts
+++ b/src/soak/answer-forms.ts
@@ -1,6 +1,7 @@
 /** The forms in which targets answer: how the end of an answer is marked, and faults of its end. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Random } from '../kernel/index.js';
+import { HEADERS, readHeader } from '../platform/index.js';
 import type { RecordingTarget } from '../standin/index.js';
 
 /** How a target sends an answer. */
@@ -30,9 +31,17 @@
   return 'length';
 }
 
-function composeUndelimited({ headers }: IncomingMessage, body: string): string {
-  const id = String(headers['attempt-id']);
-  return `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Signature: sig.1\r\n\r\n${body}`;
+/** Builds the headers that any answer of a target has. */
+function buildHeaders({ headers }: IncomingMessage): Readonly<Record<string, string>> {
+  return {
+    [HEADERS.requestId]: readHeader(headers, HEADERS.requestId) ?? '',
+    [HEADERS.signature]: 'sig.1',
+  };
+}
+
+function composeUndelimited(request: IncomingMessage, body: string): string {
+  const lines = Object.entries(buildHeaders(request)).map(([name, value]) => `${name}: ${value}`);
+  return ['HTTP/1.1 200 OK', ...lines, '', body].join('\r\n');
 }
 
 /** What a target answers, and with what. */
@@ -55,10 +64,7 @@
       target.answer(request, response, body);
       return;
     case 'chunks':
-      response.writeHead(200, {
-        'Attempt-Id': request.headers['attempt-id'],
-        'Server-Signature': 'sig.1',
-      });
+      response.writeHead(200, buildHeaders(request));
       response.write(body);
       response.end();
       return;
