Log each request whose connection this daemon closes without an answer

Cause: such a request left no line, whatever closed its connection, so that none of the hypotheses could be told from the others.

Change: each place that closes a caller's connection states why, and request.unanswered names for every request on it the cause, its place on the connection, whether it was passed on, its age, and how long ago a stop, a reload or a configuration was. requests_unanswered counts them.

--- a/src/gateway/carrying/carrying.ts
+++ b/src/gateway/carrying/carrying.ts
@@ -12,6 +12,7 @@
 import { type KeyRejectionReason, forwardAnswer, writeLocalAnswer } from '../requests/answers.js';
 import { MIN_FAILURE_STATUS, findMaxIdle } from '../requests/attempt.js';
 import type { CallProgress } from '../requests/call-progress.js';
+import { recordForwarded } from '../requests/open-requests.js';
 import { isResendable } from '../requests/outgoing-request.js';
 import type { ForwardingCounts, RoutedRequest } from '../requests/routed-request.js';
 import { RequestLog } from '../requests/request-log.js';
@@ -131,6 +132,7 @@
     ]);
     const isRepeatable = request.route.kind === 'repeatable';
     progress.ledger.recordSent();
+    recordForwarded(this.response);
     this.#running = startCarriedAttempt(
       carrier,
       { requestId, method, path, headers, body, memory },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
 import type { Server } from 'node:http';
 import {
   type Kernel,
+  type LogFields,
   TextMetrics,
   clockService,
   formatAddress,
@@ -138,6 +139,9 @@
 
   readonly #metrics = new TextMetrics();
 
+  /** When this daemon last began to stop, read its settings again, or adopted a configuration. */
+  readonly #changedAt = new Map<'stopping' | 'reloaded' | 'configured', number>();
+
   readonly #eventLoop: EventLoopMonitor;
 
   #isRefreshScheduled = false;
@@ -383,6 +387,7 @@
     this.#callerServer = new CallerServer({
       ...{ name: 'callers', protection: this.#protection, addedHeaderBytes: 0 },
       isBusy: () => this.#requestHandler.isBusy,
+      ...{ log, describeChanges: () => this.#describeChanges() },
       ...{ address: gateway.callers, clock, eventLoop: this.#eventLoop, metrics: this.#metrics },
       listenQueue: computeListenQueue(capacity),
       serve: (request, response, cameAt) => this.#requestHandler.handle(request, response, cameAt),
@@ -390,6 +395,7 @@
     this.#carryServer = new CallerServer({
       ...{ name: 'carrying', protection: this.#protection },
       isBusy: () => this.#requestHandler.isBusy,
+      ...{ log, describeChanges: () => this.#describeChanges() },
       addedHeaderBytes: MAX_ADDED_HEADER_BYTES,
       address: { host: gateway.ip, port: findCarryPort(gateway) },
       ...{ clock, eventLoop: this.#eventLoop, metrics: this.#metrics },
@@ -424,6 +430,7 @@
   reconfigure(settings: GatewaySettings): void {
     const { promises, tuning, machine, log } = settings;
     this.#settings = { ...this.#settings, promises, tuning, machine, log };
+    this.#changedAt.set('reloaded', this.#clock.now());
     this.#log.info('settings.reloaded', { homes: tuning.homes, retry_ratio: promises.retry_ratio });
   }
 
@@ -493,6 +500,7 @@
     const startedAt = clock.now();
     const grace = this.#settings.promises.grace * 1000;
     this.#state = 'stopping';
+    this.#changedAt.set('stopping', startedAt);
     this.#peerLink.pushToPollers();
     this.#log.info('gateway.stopping', { active: this.#countActive() });
     for (const server of this.#callServers) server.drain();
@@ -608,7 +616,16 @@
     return this.#settings.promises.contact;
   }
 
+  /** Describes how long ago this daemon changed what may end requests, in milliseconds. */
+  #describeChanges(): LogFields {
+    const now = this.#clock.now();
+    return Object.fromEntries(
+      [...this.#changedAt].map(([change, at]) => [`${change}_for`, Math.round(now - at)] as const),
+    );
+  }
+
   #applyTable(table: RouteTable): void {
+    this.#changedAt.set('configured', this.#clock.now());
     for (const server of this.#callServers) server.setLimits(table.limits);
     this.#quotas.configure(table);
     // At that moment the store held no newer configuration, so this is the longest time for which
--- a/src/gateway/requests/caller-server.ts
+++ b/src/gateway/requests/caller-server.ts
@@ -4,7 +4,7 @@
  */
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Address, Clock, TextMetrics } from '../../kernel/index.js';
+import type { Address, Clock, Log, LogFields, TextMetrics } from '../../kernel/index.js';
 import type { ConnectionGuard, GatewayListener } from '../../overload/index.js';
 import { type ServerProtection, createGuard } from '../../proxy/guarded-server.js';
 import { UnreadBodies } from '../../proxy/unread-body.js';
@@ -12,6 +12,7 @@
 import type { RequestLimits } from '../../routing/index.js';
 import type { AcceptMark, EventLoopMonitor } from '../event-loop-monitor.js';
 import { writeLocalAnswer } from './answers.js';
+import { OpenRequests } from './open-requests.js';
 import { PipelinedRequests } from './pipelined-requests.js';
 
 /** Dependencies of the listener. */
@@ -20,6 +21,9 @@
   readonly clock: Clock;
   readonly eventLoop: EventLoopMonitor;
   readonly metrics: TextMetrics;
+  readonly log: Log;
+  /** Describes what has changed lately in this daemon: a stop, a reload, a configuration. */
+  readonly describeChanges: () => LogFields;
   /** Length of the listen queue: connections that may wait to be accepted. */
   readonly listenQueue: number;
   readonly name: 'callers' | 'carrying';
@@ -101,7 +105,7 @@
 export class CallerServer {
   readonly #server: http.Server;
 
-  readonly #activeRequests = new Map<Socket, number>();
+  readonly #requests: OpenRequests;
 
   /** Connections accepted since the start. */
   accepted = 0;
@@ -133,13 +137,23 @@
   readonly #bytesReadAtIdle = new WeakMap<Socket, number>();
 
   constructor(private readonly options: CallerServerOptions) {
+    this.#requests = new OpenRequests({ ...options, listener: options.name });
     this.#unreadBodies = new UnreadBodies({
       clock: options.clock,
-      onOutcome: (outcome) => options.metrics.count('unread_bodies', { outcome }),
+      onOutcome: (outcome, socket) => {
+        options.metrics.count('unread_bodies', { outcome });
+        if (outcome === 'cut') this.#requests.recordClosure(socket, 'unread-body');
+      },
+      onClosing: (socket) => this.#requests.recordClosure(socket, 'announced'),
       readMaxBodyBytes: () => this.#maxBodyBytes,
     });
     this.#pipelinedRequests = new PipelinedRequests(options.isBusy);
-    this.#guard = createGuard(options.name, options.protection, () => this.#idleTimeout);
+    this.#guard = createGuard(
+      options.name,
+      options.protection,
+      () => this.#idleTimeout,
+      (socket, reason) => this.#requests.recordClosure(socket, reason),
+    );
     this.#server = http.createServer({
       maxHeaderSize: DEFAULT_HEADER_BYTES,
       headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
@@ -151,14 +165,13 @@
     });
     this.#server.maxHeadersCount = 0;
     this.#server.on('connection', (socket: Socket) => {
-      this.#activeRequests.set(socket, 0);
+      this.#requests.addConnection(socket);
       this.#guard.watchConnection(socket);
       this.#unreadBodies.watchConnection(socket);
       // Each pipelined request adds listeners that watch for the caller's disconnect.
       socket.setMaxListeners(0);
       this.#acceptMarks.set(socket, options.eventLoop.recordAccept());
       this.accepted += 1;
-      socket.on('close', () => this.#activeRequests.delete(socket));
     });
     this.#server.on('request', (request, response) => this.#handleRequest(request, response));
     // `serve` writes `100 Continue` once the request is not rejected by its head.
@@ -167,8 +180,12 @@
     );
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       const status = PARSER_STATUS[error.code ?? ''] ?? 400;
-      const isBusy = (this.#activeRequests.get(socket as Socket) ?? 0) > 0;
+      const isBusy = this.#requests.count(socket as Socket) > 0;
       if (isBusy || !socket.writable || error.code === 'ECONNRESET') {
+        if (error.code !== 'ECONNRESET') {
+          const closure = status === REQUEST_TIMEOUT ? 'header-timeout' : 'malformed-input';
+          this.#requests.recordClosure(socket as Socket, closure);
+        }
         socket.destroy();
         return;
       }
@@ -217,14 +234,12 @@
 
   /** Counts the requests in progress. */
   countActive(): number {
-    let active = 0;
-    for (const count of this.#activeRequests.values()) active += count;
-    return active;
+    return this.#requests.countAll();
   }
 
   /** Counts the open connections. */
   countConnections(): number {
-    return this.#activeRequests.size;
+    return this.#requests.connections;
   }
 
   /** From now on answers tell callers to close their connections; idle ones stay usable. */
@@ -238,8 +253,8 @@
    */
   async closeIdle(): Promise<void> {
     this.#isClosing = true;
-    for (const [socket, active] of this.#activeRequests) {
-      if (active === 0) socket.end();
+    for (const socket of this.#requests.listConnections()) {
+      if (this.#requests.count(socket) === 0) socket.end();
     }
     await this.options.clock.sleep(LINGER_MS);
   }
@@ -248,7 +263,10 @@
   close(): void {
     this.#guard.stop();
     this.#server.close();
-    for (const socket of this.#activeRequests.keys()) socket.destroy();
+    for (const socket of this.#requests.listConnections()) {
+      this.#requests.recordClosure(socket, 'stopped');
+      socket.destroy();
+    }
   }
 
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
@@ -262,16 +280,12 @@
     // The request may have been the one that its connection was closed for.
     if (socket.destroyed) return;
     this.#unreadBodies.watchRequest(request, response);
-    this.#activeRequests.set(socket, (this.#activeRequests.get(socket) ?? 0) + 1);
-    response.on('close', () => {
-      this.#bytesReadAtIdle.set(socket, socket.bytesRead);
-      const active = this.#activeRequests.get(socket);
-      if (active !== undefined) this.#activeRequests.set(socket, active - 1);
-    });
+    const id = readHeader(request.headers, HEADERS.requestId) ?? '';
+    this.#requests.add(response, id, () => this.#bytesReadAtIdle.set(socket, socket.bytesRead));
     if (this.#isDraining && !this.#setClosingResponse(socket, response)) return;
     if (!mayServe) {
       const reason = 'too-many-fields';
-      writeLocalAnswer(response, readHeader(request.headers, HEADERS.requestId) ?? '', {
+      writeLocalAnswer(response, id, {
         ...{ kind: 'not-run', reason, retryAfter: COSTLY_RETRY_AFTER_MS },
       });
       return;
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -27,6 +27,7 @@
   startTargetAttempt,
 } from './attempt.js';
 import type { CallProgress } from './call-progress.js';
+import { recordForwarded } from './open-requests.js';
 import { isResendable } from './outgoing-request.js';
 import { type RefusalBasis, RequestLog } from './request-log.js';
 import { type UnservedAnswer, sendUnservedAnswer } from './unserved-answer.js';
@@ -360,6 +361,7 @@
     this.options.progress.attemptCount += 1;
     this.#log.recordAttempt();
     this.options.progress.ledger.recordSent();
+    recordForwarded(this.response);
     if (target.advertisedRate.isLimited) {
       this.context.metrics.count('limited_calls', { service: request.service.name });
     }
--- a/src/overload/guarded-connection.ts
+++ b/src/overload/guarded-connection.ts
@@ -25,8 +25,11 @@
   readonly turns: ReadTurns;
   /** How long a client may leave an answer unread without closing, in milliseconds. */
   readonly readUnreadTimeout: () => number;
-  /** Called when the guard closes a connection, or refuses one of its requests instead. */
-  readonly onClose: (reason: GuardClosure) => void;
+  /**
+   * Called when the guard closes a connection, which is `closed`, or refuses one of its requests
+   * instead.
+   */
+  readonly onClose: (reason: GuardClosure, closed?: Socket) => void;
 }
 
 /**
@@ -196,7 +199,7 @@
 
   close(reason: GuardClosure): void {
     if (this.socket.destroyed) return;
-    this.options.onClose(reason);
+    this.options.onClose(reason, this.socket);
     this.#isRejected = true;
     this.socket.destroy();
   }
--- a/src/proxy/guarded-server.ts
+++ b/src/proxy/guarded-server.ts
@@ -94,10 +94,14 @@
   name: Name,
   { limits, onClose, ...shared }: ServerProtection<Name>,
   readUnreadTimeout: () => number,
+  onClosed: (socket: Socket, reason: GuardClosure) => void = () => undefined,
 ): ConnectionGuard {
   return new ConnectionGuard({
     ...{ ...shared, readUnreadTimeout, maxConnections: limits.connections[name] },
-    onClose: (reason) => onClose(name, reason),
+    onClose: (reason, closed) => {
+      onClose(name, reason);
+      if (closed !== undefined) onClosed(closed, reason);
+    },
   });
 }
 
--- a/src/proxy/unread-body.ts
+++ b/src/proxy/unread-body.ts
@@ -51,7 +51,9 @@
 /** Dependencies of {@link UnreadBodies}. */
 export interface UnreadBodiesOptions {
   readonly clock: Clock;
-  readonly onOutcome: (outcome: UnreadBodyOutcome) => void;
+  readonly onOutcome: (outcome: UnreadBodyOutcome, socket: Socket) => void;
+  /** Called when the answer that closes a connection has been sent. */
+  readonly onClosing?: (socket: Socket) => void;
   /** Returns the length that a body may have, in bytes. */
   readonly readMaxBodyBytes: () => number;
 }
@@ -76,6 +78,7 @@
     const destroySoon = socket.destroySoon.bind(socket);
     // Node's server calls this after the closing answer of a connection.
     socket.destroySoon = () => {
+      this.options.onClosing?.(socket);
       const request = this.#lastRequests.get(socket);
       if (request === undefined || request.complete) destroySoon();
       else this.#closeGracefully(socket, request);
@@ -89,7 +92,8 @@
     response.once('finish', () => {
       if (request.complete || socket.destroyed || this.#closing.has(socket)) return;
       const { onOutcome } = this.options;
-      this.#discard(socket, request, { maxBytes: MAX_DISCARDED_BYTES, onEnd: onOutcome });
+      const onEnd = (outcome: UnreadBodyOutcome) => onOutcome(outcome, socket);
+      this.#discard(socket, request, { maxBytes: MAX_DISCARDED_BYTES, onEnd });
     });
   }
 
@@ -101,7 +105,7 @@
   /** Ends the sending side, and the connection when its caller has done so or sends too much. */
   #closeGracefully(socket: Socket, request: IncomingMessage): void {
     this.#closing.add(socket);
-    this.options.onOutcome('closed');
+    this.options.onOutcome('closed', socket);
     socket.end();
     request.once('end', () => socket.destroy());
     const maxBytes = this.options.readMaxBodyBytes();
