Announce the close of a connection only in the answer whose turn it is

Callers saw: while a daemon stops, requests that were sent ahead on a connection got no answer, and the connection closed up to a route's time-out after they had been read.

Cause: the answer to the request that was received last announced the close. One that is ready before an earlier answer of its connection is written at once and waits for its turn; a request that arrives meanwhile was read, not served and not answered, and its connection closed when the earlier answer had left. A refusal of a stopping daemon announced it in the same way.

Evidence: before, of four requests sent ahead at 0, 50, 350 and 650 ms on one connection of a stopping daemon the last two got no answer (first answer after 1.5 s); behind a refusal the third of three got none. Both tests fail on the code before and pass now.

Now an answer announces the close only when its turn has come and no request has been received behind it, so there is always a later answer for what arrives meanwhile. Answers that were ready earlier keep the connection open; it is told with the next one, or closed when it is idle.

--- a/src/gateway/requests/answers.ts
+++ b/src/gateway/requests/answers.ts
@@ -7,6 +7,7 @@
 import { closeAfterLongBody } from '../../proxy/unread-body.js';
 import { HEADERS } from '../../platform/index.js';
 import type { TargetAnswer } from './answer-reader.js';
+import { withdrawClose } from './closing-answers.js';
 
 /** Why a request is not identified: it has no key, or one that no organisation holds. */
 export type KeyRejectionReason = 'missing-key' | 'unknown-key';
@@ -180,8 +181,9 @@
   answer: TargetAnswer,
   limit: StreamLimit,
 ): void {
-  closeAfterLongBody(response);
   const { rest, body, status, end } = answer;
+  if (rest !== undefined) withdrawClose(response);
+  closeAfterLongBody(response);
   response.writeHead(status, buildForwardedHeaders(answer));
   if (rest === undefined) {
     response.end(body);
--- a/src/gateway/requests/caller-server.ts
+++ b/src/gateway/requests/caller-server.ts
@@ -12,6 +12,7 @@
 import type { RequestLimits } from '../../routing/index.js';
 import type { AcceptMark, EventLoopMonitor } from '../event-loop-monitor.js';
 import { writeLocalAnswer } from './answers.js';
+import { ClosingAnswers } from './closing-answers.js';
 import { OpenRequests } from './open-requests.js';
 import { PipelinedRequests } from './pipelined-requests.js';
 
@@ -110,8 +111,6 @@
   /** Connections accepted since the start. */
   accepted = 0;
 
-  #isDraining = false;
-
   #isClosing = false;
 
   /** Connections on which an answer was written that refuses everything else on the connection. */
@@ -127,8 +126,7 @@
 
   #maxBodyBytes = Infinity;
 
-  /** The answer that will close each connection. */
-  readonly #closingResponses = new WeakMap<Socket, ServerResponse>();
+  readonly #closingAnswers = new ClosingAnswers();
 
   /** When each connection was accepted, until its first request. */
   readonly #acceptMarks = new WeakMap<Socket, AcceptMark>();
@@ -244,7 +242,7 @@
 
   /** From now on answers tell callers to close their connections; idle ones stay usable. */
   drain(): void {
-    this.#isDraining = true;
+    this.#closingAnswers.start(this.#requests.listConnections());
   }
 
   /**
@@ -282,7 +280,7 @@
     this.#unreadBodies.watchRequest(request, response);
     const id = readHeader(request.headers, HEADERS.requestId) ?? '';
     this.#requests.add(response, id, () => this.#bytesReadAtIdle.set(socket, socket.bytesRead));
-    if (this.#isDraining && !this.#setClosingResponse(socket, response)) return;
+    if (!this.#closingAnswers.add(socket, response)) return;
     if (!mayServe) {
       const reason = 'too-many-fields';
       writeLocalAnswer(response, id, {
@@ -298,18 +296,4 @@
       this.options.serve(request, response, estimatedArrivalAt),
     );
   }
-
-  /**
-   * Makes this answer the one that closes the connection, in place of an earlier one, so that no
-   * request pipelined behind that one is cut off. Returns false when a closing answer has been sent
-   * already: later requests then count as not read and must not be forwarded.
-   */
-  #setClosingResponse(socket: Socket, response: ServerResponse): boolean {
-    const previous = this.#closingResponses.get(socket);
-    if (previous !== undefined && previous.headersSent) return false;
-    if (previous !== undefined) previous.shouldKeepAlive = true;
-    response.shouldKeepAlive = false;
-    this.#closingResponses.set(socket, response);
-    return true;
-  }
 }
--- a/src/gateway/requests/request-handler.ts
+++ b/src/gateway/requests/request-handler.ts
@@ -380,7 +380,7 @@
         reason: 'stopping',
         retryAfter: STOPPING_RETRY_AFTER_MS,
       } as const;
-      return createRejected(answer, false);
+      return createRejected(answer, true);
     }
     const refusal = checkRequest(request, table.limits, carried !== undefined);
     if (refusal !== undefined) return createRejected(refusal, false);
--- /dev/null
+++ b/test/unanswered-requests.test.ts
@@ -0,0 +1,132 @@
+/** Requests that are in progress when something closes their connection or ends their daemon. */
+import net from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
+import { expect } from 'chai';
+import { HOST, type RecordingTarget } from '../src/standin/index.js';
+import { Site, callersPort } from './helpers/gateways.js';
+
+const ROUTES = [{ prefix: '/a/', timeout: 2500 }] as const;
+
+/** Longest time between a request and a close that it may have crossed, in milliseconds. */
+const CROSSING_MS = 200;
+
+interface SentRequest {
+  readonly id: string;
+  readonly sentAt: number;
+  readonly deadline: number;
+}
+
+/** A caller that sends requests on one connection without waiting for their answers. */
+class PipeliningCaller {
+  readonly #socket: net.Socket;
+
+  readonly #sent: SentRequest[] = [];
+
+  #received = '';
+
+  /** When the connection ended; undefined while it is open. */
+  closedAt: number | undefined;
+
+  constructor(ip: string) {
+    this.#socket = net.connect({ host: ip, port: callersPort });
+    this.#socket.on('error', () => undefined);
+    this.#socket.on('data', (data: Buffer) => {
+      this.#received += data.toString('latin1');
+    });
+    this.#socket.on('close', () => {
+      this.closedAt = performance.now();
+    });
+  }
+
+  send(id: string, path = '/a/1', deadline = 4000): void {
+    this.#sent.push({ id, sentAt: performance.now(), deadline });
+    this.sendBytes(
+      `GET ${path} HTTP/1.1\r\nHost: ${HOST}\r\nAttempt-Id: ${id}\r\nRequest-Deadline-Ms: ${deadline}\r\n\r\n`,
+    );
+  }
+
+  sendBytes(bytes: string): void {
+    if (this.#socket.writable) this.#socket.write(bytes);
+  }
+
+  /** Lists the statuses of the answers, with the ids of their requests. */
+  listAnswers(): readonly string[] {
+    const heads = [...this.#received.matchAll(/HTTP\/1\.1 (\d+) [^]*?\r\n\r\n/g)];
+    return heads.map(([head, status]) => `${/attempt-id: (\S+)/i.exec(head)?.[1]} ${status}`);
+  }
+
+  /** Lists the requests that got no answer although they did not cross the close. */
+  listUnanswered(): readonly string[] {
+    const { closedAt = Infinity } = this;
+    const answered = new Set(this.listAnswers().map((answer) => answer.split(' ')[0]));
+    return this.#sent
+      .filter(({ id, sentAt }) => !answered.has(id) && closedAt - sentAt > CROSSING_MS)
+      .map(({ id }) => id);
+  }
+
+  close(): void {
+    this.#socket.destroy();
+  }
+}
+
+describe('requests that are in progress', () => {
+  let site: Site;
+  let ip: string;
+  let target: RecordingTarget;
+  let caller: PipeliningCaller;
+
+  /** Has the target take `time` milliseconds for requests whose id ends with `name`. */
+  const setTimes = (times: Readonly<Record<string, number>>) => {
+    target.behaviour = (request, response) => {
+      const id = String(request.headers['attempt-id']);
+      setTimeout(() => target.answer(request, response), times[id] ?? 0);
+    };
+  };
+  const countEvents = (name: string) => site.events.filter(({ event }) => event === name).length;
+
+  beforeEach(async () => {
+    site = await new Site().start(ROUTES);
+    target = await site.addTarget();
+    ip = await site.addGateway();
+    caller = new PipeliningCaller(ip);
+  });
+  afterEach(() => {
+    caller.close();
+    site.stop();
+  });
+
+  describe('while their daemon stops', () => {
+    // Guards against an answer that announces the close before its turn, so that requests which
+    // arrive later are read and never answered.
+    it('are answered on a connection whose answers are ready out of turn', async () => {
+      setTimes({ first: 1500, second: 0, third: 0, fourth: 0 });
+      const stopped = site.gateways[0].gateway.stop();
+      caller.send('first');
+      await pause(50);
+      caller.send('second');
+      await pause(300);
+      caller.send('third');
+      await pause(300);
+      caller.send('fourth');
+      await stopped;
+      expect(caller.listUnanswered()).to.deep.equal([]);
+      expect(caller.listAnswers()).to.include('first 200').and.include('second 200');
+      expect(countEvents('request.unanswered')).to.equal(0);
+    }).timeout(10_000);
+
+    // Guards against a refusal that closes a connection before requests behind it are answered.
+    it('are answered behind one that is refused', async () => {
+      setTimes({ first: 2200 });
+      const stopped = site.gateways[0].gateway.stop();
+      await pause(2000);
+      caller.send('first');
+      await pause(1200);
+      caller.send('second');
+      await pause(300);
+      caller.send('third');
+      await stopped;
+      expect(caller.listUnanswered()).to.deep.equal([]);
+      expect(caller.listAnswers()).to.deep.equal(['first 200', 'second 503', 'third 503']);
+    }).timeout(10_000);
+  });
+});
