Answer the requests before input that is rejected, and close the connection then

Callers saw: requests that were passed on, and got no answer because of what came behind them on their connection.

Cause: input that is no request, or the head of one that does not arrive in time, closed a connection with open requests at once. The head may also be one that the guard itself left unread until an earlier request is answered.

Evidence: before, two requests in progress and then bytes that are no request, or a head that stays incomplete for the header time-out (0.5 s): no answer to any of them.

What the caller goes on sending meanwhile is discarded, up to 1 MiB.

--- a/src/gateway/requests/answers.ts
+++ b/src/gateway/requests/answers.ts
@@ -7,7 +7,7 @@
 import { closeAfterLongBody } from '../../proxy/unread-body.js';
 import { HEADERS } from '../../platform/index.js';
 import type { TargetAnswer } from './answer-reader.js';
-import { withdrawClose } from './closing-answers.js';
+import { cancelClose } from './closing-answers.js';
 
 /** Why a request is not identified: it has no key, or one that no organisation holds. */
 export type KeyRejectionReason = 'missing-key' | 'unknown-key';
@@ -182,7 +182,7 @@
   limit: StreamLimit,
 ): void {
   const { rest, body, status, end } = answer;
-  if (rest !== undefined) withdrawClose(response);
+  if (rest !== undefined) cancelClose(response);
   closeAfterLongBody(response);
   response.writeHead(status, buildForwardedHeaders(answer));
   if (rest === undefined) {
--- a/src/gateway/requests/caller-server.ts
+++ b/src/gateway/requests/caller-server.ts
@@ -63,6 +63,7 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
+const BAD_REQUEST = 400;
 const REQUEST_TIMEOUT = 408;
 
 const PARSER_STATUS: Readonly<Record<string, number>> = {
@@ -102,6 +103,12 @@
   );
 }
 
+/** Answers that the input of a connection was rejected, and ends it. */
+function rejectInput(socket: Socket, status: number): void {
+  const line = `HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? 'Error'}`;
+  socket.end(`${line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+}
+
 /** The listener of one daemon. */
 export class CallerServer {
   readonly #server: http.Server;
@@ -176,32 +183,9 @@
     this.#server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) =>
       this.#handleRequest(request, response),
     );
-    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      const status = PARSER_STATUS[error.code ?? ''] ?? 400;
-      const isBusy = this.#requests.count(socket as Socket) > 0;
-      if (isBusy || !socket.writable || error.code === 'ECONNRESET') {
-        if (error.code !== 'ECONNRESET') {
-          const closure = status === REQUEST_TIMEOUT ? 'header-timeout' : 'malformed-input';
-          this.#requests.recordClosure(socket as Socket, closure);
-        }
-        socket.destroy();
-        return;
-      }
-      // The answer below promises that whatever else arrives on this connection will not run.
-      this.#refused.add(socket as Socket);
-      this.#guard.reject(socket as Socket);
-      options.clock.schedule(REJECTED_LINGER_MS, () => socket.destroy());
-      const { bytesRead } = socket as Socket;
-      if (
-        status === REQUEST_TIMEOUT &&
-        bytesRead === (this.#bytesReadAtIdle.get(socket as Socket) ?? 0)
-      ) {
-        socket.end();
-        return;
-      }
-      const line = `HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? 'Error'}`;
-      socket.end(`${line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-    });
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
+      this.#handleInputError(error, socket as Socket),
+    );
   }
 
   /** Starts listening; rejects if the address can't be bound. */
@@ -267,6 +251,30 @@
     }
   }
 
+  /**
+   * Handles input that is no request, or no whole one in time. Nothing behind it is read; requests
+   * before it on the connection are answered first.
+   */
+  #handleInputError({ code = '' }: NodeJS.ErrnoException, socket: Socket): void {
+    if (!socket.writable || code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const status = PARSER_STATUS[code] ?? BAD_REQUEST;
+    // The answer promises that whatever else arrives on this connection will not run.
+    this.#refused.add(socket);
+    this.#guard.reject(socket);
+    const hasInput = socket.bytesRead !== (this.#bytesReadAtIdle.get(socket) ?? 0);
+    this.#requests.callWhenIdle(socket, () => {
+      const closure = status === REQUEST_TIMEOUT ? 'header-timeout' : 'malformed-input';
+      this.#requests.recordClosure(socket, closure);
+      this.options.clock.schedule(REJECTED_LINGER_MS, () => socket.destroy());
+      // A connection on which no request has begun is closed without an answer.
+      if (status === REQUEST_TIMEOUT && !hasInput) socket.end();
+      else rejectInput(socket, status);
+    });
+  }
+
   #handleRequest(request: IncomingMessage, response: ServerResponse): void {
     const { socket } = request;
     const isRefused = this.#refused.has(socket) || this.#unreadBodies.isClosing(socket);
--- a/src/gateway/requests/closing-answers.ts
+++ b/src/gateway/requests/closing-answers.ts
@@ -21,7 +21,7 @@
  * Has an answer not announce the close, as requests may still arrive before its end. Called before
  * its head is written.
  */
-export function withdrawClose(response: ServerResponse): void {
+export function cancelClose(response: ServerResponse): void {
   if (announcing.delete(response)) response.shouldKeepAlive = true;
 }
 
@@ -49,7 +49,7 @@
     const previous = this.#last.get(socket);
     if (previous !== undefined && announcing.has(previous)) {
       if (previous.headersSent) return false;
-      withdrawClose(previous);
+      cancelClose(previous);
     }
     this.#last.set(socket, response);
     if (this.#isStopping) this.#announceInTurn(socket, response);
--- a/src/gateway/requests/open-requests.ts
+++ b/src/gateway/requests/open-requests.ts
@@ -42,6 +42,8 @@
 interface OpenConnection {
   readonly open: Map<ServerResponse, OpenRequest>;
   received: number;
+  /** Called when no request is open. */
+  onIdle: (() => void) | undefined;
   closure: ConnectionClosure | undefined;
 }
 
@@ -83,7 +85,12 @@
 
   /** Watches a new connection. */
   addConnection(socket: Socket): void {
-    this.#connections.set(socket, { open: new Map(), received: 0, closure: undefined });
+    this.#connections.set(socket, {
+      open: new Map(),
+      received: 0,
+      onIdle: undefined,
+      closure: undefined,
+    });
     socket.on('close', () => {
       this.#logUnanswered(socket);
       this.#connections.delete(socket);
@@ -100,9 +107,18 @@
     response.on('close', () => {
       connection.open.delete(response);
       onAnswered();
+      if (connection.open.size === 0) connection.onIdle?.();
     });
   }
 
+  /** Calls an action when all requests of a connection have been answered, at once if they are. */
+  callWhenIdle(socket: Socket, action: () => void): void {
+    const connection = this.#connections.get(socket);
+    if (connection === undefined) return;
+    if (connection.open.size === 0) action();
+    else connection.onIdle = action;
+  }
+
   /** Records why a connection is being closed; the first reason counts. */
   recordClosure(socket: Socket, closure: ConnectionClosure): void {
     const connection = this.#connections.get(socket);
--- a/src/overload/guarded-connection.ts
+++ b/src/overload/guarded-connection.ts
@@ -16,7 +16,9 @@
   /** There are too many connections, and it has been idle for long. */
   | 'connections'
   /** It has not read any of an answer for too long. */
-  | 'unread-answer';
+  | 'unread-answer'
+  /** It went on sending after its input was rejected. */
+  | 'rejected-input';
 
 /** What a guarded connection works with. */
 export interface GuardedConnectionOptions {
@@ -65,6 +67,9 @@
 /** A head that is not complete is estimated at this many times its bytes, as if made of short fields. */
 const INCOMPLETE_HEAD_FACTOR = 12;
 
+/** What a connection may send after its input was rejected, until it is closed, in bytes. */
+const MAX_REJECTED_BYTES = 1_048_576;
+
 /** What a socket may still receive while it is paused, in bytes. */
 const PAUSED_SOCKET_BYTES = 65_536;
 
@@ -114,6 +119,8 @@
 
   #isRejected = false;
 
+  #rejectedBytes = 0;
+
   /** Requests that were answered. */
   answered = 0;
 
@@ -216,7 +223,11 @@
   }
 
   #handleInput(chunk: Buffer): void {
-    if (this.#isRejected) return;
+    if (this.#isRejected) {
+      this.#rejectedBytes += chunk.length;
+      if (this.#rejectedBytes > MAX_REJECTED_BYTES) this.close('rejected-input');
+      return;
+    }
     const { clock } = this.options;
     const startedAt = clock.now();
     this.lastActiveAt = startedAt;
--- a/test/unanswered-requests.test.ts
+++ b/test/unanswered-requests.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { expect } from 'chai';
 import { HOST, type RecordingTarget } from '../src/standin/index.js';
+import { waitUntil } from './helpers/fleet.js';
 import { Site, callersPort } from './helpers/gateways.js';
 
 const ROUTES = [{ prefix: '/a/', timeout: 2500 }] as const;
@@ -83,6 +84,7 @@
     };
   };
   const countEvents = (name: string) => site.events.filter(({ event }) => event === name).length;
+  const waitForEvent = (name: string) => waitUntil(() => countEvents(name) > 0, name);
 
   beforeEach(async () => {
     site = await new Site().start(ROUTES);
@@ -129,4 +131,32 @@
       expect(caller.listAnswers()).to.deep.equal(['first 200', 'second 503', 'third 503']);
     }).timeout(10_000);
   });
+
+  describe('behind which the caller sends what is no request', () => {
+    // Guards against an error of the parser that ends requests which were passed on.
+    it('are answered, and then the connection is closed', async () => {
+      setTimes({ first: 600, second: 300 });
+      caller.send('first');
+      caller.send('second');
+      await pause(100);
+      caller.sendBytes('no request at all\r\n\r\n');
+      await waitUntil(() => caller.closedAt !== undefined, 'the connection is closed');
+      expect(caller.listAnswers().slice(0, 2)).to.deep.equal(['first 200', 'second 200']);
+      expect(countEvents('request.unanswered')).to.equal(0);
+    });
+
+    // Guards against a time-out for a head that ends requests which were passed on.
+    it('are answered when the head of the next one does not arrive in time', async () => {
+      site.configure(ROUTES, { limits: { header_timeout_ms: 500 } });
+      await waitForEvent('configuration.adopted');
+      await pause(300);
+      setTimes({ first: 2000 });
+      caller.send('first');
+      await pause(100);
+      caller.sendBytes('GET /a/2 HTTP/1.1\r\nHost: te');
+      await waitUntil(() => caller.closedAt !== undefined, 'the connection is closed');
+      expect(caller.listAnswers()).to.include('first 200');
+      expect(countEvents('request.unanswered')).to.equal(0);
+    }).timeout(10_000);
+  });
 });
