Refuse what waits at a stop while it can still be answered, and count the grace from the signal

Callers saw: requests that a stopping daemon had read and not passed on ended with their connection, 5.2 s after the stop began.

Cause: the end of the waiting time closed all connections. Requests that waited for a slot, for the processor, for another try or behind others of their connection were neither served nor refused. The end of acceptance was checked by a timer and counted from when the signal was handled, so that a late event loop accepted requests sent after half of the period.

Evidence: eight requests at a target with four slots during a stop: all eight ended without an answer; now the four that are at the target do, and the others get 503. The test fails on the code before.

--- a/src/gateway/carrying/carrying.ts
+++ b/src/gateway/carrying/carrying.ts
@@ -75,6 +75,8 @@
 
   #isGone = false;
 
+  #isWaitingOver = false;
+
   constructor(
     private readonly context: CarryingContext,
     private readonly request: RoutedRequest,
@@ -90,11 +92,16 @@
     this.#running?.abort('gone');
   }
 
+  /** Sends the call to no other carrier. */
+  stopWaiting(): void {
+    this.#isWaitingOver = true;
+  }
+
   /** Has the call carried until it is answered or no carrier is left. */
   async run(): Promise<CarryingEnd> {
     const { pool, clock, counts } = this.context;
     const { deadline } = this.request;
-    while (this.#tried.size < MAX_CARRIERS) {
+    while (this.#tried.size < MAX_CARRIERS && !this.#isWaitingOver) {
       if (deadline - clock.now() < MIN_ATTEMPT_TIME_MS) return this.#giveUp('timeout');
       const carrier = pool.choose(this.#createCarrierRequest());
       const key = this.context.fleetKey.value;
--- a/src/gateway/event-loop-monitor.ts
+++ b/src/gateway/event-loop-monitor.ts
@@ -198,6 +198,13 @@
     return (Math.min(earliest, now) + now) / 2;
   }
 
+  /** Returns when an event that is handled now may have arrived at the earliest. */
+  readEarliestArrival(): number {
+    const now = this.options.clock.now();
+    this.#beginIteration();
+    return Math.min(this.#earliestArrival, now);
+  }
+
   /** Measures the lag and the accept run until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     const { clock, log, metrics } = this.options;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -497,21 +497,26 @@
    */
   async stop(): Promise<void> {
     const clock = this.#clock;
-    const startedAt = clock.now();
+    // The grace period began when the signal arrived, which may have been unread for a while.
+    const startedAt = this.#eventLoop.readEarliestArrival();
     const grace = this.#settings.promises.grace * 1000;
     this.#state = 'stopping';
     this.#changedAt.set('stopping', startedAt);
     this.#peerLink.pushToPollers();
     this.#log.info('gateway.stopping', { active: this.#countActive() });
     for (const server of this.#callServers) server.drain();
-    await waitUntilDrained(grace, {
-      clock,
-      countActive: () => this.#countActive(),
-      countConnections: () => this.#callerServer.countConnections(),
-      stopAccepting: () => this.#requestHandler.close(),
-    });
+    await waitUntilDrained(
+      { startedAt, grace },
+      {
+        clock,
+        countActive: () => this.#countActive(),
+        countConnections: () => this.#callerServer.countConnections(),
+        acceptUntil: (time) => this.#requestHandler.acceptUntil(time),
+        refuseWaiting: () => this.#refuseWaiting(),
+      },
+    );
     const unanswered = this.#countActive();
-    this.#requestHandler.close();
+    this.#refuseWaiting();
     await Promise.all(this.#callServers.map((server) => server.closeIdle()));
     this.destroy();
     this.#log.info('gateway.stopped', {
@@ -520,6 +525,11 @@
     });
   }
 
+  #refuseWaiting(): void {
+    this.#requestHandler.refuseWaiting();
+    for (const server of this.#callServers) server.startWaiting();
+  }
+
   /** Ends at once, as a crash would. */
   destroy(): void {
     this.#abortController.abort();
--- a/src/gateway/requests/backlog.ts
+++ b/src/gateway/requests/backlog.ts
@@ -146,6 +146,15 @@
     this.#schedule();
   }
 
+  /** Refuses all waiting requests, as this daemon stops. */
+  refuseAll(wait: number): void {
+    for (const call of [...this.#queue.list()]) {
+      this.#queue.remove(call);
+      if (call.hasCallerLeft()) call.drop();
+      else call.refuse(wait);
+    }
+  }
+
   #schedule(): void {
     if (this.#isScheduled || this.size === 0) return;
     this.#isScheduled = true;
--- a/src/gateway/requests/call-dispatch.ts
+++ b/src/gateway/requests/call-dispatch.ts
@@ -38,7 +38,9 @@
 export class CallDispatch {
   readonly #progress: CallProgress;
 
-  #stage: { cancel(): void } | undefined;
+  #stage: { cancel(): void; stopWaiting(): void } | undefined;
+
+  #isWaitingOver = false;
 
   constructor(
     private readonly context: DispatchContext,
@@ -55,6 +57,12 @@
     this.#stage?.cancel();
   }
 
+  /** Gives the call up as soon as it is at no target, because this daemon is about to end. */
+  stopWaiting(): void {
+    this.#isWaitingOver = true;
+    this.#stage?.stopWaiting();
+  }
+
   /**
    * Serves the call until it is answered or given up. Returns its token of the quota when it has not
    * run.
@@ -74,6 +82,10 @@
       return;
     }
     for (;;) {
+      if (this.#isWaitingOver) {
+        this.#refuse('stopping');
+        return;
+      }
       const path = this.#choosePath();
       switch (path) {
         case 'direct':
@@ -126,7 +138,7 @@
     return carrying.run();
   }
 
-  #refuse(reason: 'unreached' | 'no-retry-left'): void {
+  #refuse(reason: 'unreached' | 'no-retry-left' | 'stopping'): void {
     const { response, context } = this;
     const { counts, metrics } = context;
     const { id, service } = this.request;
--- a/src/gateway/requests/caller-server.ts
+++ b/src/gateway/requests/caller-server.ts
@@ -229,6 +229,11 @@
     this.#closingAnswers.start(this.#requests.listConnections());
   }
 
+  /** Starts the requests that wait for others of their connections. */
+  startWaiting(): void {
+    for (const socket of this.#requests.listConnections()) this.#pipelinedRequests.startAll(socket);
+  }
+
   /**
    * Closes idle connections. A request that crosses the close is not forwarded: its caller can tell
    * from the closed connection that it was not read.
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -50,6 +50,8 @@
   | { readonly kind: 'look' }
   | { readonly kind: 'targets-lost' }
   | { readonly kind: 'slow-upload' }
+  /** The daemon is about to end. */
+  | { readonly kind: 'stopping' }
   | { readonly kind: 'deadline' }
   | { readonly kind: 'gone' };
 
@@ -81,7 +83,7 @@
 type LossOutcome = Extract<AttemptOutcome, { kind: 'lost' | 'full' }>;
 
 /** Why a request ends without a target's answer. */
-type GiveUpReason = PlacementRefusal | 'timeout' | 'lost' | 'poison' | 'slow-upload';
+type GiveUpReason = PlacementRefusal | 'timeout' | 'lost' | 'poison' | 'slow-upload' | 'stopping';
 
 /** How forwarding ended: the call was answered or given up, or no target can be reached from here. */
 export type ForwardingEnd = 'finished' | 'unreached';
@@ -116,6 +118,9 @@
 
   #isFinished = false;
 
+  /** Whether no other attempt is started. */
+  #isWaitingOver = false;
+
   /** Whether the call leaves for another path. */
   #isLeaving = false;
 
@@ -180,6 +185,12 @@
     this.#pushEvent({ kind: 'gone' });
   }
 
+  /** Gives the request up, now or when its running attempts have failed. */
+  stopWaiting(): void {
+    this.#isWaitingOver = true;
+    this.#pushEvent({ kind: 'stopping' });
+  }
+
   async #handleEvents(): Promise<void> {
     while (!this.response.writableEnded && !this.response.destroyed && !this.#isLeaving) {
       const event = await this.#waitForEvent();
@@ -199,6 +210,9 @@
         case 'targets-lost':
           this.#handleTargetsLost();
           break;
+        case 'stopping':
+          if (this.#runningAttempts.size === 0) this.#giveUp('stopping');
+          break;
         case 'slow-upload':
           this.context.metrics.count('uploads_too_slow', { service: this.request.service.name });
           this.#giveUp('slow-upload');
@@ -233,6 +247,7 @@
       case 'look':
       case 'targets-lost':
       case 'slow-upload':
+      case 'stopping':
         return true;
       case 'deadline':
       case 'gone':
@@ -261,6 +276,10 @@
   #askForTarget(): void {
     const { request } = this;
     const { clock } = this.context;
+    if (this.#isWaitingOver) {
+      this.#giveUp('stopping');
+      return;
+    }
     if (this.options.choosePath() !== 'direct') {
       // An attempt after another one has been taken from the retry budget already.
       this.options.progress.isRepeatPaid = this.options.progress.attemptCount > 0;
--- a/src/gateway/requests/pipelined-requests.ts
+++ b/src/gateway/requests/pipelined-requests.ts
@@ -14,6 +14,8 @@
   /** Requests that were started and not answered. */
   running: number;
   readonly waiting: (() => void)[];
+  /** Whether its requests are started at once. */
+  isUnlimited: boolean;
 }
 
 /** The requests of all connections of one listener. */
@@ -34,16 +36,23 @@
     this.#startNext(socket, pipeline);
   }
 
+  /** Starts the waiting requests of a connection, and those that it receives from now on. */
+  startAll(socket: Socket): void {
+    const pipeline = this.#find(socket);
+    pipeline.isUnlimited = true;
+    this.#startNext(socket, pipeline);
+  }
+
   #find(socket: Socket): Pipeline {
     const known = this.#pipelines.get(socket);
     if (known !== undefined) return known;
-    const pipeline: Pipeline = { running: 0, waiting: [] };
+    const pipeline: Pipeline = { running: 0, waiting: [], isUnlimited: false };
     this.#pipelines.set(socket, pipeline);
     return pipeline;
   }
 
   #startNext(socket: Socket, pipeline: Pipeline): void {
-    while (pipeline.running < this.#findLimit(socket)) {
+    while (pipeline.isUnlimited || pipeline.running < this.#findLimit(socket)) {
       const start = pipeline.waiting.shift();
       if (start === undefined || socket.destroyed) return;
       pipeline.running += 1;
--- a/src/gateway/requests/request-handler.ts
+++ b/src/gateway/requests/request-handler.ts
@@ -72,6 +72,11 @@
 /** Longest time that a request is held, whatever its caller and its route state, in milliseconds. */
 const MAX_HOLD_MS = 60_000;
 
+/** The answer to a request that a daemon which stops does not take. */
+const STOPPING_ANSWER: LocalAnswer = {
+  ...{ kind: 'not-run', reason: 'stopping', retryAfter: STOPPING_RETRY_AFTER_MS },
+};
+
 /** A longer backlog shows that this daemon is busy. */
 const MAX_CALM_BACKLOG = 16;
 
@@ -145,7 +150,14 @@
 
   #learnedRoutes: LearnedState['routes'] = new Map();
 
-  #isStopping = false;
+  /** Requests that arrive later are refused. */
+  #acceptedUntil = Infinity;
+
+  /** Whether requests that are at no target are refused. */
+  #isClosing = false;
+
+  /** The calls in progress. */
+  readonly #dispatches = new Set<CallDispatch>();
 
   constructor(private readonly options: RequestHandlerOptions) {
     this.#splitter = new TrafficSplitter(() => options.random.next());
@@ -153,9 +165,19 @@
     this.#keyRejections = new KeyRejectionLog(options);
   }
 
-  /** From now on refuses requests, so that callers use another daemon, because this one stops. */
-  close(): void {
-    this.#isStopping = true;
+  /**
+   * Refuses requests that arrive after a time of the clock, so that callers use another daemon,
+   * because this one stops.
+   */
+  acceptUntil(time: number): void {
+    this.#acceptedUntil = time;
+  }
+
+  /** Refuses all requests that are at no target, as this daemon is about to end. */
+  refuseWaiting(): void {
+    this.#isClosing = true;
+    this.#backlog.refuseAll(STOPPING_RETRY_AFTER_MS);
+    for (const dispatch of this.#dispatches) dispatch.stopWaiting();
   }
 
   /** Uses the stored learned state of routes as the prior of their estimates. */
@@ -209,7 +231,7 @@
     estimatedArrivalAt: number,
     carried?: CarriedTerms,
   ): void {
-    const admission = this.#findRoute(request, carried);
+    const admission = this.#findRoute(request, estimatedArrivalAt, carried);
     if (admission.kind === 'turned-away') {
       this.#sendRejection(request, response, admission);
       return;
@@ -305,13 +327,20 @@
       this.#sendRejection(request, response, createRejected(result.answer, false));
       return;
     }
+    if (this.#isClosing) {
+      admitted.ticket.giveBack();
+      this.#sendRejection(request, response, createRejected(STOPPING_ANSWER, true));
+      return;
+    }
     const routed = this.#createRouted(request, result.body, admitted);
     const context = this.#createContext(admitted.route);
     const dispatch = new CallDispatch(context, routed, response, readOrigin(admitted.carried));
     const stopWatching = watchDisconnect(request, response, () => dispatch.cancel());
+    this.#dispatches.add(dispatch);
     try {
       await dispatch.run();
     } finally {
+      this.#dispatches.delete(dispatch);
       stopWatching();
     }
   }
@@ -363,6 +392,7 @@
   /** Finds the route and the service of a request, by its head alone. */
   #findRoute(
     request: IncomingMessage,
+    estimatedArrivalAt: number,
     carried: CarriedTerms | undefined,
   ): AdmittedRequest | RejectedRequest {
     const table = this.options.readTable();
@@ -374,13 +404,8 @@
       } as const;
       return createRejected(answer, true);
     }
-    if (this.#isStopping) {
-      const answer = {
-        kind: 'not-run',
-        reason: 'stopping',
-        retryAfter: STOPPING_RETRY_AFTER_MS,
-      } as const;
-      return createRejected(answer, true);
+    if (this.#isClosing || estimatedArrivalAt > this.#acceptedUntil) {
+      return createRejected(STOPPING_ANSWER, true);
     }
     const refusal = checkRequest(request, table.limits, carried !== undefined);
     if (refusal !== undefined) return createRejected(refusal, false);
--- a/test/unanswered-requests.test.ts
+++ b/test/unanswered-requests.test.ts
@@ -4,9 +4,15 @@
 import { expect } from 'chai';
 import { HOST, type RecordingTarget } from '../src/standin/index.js';
 import { waitUntil } from './helpers/fleet.js';
-import { Site, callersPort } from './helpers/gateways.js';
+import { Site, callersPort, sendTo } from './helpers/gateways.js';
 
-const ROUTES = [{ prefix: '/a/', timeout: 2500 }] as const;
+const ROUTES = [
+  { prefix: '/a/', timeout: 2500 },
+  { prefix: '/long/', timeout: 6000 },
+] as const;
+
+/** Slots of the target. */
+const SLOTS = 4;
 
 /** Longest time between a request and a close that it may have crossed, in milliseconds. */
 const CROSSING_MS = 200;
@@ -130,6 +136,24 @@
       expect(caller.listUnanswered()).to.deep.equal([]);
       expect(caller.listAnswers()).to.deep.equal(['first 200', 'second 503', 'third 503']);
     }).timeout(10_000);
+
+    // Guards against requests that wait for a slot until all connections are closed.
+    it('are refused when they still wait for a slot near the end of the grace period', async () => {
+      target.behaviour = () => undefined;
+      const stopped = site.gateways[0].gateway.stop();
+      await pause(2500);
+      const replies = Array.from({ length: 2 * SLOTS }, (_, index) =>
+        sendTo(ip, { path: `/long/${index}`, deadline: 8000 }).then(
+          ({ status }) => status,
+          () => 'closed',
+        ),
+      );
+      await stopped;
+      const ends = await Promise.all(replies);
+      // Those at the target are cut off, as the target is at work on them.
+      expect(ends.filter((end) => end === 'closed').length).to.be.at.most(SLOTS);
+      expect(ends.filter((end) => end === 503).length).to.be.at.least(SLOTS);
+    }).timeout(10_000);
   });
 
   describe('behind which the caller sends what is no request', () => {
