--- a/test/helpers/ordinary-callers.ts
+++ b/test/helpers/ordinary-callers.ts
@@ -4,13 +4,20 @@
 import type { Address } from '../../src/kernel/index.js';
 import { HOST } from '../../src/standin/index.js';
 
-const ORDINARY_INTERVAL_MS = 20;
+const ORDINARY_PER_SECOND = 50;
 const ORDINARY_DEADLINE_MS = 2000;
 
 function isServed(status = 0): boolean {
   return status === 200 || status === 201;
 }
 
+/** What ordinary callers send. */
+export interface OrdinaryOptions {
+  readonly perSecond?: number;
+  /** Whether none of their requests is a posting. */
+  readonly isReadOnly?: boolean;
+}
+
 /** How the requests of ordinary callers ended. */
 export class OrdinaryCallers {
   readonly #outcomes: string[] = [];
@@ -23,6 +30,7 @@
   constructor(
     private readonly address: Address,
     private readonly host = HOST,
+    private readonly options: OrdinaryOptions = {},
   ) {}
 
   get sent(): number {
@@ -42,9 +50,10 @@
 
   async run(): Promise<void> {
     const requests: Promise<void>[] = [];
+    const { perSecond = ORDINARY_PER_SECOND } = this.options;
     for (let index = 0; this.#isRunning; index += 1) {
       requests.push(this.#send(index));
-      await pause(ORDINARY_INTERVAL_MS);
+      await pause(1000 / perSecond);
     }
     await Promise.all(requests);
     this.#agent.destroy();
@@ -55,7 +64,7 @@
   }
 
   #send(index: number): Promise<void> {
-    const isPost = index % 3 === 0;
+    const isPost = index % 3 === 0 && this.options.isReadOnly !== true;
     const body = isPost ? 'b'.repeat(2000) : '';
     return new Promise((resolve) => {
       const finish = (outcome: string) => {
