Bound what any answer makes a gateway read, hold and do, in one place

Callers saw: while the targets of one service sent without end, calls of other services were refused (503 busy) or aborted, and the process went over its memory.

Cause: what targets, carriers, other daemons and the store answer reached the parser as fast as it arrived. Each chunk of a body became an object of its own that kept what it was cut from; only the bytes of the body were counted, on the account of the caller's connection, which was closed for it. What came before a head, or framed a body, was not bounded but by the deadline, and answers to probes only by the parser.

Change: AnswerGuard stands between the connections that the daemon opens and Node's parser, for targets, carriers, probes, feeds and the store. It bounds what comes before a head (64 KiB, 100 interim answers) and what frames a body, closes connections on which bytes arrive while no answer is expected, passes on as one piece what is parsed together, and takes turns with the connections of callers. Answers that are being received have memory of their own, a tenth of the machine's beyond an idle process; when it is full, the largest is given up, and no connection of a caller.

--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -14,6 +14,7 @@
   targetSocketService,
 } from '../kernel/index.js';
 import { Gateway, type GatewaySettings, checkGatewaySettings } from '../gateway/index.js';
+import { answerGuardService, computeAnswerBytes, createAnswerGuard } from '../overload/index.js';
 import { createKvStore, kvStoreService } from '../platform/index.js';
 import { formatMistake } from '../settings/ini.js';
 
@@ -62,12 +63,14 @@
   const { address, timeout } = settings.platform;
   const clock = createSystemClock();
   const log = createRateLimitedLog(clock, settings.log.level, { vm: settings.gateway.name });
+  const guard = createAnswerGuard(clock, computeAnswerBytes(settings.machine.memory));
   const kernel = new Kernel()
     .provide(clockService, clock)
     .provide(randomService, createSystemRandom())
     .provide(logService, log)
     .provide(targetSocketService, openTargetSocket)
-    .provide(kvStoreService, createKvStore(address, timeout));
+    .provide(answerGuardService, guard)
+    .provide(kvStoreService, createKvStore(address, timeout, undefined, guard));
   const gateway = new Gateway(kernel, settings);
   let isStopping = false;
   process.on('SIGTERM', () => {
--- a/src/gateway/carrying/carrier-pool.ts
+++ b/src/gateway/carrying/carrier-pool.ts
@@ -1,6 +1,7 @@
 /** The daemons that may carry calls for this one, and the connections to them. */
 import { chooseCarrier } from '../../balance/index.js';
 import { type Clock, type Random, openTcpSocket } from '../../kernel/index.js';
+import type { AnswerGuard } from '../../overload/index.js';
 import type { MemberInfo } from '../../peering/index.js';
 import { TargetConnections } from '../targets/connections.js';
 
@@ -27,6 +28,8 @@
 export interface CarrierPoolOptions {
   readonly clock: Clock;
   readonly random: Random;
+  /** Watches the answers of carriers. */
+  readonly answerGuard?: AnswerGuard;
   /** The failure domain of this daemon. */
   readonly domain: string;
   /** Finds the region of a failure domain. */
@@ -126,11 +129,11 @@
   #find({ ip, domain, capacity }: MemberInfo): Carrier {
     const known = this.#carriers.get(ip);
     if (known !== undefined) return known;
-    const { clock, port } = this.options;
+    const { clock, port, answerGuard } = this.options;
     const connections = new TargetConnections(
       { host: ip, port },
       {
-        ...{ clock, openSocket: openTcpSocket },
+        ...{ clock, openSocket: openTcpSocket, answerGuard },
         ...{ onOpened: () => undefined, onFailed: () => undefined },
       },
     );
--- a/src/gateway/carrying/carry-service.ts
+++ b/src/gateway/carrying/carry-service.ts
@@ -1,6 +1,7 @@
 /** Carried calls of one daemon: the key, the daemons that carry its calls, and the way in for theirs. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock, Log, Random } from '../../kernel/index.js';
+import type { AnswerGuard } from '../../overload/index.js';
 import type { Roster } from '../../peering/index.js';
 import { HEADERS, type KvStore, readHeader } from '../../platform/index.js';
 import { type LocalAnswer, writeLocalAnswer } from '../requests/answers.js';
@@ -17,6 +18,7 @@
 export interface CarryServiceOptions {
   readonly clock: Clock;
   readonly random: Random;
+  readonly answerGuard?: AnswerGuard;
   readonly log: Log;
   readonly store: KvStore;
   readonly roster: Roster;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,6 +14,7 @@
 import { WindowBudget, planReachTimes } from '../balance/index.js';
 import {
   FeedClient,
+  type FeedResponse,
   type MemberInfo,
   MemberRegistry,
   type MemberState,
@@ -22,7 +23,11 @@
   Roster,
   serveFeed,
 } from '../peering/index.js';
-import { type GatewayListener, computeGatewayLimits } from '../overload/index.js';
+import {
+  type GatewayListener,
+  answerGuardService,
+  computeGatewayLimits,
+} from '../overload/index.js';
 import {
   type ServerProtection,
   createProtection,
@@ -169,6 +174,7 @@
     const random = kernel.find(randomService);
     const log = kernel.find(logService);
     const store = kernel.find(kvStoreService);
+    const answerGuard = kernel.find(answerGuardService);
     const { gateway, machine, promises, tuning } = settings;
     this.#clock = clock;
     this.#log = log;
@@ -204,7 +210,7 @@
     });
     this.#targets = new TargetSet({
       ...{ clock, random, domain: gateway.domain },
-      openSocket: kernel.find(targetSocketService),
+      ...{ openSocket: kernel.find(targetSocketService), answerGuard },
       reachTimes: planReachTimes(promises.contact),
       confirmReach: (refusing) => this.#reachMonitor.confirmReach(refusing),
       onContact: (service) => this.#reachMonitor.recordContact(service),
@@ -310,11 +316,12 @@
         }
       },
     });
-    this.#feedClient = new FeedClient(clock, port, ({ delta, members }) => {
+    const applyResponse = ({ delta, members }: FeedResponse) => {
       const pending = this.#view.applyDelta(delta, clock.now());
       for (const member of members) this.#roster.addMember(member);
       return pending;
-    });
+    };
+    this.#feedClient = new FeedClient(clock, port, applyResponse, answerGuard);
     this.#knowledgeExchange = new KnowledgeExchange({
       ...{
         clock,
@@ -359,7 +366,7 @@
       listenQueue: computeListenQueue(capacity),
     });
     this.#carryService = new CarryService({
-      ...{ clock, random, log, store, roster: this.#roster, self: gateway.ip },
+      ...{ clock, random, log, store, answerGuard, roster: this.#roster, self: gateway.ip },
       ...{ domain: gateway.domain, port: findCarryPort(gateway) },
       ...{ isFirstStart: isFirstStart(gateway), isWriter: () => this.#fleetRole.isFirstHome() },
       findRegion: (domain) => this.#findRegion(domain),
@@ -384,6 +391,7 @@
         log.info('client.closed', { listener, reason });
       },
     });
+    answerGuard.joinTurns(this.#protection.turns);
     this.#callerServer = new CallerServer({
       ...{ name: 'callers', protection: this.#protection, addedHeaderBytes: 0 },
       isBusy: () => this.#requestHandler.isBusy,
@@ -466,6 +474,11 @@
       this.#metrics.addGauges(() => listGauges(this.#readStatus()));
       this.#metrics.addGauges(() => listQuotaGauges(this.#quotas.describe()));
       this.#metrics.addGauges(() => listProtectionGauges(protection));
+      const answerGuard = this.kernel.find(answerGuardService);
+      this.#metrics.addGauges(() => ({
+        answer_memory_bytes: answerGuard.held,
+        answers_evicted: answerGuard.evictions,
+      }));
       const address = gateway.metrics;
       this.#servers.push(await serveMetrics({ address, protection }, () => this.#metrics.format()));
     }
--- a/src/gateway/requests/answer-reader.ts
+++ b/src/gateway/requests/answer-reader.ts
@@ -1,7 +1,7 @@
 /** Reads answers from targets and from daemons that carry calls. */
 import type { IncomingMessage } from 'node:http';
 import type { SocketEndWatch } from '../../kernel/index.js';
-import type { RequestMemory } from '../../overload/index.js';
+import { type RequestMemory, findAnswerMemory } from '../../overload/index.js';
 import { HEADERS } from '../../platform/index.js';
 import { AnswerEnd, type AnswerFault } from '../../proxy/answer-end.js';
 import { findFraming } from '../../proxy/answer-framing.js';
@@ -58,14 +58,17 @@
   const framing = findFraming({ method, status, rawHeaders });
   const end = new AnswerEnd({ framing, connection, fields: ANSWER_FIELDS });
   const chunks: Buffer[] = [];
-  const createAnswer = (rest: IncomingMessage | undefined): TargetAnswer => ({
-    ...{ status, rawHeaders, isSigned },
-    ...{ body: Buffer.concat(chunks), rest, end },
-  });
+  const answerMemory = findAnswerMemory(response);
+  const createAnswer = (rest: IncomingMessage | undefined): TargetAnswer => {
+    // From now on it is the caller's slowness that holds it.
+    answerMemory?.releaseAll();
+    memory?.charge(end.bodyBytes);
+    return { status, rawHeaders, isSigned, body: Buffer.concat(chunks), rest, end };
+  };
   const onData = (chunk: Buffer) => {
     chunks.push(chunk);
     end.observe(chunk);
-    memory?.charge(chunk.length);
+    answerMemory?.charge(chunk.length);
     if (end.hasSecondAnswer) {
       response.destroy();
       onBroken('second-answer');
--- a/src/gateway/requests/outgoing-request.ts
+++ b/src/gateway/requests/outgoing-request.ts
@@ -68,9 +68,6 @@
   onFailure(failure: ExchangeFailure): void;
 }
 
-/** Interim answers (status 1xx) before the final one; a target that sends more is faulty. */
-const MAX_INTERIM_ANSWERS = 100;
-
 /** Methods with which Node's client sends no framing by itself. */
 const METHODS_WITHOUT_FRAMING = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS', 'TRACE', 'CONNECT']);
 
@@ -118,7 +115,7 @@
 
 /** Sends a request with its body over a connection and passes on what comes of it. */
 export function sendRequest(
-  { agent, socket }: TargetConnection,
+  { agent, socket, guard }: TargetConnection,
   { method, path, headers, body }: OutgoingRequest,
   { onResponse, onFailure }: ExchangeListener,
 ): http.ClientRequest {
@@ -128,7 +125,6 @@
   });
   let hasResponse = false;
   let hasFailed = false;
-  let interimCount = 0;
   const fail = (failure: ExchangeFailure) => {
     if (hasFailed) return;
     hasFailed = true;
@@ -138,12 +134,7 @@
   request.on('error', ({ code = '', message }: NodeJS.ErrnoException) =>
     fail({ kind: 'disconnected', code, reason: code || message }),
   );
-  request.on('information', () => {
-    interimCount += 1;
-    if (interimCount > MAX_INTERIM_ANSWERS) {
-      fail({ kind: 'malformed', reason: `more than ${MAX_INTERIM_ANSWERS} interim answers` });
-    }
-  });
+  guard?.watch(request, { onExcess: (reason) => fail({ kind: 'malformed', reason }) });
   request.on('response', (response) => {
     hasResponse = true;
     // Without a listener, the error of an answer that nobody reads would be thrown.
--- a/src/gateway/targets/connections.ts
+++ b/src/gateway/targets/connections.ts
@@ -13,6 +13,7 @@
   SocketEndWatch,
   scheduleLagTolerantTimeout,
 } from '../../kernel/index.js';
+import type { AnswerGuard } from '../../overload/index.js';
 
 /** An open connection to a target. */
 export interface TargetConnection {
@@ -21,6 +22,8 @@
   readonly endWatch: SocketEndWatch;
   /** Makes Node's HTTP client use this connection for a request. */
   readonly agent: http.Agent;
+  /** Watches the answers on it; undefined where they are not limited. */
+  readonly guard: AnswerGuard | undefined;
   /** Whether it has carried a call before. */
   isReused: boolean;
   /** Since when it has been idle, in milliseconds on this daemon's clock. */
@@ -70,6 +73,7 @@
 export interface ConnectionOptions {
   readonly clock: Clock;
   readonly openSocket: OpenSocket;
+  readonly answerGuard?: AnswerGuard;
   readonly onOpened: () => void;
   /** Called when no connection could be opened. */
   readonly onFailed: () => void;
@@ -181,6 +185,7 @@
         const agent = new SocketAgent(socket);
         const connection: TargetConnection = {
           ...{ socket, endWatch, agent, isReused: false, idleSince: 0 },
+          guard: this.options.answerGuard,
           idleLimit: DEFAULT_IDLE_LIMIT_MS,
         };
         socket.on('free', () => this.#keepIdle(connection));
--- a/src/gateway/targets/prober.ts
+++ b/src/gateway/targets/prober.ts
@@ -7,6 +7,7 @@
 import { HIGH_UTILISATION } from '../../peering/index.js';
 import { findResponseFault } from '../../proxy/answer-check.js';
 import type { RouteTable } from '../../routing/index.js';
+import type { TargetConnection } from './connections.js';
 import type { GatewayTarget } from './target.js';
 import type { TargetService } from './target-service.js';
 import type { TargetSet } from './target-set.js';
@@ -83,6 +84,9 @@
 /** Batches that a round of probes is split into, so that probes don't come all at once. */
 const BATCHES = 4;
 
+/** Longest answer to a probe, which nobody reads. */
+const MAX_PROBE_BODY_BYTES = 65_536;
+
 const HEALTHY_STATUS = 200;
 
 /** A home probes another home's target when that probe is overdue by this many intervals. */
@@ -355,7 +359,7 @@
   }
 
   #sendProbe(
-    { agent, socket }: { readonly agent: http.Agent; readonly socket: { destroy(): void } },
+    { agent, socket, guard }: Pick<TargetConnection, 'agent' | 'socket' | 'guard'>,
     path: string,
   ): Promise<http.IncomingMessage | undefined> {
     return new Promise((resolve) => {
@@ -366,6 +370,10 @@
         resolve(answer);
       };
       let hasResponse = false;
+      guard?.watch(request, {
+        maxBodyBytes: MAX_PROBE_BODY_BYTES,
+        onExcess: () => finish(undefined),
+      });
       request.on('error', () => finish(undefined));
       request.on('response', (response) => {
         hasResponse = true;
--- a/src/gateway/targets/target-set.ts
+++ b/src/gateway/targets/target-set.ts
@@ -1,5 +1,6 @@
 /** The targets in use, by service, kept in sync with the fleet view. */
 import type { OpenSocket } from '../../kernel/index.js';
+import type { AnswerGuard } from '../../overload/index.js';
 import type { FleetView } from '../../view/index.js';
 import type { LearnedState, LearnedServiceState } from '../learned-state.js';
 import { AvailabilityCache } from './availability-cache.js';
@@ -15,6 +16,7 @@
   readonly listener: TargetListener;
   /** Opens connections to targets. */
   readonly openSocket: OpenSocket;
+  readonly answerGuard?: AnswerGuard;
   /** Called when a target of the service answered or accepted a connection. */
   readonly onContact: (service: TargetService) => void;
   /** Whether this daemon reaches another target than the given one now. */
@@ -116,7 +118,7 @@
         existing.update(entry, isEvacuated);
         continue;
       }
-      const { clock, listener, openSocket, confirmReach } = this.options;
+      const { clock, listener, openSocket, answerGuard, confirmReach } = this.options;
       const { onContact, onConnectionFailed } = this.options;
       const onConnectionOpened = () => {
         this.connectionsOpened += 1;
@@ -124,7 +126,7 @@
       };
       const availability = this.#availabilityCache.find(entry.record);
       const target = new GatewayTarget(entry, clock, {
-        ...{ slowdownModel, listener, availability, openSocket, onConnectionOpened },
+        ...{ slowdownModel, listener, availability, openSocket, answerGuard, onConnectionOpened },
         onConnectionFailed: (failed) => onConnectionFailed(service, failed),
         ...{ confirmReach, onContact: () => onContact(service) },
       });
--- a/src/gateway/targets/target.ts
+++ b/src/gateway/targets/target.ts
@@ -22,6 +22,7 @@
   judgeReset,
 } from '../../balance/index.js';
 import type { Clock, OpenSocket } from '../../kernel/index.js';
+import type { AnswerGuard } from '../../overload/index.js';
 import type {
   LoadReport,
   SelfReport,
@@ -91,6 +92,8 @@
   readonly slowdownModel: SlowdownModel;
   /** Opens connections to the target. */
   readonly openSocket: OpenSocket;
+  /** Watches the answers of the target. */
+  readonly answerGuard?: AnswerGuard;
   /** Called for each connection that is opened. */
   readonly onConnectionOpened: () => void;
   /** Called for each connection that could not be opened. */
@@ -188,6 +191,7 @@
     this.hash = hashIncarnation(entry.record.incarnation, entry.record.born);
     this.connections = new TargetConnections(entry.record.address, {
       ...{ clock, openSocket, onOpened: options.onConnectionOpened },
+      answerGuard: options.answerGuard,
       onFailed: () => options.onConnectionFailed(this),
     });
   }
--- a/src/kernel/http-exchange.ts
+++ b/src/kernel/http-exchange.ts
@@ -5,6 +5,20 @@
 import { scheduleLagTolerantTimeout } from './lag-tolerant-timeout.js';
 import type { Address } from './network.js';
 
+/** How the answer to one request is watched. */
+export interface AnswerWatch {
+  /** Longest body, in bytes; unlimited unless given. */
+  readonly maxBodyBytes?: number;
+  /** Called when the answer exceeds a limit; its connection is closed after that. */
+  readonly onExcess: (reason: string) => void;
+}
+
+/** Bounds what answers make this process read and hold. */
+export interface AnswerWatcher {
+  /** Watches the answer to a request that has just been created. */
+  watch(request: http.ClientRequest, watch: AnswerWatch): void;
+}
+
 /** The request of an exchange. */
 export interface HttpExchangeOptions {
   readonly agent: http.Agent;
@@ -12,6 +26,8 @@
   readonly method: 'GET' | 'POST';
   readonly path: string;
   readonly body?: string;
+  /** Watches the answer; it is not limited unless given. */
+  readonly guard?: AnswerWatcher;
   /** Longest wait for the whole answer, in milliseconds. */
   readonly timeout: number;
   /** Cancels the exchange when it aborts. */
@@ -64,7 +80,7 @@
 
 /** Makes the exchange. A connection whose answer did not arrive is not used again. */
 export function exchangeHttp(question: HttpExchangeOptions): Promise<HttpReply | HttpFailure> {
-  const { agent, address, method, path, body, timeout, signal } = question;
+  const { agent, address, method, path, body, timeout, signal, guard } = question;
   return new Promise((resolve, reject) => {
     let sent = false;
     const request = http.request({
@@ -89,6 +105,9 @@
     request.on('error', (error: NodeJS.ErrnoException) =>
       settle({ kind: 'failure', sent, reason: error.code ?? error.message }),
     );
+    guard?.watch(request, {
+      onExcess: (reason) => settle({ kind: 'failure', sent: true, reason }),
+    });
     let hasResponse = false;
     request.on('close', () => {
       // When the other side switches protocols, Node closes the connection without any other event.
--- a/src/overload/index.ts
+++ b/src/overload/index.ts
@@ -1,4 +1,11 @@
-/** Bounds on what clients may make a process hold and do. */
+/** Bounds on what other machines may make a process hold and do. */
+export {
+  type AnswerGuard,
+  answerGuardService,
+  createAnswerGuard,
+  findAnswerMemory,
+} from './answer-guard.js';
+export { ANSWER_LIMITS } from './answer-limits.js';
 export { BodyBuffer } from './body-buffer.js';
 export { ConnectionGuard, type GuardOptions, MANY_FIELDS } from './connection-guard.js';
 export { type GuardClosure, MAX_PIPELINED_REQUESTS, hasBody } from './guarded-connection.js';
@@ -9,6 +16,7 @@
   type ClientLimits,
   type EntryListener,
   type GatewayListener,
+  computeAnswerBytes,
   computeEntryLimits,
   computeGatewayLimits,
 } from './limits.js';
--- a/src/peering/feed.ts
+++ b/src/peering/feed.ts
@@ -6,6 +6,7 @@
 import { promisify } from 'node:util';
 import { constants, gzip } from 'node:zlib';
 import {
+  type AnswerWatcher,
   type Address,
   type Clock,
   PEER_CONTENT_ENCODING,
@@ -206,6 +207,7 @@
     private readonly port: number,
     /** Applies a response; a fetch ends when its result has resolved. */
     private readonly onResponse: (response: FeedResponse) => unknown,
+    private readonly guard?: AnswerWatcher,
   ) {}
 
   /** Fetches the members from another daemon, unless the last such fetch was too recent. */
@@ -241,6 +243,7 @@
         ...{ agent: this.#agent, address: { host: ip, port: this.port }, method: 'GET' },
         path: `${PATH}?${query.join('&')}`,
         timeout: FETCH_TIMEOUT_MS,
+        guard: this.guard,
       });
       if (reply.kind !== 'reply' || reply.status !== 200) return false;
       const response = parseFeedResponse(reply.body);
--- a/src/platform/kv-store.ts
+++ b/src/platform/kv-store.ts
@@ -4,6 +4,7 @@
  */
 import http from 'node:http';
 import {
+  type AnswerWatcher,
   type Address,
   type HttpFailure,
   type HttpReply,
@@ -222,11 +223,13 @@
  *
  * @param timeout longest wait for an answer, in milliseconds; the wait of a watch is added to it
  * @param maxSockets maximum number of connections; each waiting watch occupies one
+ * @param guard watches the answers; they are not limited unless given
  */
 export function createKvStore(
   address: Address,
   timeout: number,
   maxSockets = DEFAULT_MAX_SOCKETS,
+  guard?: AnswerWatcher,
 ): KvStore {
   const agent = new http.Agent({ keepAlive: true, maxSockets, scheduling: 'lifo' });
   const callCounts: Record<string, number> = {};
@@ -235,7 +238,10 @@
     callCounts[kind] = (callCounts[kind] ?? 0) + 1;
     const { wait = 0, body, signal } = options;
     const method = options.method ?? (body === undefined ? 'GET' : 'POST');
-    return exchangeHttp({ agent, address, method, path, body, signal, timeout: timeout + wait });
+    return exchangeHttp({
+      ...{ agent, address, method, path, body, signal, guard },
+      timeout: timeout + wait,
+    });
   }
 
   return {
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -18,6 +18,7 @@
   targetSocketService,
 } from '../../src/kernel/index.js';
 import { Gateway, checkGatewaySettings } from '../../src/gateway/index.js';
+import { answerGuardService, createAnswerGuard } from '../../src/overload/index.js';
 import { KEYS, type KvStore, createKvStore, kvStoreService } from '../../src/platform/index.js';
 import { KvServer } from '../../src/standin/index.js';
 import {
@@ -101,6 +102,9 @@
   /** Whether daemons that are created from now on serve metrics. */
   hasMetrics = false;
 
+  /** Watches the answers that all daemons receive. */
+  readonly answerGuard = createAnswerGuard(createSystemClock(), 16_777_216);
+
   #version = 0;
 
   #storeAddress = { host: '', port: 0 };
@@ -140,7 +144,7 @@
   }
 
   #createStore(ip: string, address: Address, timeout: number): KvStore {
-    const store = createKvStore(address, timeout);
+    const store = createKvStore(address, timeout, undefined, this.answerGuard);
     const cut = { kind: 'unknown', reason: 'cut' } as const;
     const pass = async <T>(call: Promise<T>) => ((await call, this.#cutOff.has(ip)) ? cut : call);
     return {
@@ -206,6 +210,7 @@
       .provide(clockService, createSystemClock())
       .provide(randomService, createSystemRandom())
       .provide(logService, log)
+      .provide(answerGuardService, this.answerGuard)
       .provide(targetSocketService, this.isPartitionable ? network.open : openTcpSocket)
       .provide(
         kvStoreService,
