Bound what targets of the own daemon send besides the bodies of answers

Callers saw: a target that sends interim answers, empty lines, chunk sizes, chunk extensions or bytes behind an answer without end was read until the call's deadline, or for 4 s on an idle connection; ordinary calls beside a crowd of such answers timed out.

Cause: neither undici's parser nor the caller's back-pressure bounds bytes that are not body, and all input of a connection is parsed at once.

Now a meter stands between each connection and undici's parser (it hands out what `read` returns). It bounds interim answers, bytes before the answer, and framing by ANSWER_LIMITS, closes idle connections that send, and gives the input in pieces, in the turns of the process once it takes long. An overrun loses the answer (502, `wrong-answer`, with a detail), is logged and counted as `answer.overrun`.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -114,7 +114,8 @@
       clock,
     );
     this.store = new ConfigStore(this.#platform, clock, random);
-    this.#clients = new Clients(kernel.find(networkService));
+    this.protection = createEntryProtection(kernel, settings);
+    this.#clients = this.#createClients();
     // Claims have a rate limit of their own: neither claims nor control calls can starve the other.
     this.#claimPlatform = createMeteredPlatform(
       kernel.find(platformService),
@@ -122,7 +123,6 @@
       clock,
     );
     this.#claims = new Claims(this.#claimPlatform, clock, random);
-    this.protection = createEntryProtection(kernel, settings);
   }
 
   /** The services that this entry runs; available after {@link start}. */
@@ -354,6 +354,20 @@
     throw error;
   }
 
+  #createClients(): Clients {
+    const { kernel } = this;
+    const log = kernel.find(logService);
+    const metrics = kernel.find(metricsService);
+    return new Clients({
+      ...{ network: kernel.find(networkService), clock: kernel.find(clockService) },
+      turns: this.protection.turns,
+      onOverrun: (peer, detail) => {
+        metrics.count('answer.overrun', 1, { peer });
+        log.info('answer.overrun', { peer, detail });
+      },
+    });
+  }
+
   #createCallHandler(): CallHandler {
     const { settings, kernel } = this;
     return new CallHandler({
--- a/src/overload/index.ts
+++ b/src/overload/index.ts
@@ -1,4 +1,5 @@
 /** Bounds on what clients may make a process hold and do. */
+export { ANSWER_LIMITS, type AnswerLimits } from './answer-limits.js';
 export { BodyBuffer } from './body-buffer.js';
 export { ConnectionGuard, type GuardOptions, MANY_FIELDS } from './connection-guard.js';
 export { type GuardClosure, MAX_PIPELINED_REQUESTS, hasBody } from './guarded-connection.js';
--- a/src/platform/connector.ts
+++ b/src/platform/connector.ts
@@ -18,18 +18,18 @@
  * Creates a connector to one address.
  *
  * @param timeoutMs longest wait for a connection, in milliseconds
- * @param onOpened called for each opened connection, to count them
+ * @param onOpened called with each opened connection, before it is used
  */
 export function createConnector(
   network: Network,
   address: Address,
   timeoutMs: number,
-  onOpened: () => void = () => undefined,
+  onOpened: (socket: Duplex) => void = () => undefined,
 ): buildConnector.connector {
   return (_options, done) => {
     limitTime(network.connect(address), timeoutMs)
       .then((socket) => {
-        onOpened();
+        onOpened(socket);
         done(null, socket as Socket);
       })
       .catch((error: Error) => done(error, null));
--- a/src/proxy/attempt.ts
+++ b/src/proxy/attempt.ts
@@ -13,6 +13,7 @@
 import { setResetOnClose } from './answer-abort.js';
 import { findAnswerFault } from './answer-check.js';
 import { findFraming } from './answer-framing.js';
+import { AnswerOverrun } from './answer-meter.js';
 import type { Body } from './body.js';
 import type { Call } from './call.js';
 import {
@@ -283,11 +284,12 @@
         );
         return;
       }
-      resolveDone(
-        error === ABORTED
-          ? { kind: 'cancelled', sent: true }
-          : { kind: 'lost', reason: 'connection-lost', detail: error.message },
-      );
+      if (error === ABORTED) {
+        resolveDone({ kind: 'cancelled', sent: true });
+        return;
+      }
+      const reason = error instanceof AnswerOverrun ? 'wrong-answer' : 'connection-lost';
+      resolveDone({ kind: 'lost', reason, detail: error.message });
     },
   };
 
--- a/src/proxy/index.ts
+++ b/src/proxy/index.ts
@@ -3,6 +3,7 @@
 export * from './headers.js';
 export * from './call.js';
 export * from './body.js';
+export * from './answer-meter.js';
 export * from './attempt.js';
 export * from './ledger.js';
 export * from './forwarder.js';
