Join the short pieces of answers of the own daemon, and charge what is held

What waits for a caller that does not read is charged to the account of its connection, so that the largest holder is closed first. The charge itself has no test of its own.

--- a/src/proxy/attempt.ts
+++ b/src/proxy/attempt.ts
@@ -14,6 +14,7 @@
 import { findAnswerFault } from './answer-check.js';
 import { findFraming } from './answer-framing.js';
 import { AnswerOverrun } from './answer-meter.js';
+import { AnswerWriter } from './answer-writer.js';
 import type { Body } from './body.js';
 import type { Call } from './call.js';
 import {
@@ -176,7 +177,11 @@
     if (controller === undefined) abortedBeforeStart = reason;
     else controller.abort(ABORTED);
   };
-  const resume = () => controller?.resume();
+  const writer = new AnswerWriter(response);
+  const resume = () => {
+    writer.updateCharge();
+    controller?.resume();
+  };
   /** Ends the attempt with the given result and closes the connection to the target. */
   const stopWith = (result: AttemptResult) => {
     decidedResult = result;
@@ -252,7 +257,7 @@
     },
     onResponseData(started, chunk) {
       if (decidedResult !== undefined) return;
-      if (!response.write(chunk)) started.pause();
+      if (!writer.add(chunk)) started.pause();
     },
     onResponseEnd(_started, trailers) {
       if (decidedResult !== undefined) {
@@ -261,6 +266,7 @@
       }
       assertInvariant(isHeadSent, 'an answer ends after its head was passed on');
       response.removeListener('drain', resume);
+      writer.finish();
       if (Object.keys(trailers).length > 0) response.addTrailers(trailers);
       response.end();
       resolveDone({ kind: 'relayed', status });
@@ -272,6 +278,7 @@
         return;
       }
       if (isHeadSent) {
+        writer.discard();
         response.destroy();
         resolveDone({ kind: 'cut', detail: error.message });
         return;
--- a/test/endless-answers-entry.test.ts
+++ b/test/endless-answers-entry.test.ts
@@ -121,6 +121,22 @@
         caller.destroy();
       });
     }
+    // Guards against a chunk for each byte of an answer, which takes many times its size.
+    it('chunks of one byte: the caller gets them joined', async () => {
+      const bytes = 20_000;
+      const { first } = ENDLESS_STREAMS['chunks of one byte'];
+      answer = { first: `${first}${'1\r\nx\r\n'.repeat(bytes)}0\r\n\r\n`, repeated: '' };
+      const caller = net.connect({ host: entry.host, port: entry.port });
+      caller.write('POST / HTTP/1.1\r\nHost: test.example\r\nConnection: close\r\n\r\n');
+      let received = '';
+      caller.on('data', (data: Buffer) => {
+        received += data.toString();
+      });
+      await once(caller, 'end');
+      const body = received.slice(received.indexOf('\r\n\r\n'));
+      expect(body.replaceAll(/[^x]/g, '')).to.have.length(bytes);
+      expect(body.length).to.be.within(bytes, 1.1 * bytes);
+    });
     it('interim answers: the outcome tells how many', async () => {
       answer = FAULTY_ANSWERS['interim answers'];
       expect((await call()).text).to.include('more than 100 interim answers');
