Bound the lines before the bodies of answers of the own daemon

Callers of other services timed out, and the process took up to 194 MB, when 90 targets' answers had heads of very many short fields: undici counts only the characters of names and values, and keeps objects for each field, so a head of its 16,384 bytes has as many as 16,384 fields.

The meter counts the lines before a body, and closes the connection above 2000.

--- a/src/proxy/answer-meter.ts
+++ b/src/proxy/answer-meter.ts
@@ -44,6 +44,17 @@
 const MAX_PIECE_BYTES = 65_536;
 const MAX_PIECE_TIME_MS = 0.2;
 
+/**
+ * Lines before the body, of all heads together. The parser keeps an object for each field, whose
+ * name and value it counts without their framing.
+ */
+const MAX_LEAD_LINES = 2000;
+
+/** Pieces before the body are short, as their lines are counted when they have been handled. */
+const MAX_LEAD_PIECE_BYTES = 4096;
+
+const LINE_END = 0x0a;
+
 /** How long the input of one connection is handled before others get their turn, in milliseconds. */
 const MAX_TURN_MS = 0.5;
 
@@ -58,10 +69,18 @@
 /** Input that the parser handles; `startedAt` is undefined when it handles none. */
 interface Piece {
   readonly bytes: number;
+  /** Lines that end in it; counted only before the body. */
+  readonly lines: number;
   readonly startedAt: number | undefined;
 }
 
-const NO_PIECE: Piece = { bytes: 0, startedAt: undefined };
+const NO_PIECE: Piece = { bytes: 0, lines: 0, startedAt: undefined };
+
+function countLines(chunk: Buffer): number {
+  let lines = 0;
+  for (let at = chunk.indexOf(LINE_END); at >= 0; at = chunk.indexOf(LINE_END, at + 1)) lines += 1;
+  return lines;
+}
 
 /** Meters the answers on the connections of one client, which has one open at a time. */
 export class AnswerMeter implements Reader {
@@ -76,6 +95,8 @@
 
   #bodyBytes = 0;
 
+  #leadLines = 0;
+
   /** What the parser handles now, and since when. */
   #piece: Piece = NO_PIECE;
 
@@ -158,6 +179,7 @@
     this.#interimAnswers = 0;
     this.#received = 0;
     this.#bodyBytes = 0;
+    this.#leadLines = 0;
   }
 
   #recordHead(status: number): void {
@@ -184,16 +206,23 @@
       return null;
     }
     if (this.#mustWait()) return null;
-    const chunk = read(Math.min(readableLength, this.#maxPieceBytes));
-    this.#piece = { bytes: chunk?.length ?? 0, startedAt: this.options.clock.now() };
+    const isLead = this.#phase === 'lead';
+    const maxBytes = isLead ? MAX_LEAD_PIECE_BYTES : MAX_PIECE_BYTES;
+    const chunk = read(Math.min(readableLength, this.#maxPieceBytes, maxBytes));
+    this.#piece = {
+      ...{ bytes: chunk?.length ?? 0, startedAt: this.options.clock.now() },
+      lines: isLead && chunk !== null ? countLines(chunk) : 0,
+    };
     return chunk;
   }
 
   /** Records what the parser has handled, and how long that took. */
   #finishPiece(): void {
-    const { bytes, startedAt } = this.#piece;
+    const { bytes, lines, startedAt } = this.#piece;
     if (startedAt === undefined) return;
     this.#received += bytes;
+    // The lines of a piece in which the body begins may be those of the body.
+    if (this.#phase === 'lead') this.#leadLines += lines;
     const now = this.options.clock.now();
     const took = now - startedAt;
     this.#startWindow(now);
@@ -214,6 +243,9 @@
       case 'idle':
         return 'bytes that belong to no answer';
       case 'lead':
+        if (this.#leadLines > MAX_LEAD_LINES) {
+          return `more than ${MAX_LEAD_LINES} lines before the body`;
+        }
         return this.#received > leadBytes
           ? `more than ${leadBytes} bytes before the answer`
           : undefined;
--- a/test/answer-meter.test.ts
+++ b/test/answer-meter.test.ts
@@ -80,4 +80,28 @@
     expect(socket.destroyed).to.equal(true);
     expect(overruns).to.deep.equal(['bytes that belong to no answer']);
   });
+
+  // Guards against heads of very many short fields, each of which the parser keeps as an object.
+  it('closes a connection that sends very many lines before a body', () => {
+    const answer = meter.observe(handler);
+    const socket = open();
+    answer.onConnect?.(() => undefined);
+    for (let part = 0; part < 30; part += 1) {
+      socket.write('A:\r\n'.repeat(100));
+      read(socket);
+    }
+    expect(overruns).to.deep.equal(['more than 2000 lines before the body']);
+  });
+
+  it('counts no lines of a body', () => {
+    const answer = meter.observe(handler);
+    const socket = open();
+    answer.onConnect?.(() => undefined);
+    answer.onHeaders?.(200, [], () => undefined, 'OK');
+    for (let part = 0; part < 30; part += 1) {
+      socket.write('A:\r\n'.repeat(100));
+      answer.onData?.(Buffer.alloc(read(socket) ?? 0));
+    }
+    expect(overruns).to.deep.equal([]);
+  });
 });
