--- a/src/overload/index.ts
+++ b/src/overload/index.ts
@@ -5,7 +5,7 @@
   createAnswerGuard,
   findAnswerMemory,
 } from './answer-guard.js';
-export { ANSWER_LIMITS } from './answer-limits.js';
+export { ANSWER_LIMITS, type AnswerLimits } from './answer-limits.js';
 export { BodyBuffer } from './body-buffer.js';
 export { ConnectionGuard, type GuardOptions, MANY_FIELDS } from './connection-guard.js';
 export { type GuardClosure, MAX_PIPELINED_REQUESTS, hasBody } from './guarded-connection.js';
