Check that a datagram holds what it announces before it is decoded

What others saw: a datagram of five bytes to the port for other daemons, from anyone who reaches it, occupied 271 MB of the daemon; one of 40 bytes 1,874 MB in 1.7 s, and one of 60,000 bytes ended the process ("JavaScript heap out of memory" at 4 GB, 14 s after it came). A deployed daemon has 150 to 250 MB.

Cause: the MessagePack decoder allocates an array of the length that the input states before it has read any element, and does so for each list within a list.

Now a datagram is walked first, which allocates nothing: lists must hold as many values as they state, and may be eight deep (ours are four). So a datagram costs no more than its own bytes.

--- a/src/peering/datagram.ts
+++ b/src/peering/datagram.ts
@@ -7,6 +7,7 @@
 import { MAX_SLOWDOWN, MIN_SLOWDOWN } from '../platform/index.js';
 import type { KnownRevisions, ViewPosition } from '../view/index.js';
 import { type QuotaMessages, decodeQuotaMessages, encodeQuotaMessages } from './quota-datagram.js';
+import { isPackedWhole } from './packed-size.js';
 import type { MemberState, MemberStatus, Presence } from './roster.js';
 
 /** What a daemon reports of itself in each poll and each reply. */
@@ -439,6 +440,7 @@
 
 /** Decodes a datagram; undefined when the bytes are not a valid one. */
 export function decodeDatagram(bytes: Uint8Array): Datagram | undefined {
+  if (!isPackedWhole(bytes)) return undefined;
   let value: unknown;
   try {
     value = decode(bytes);
