Bound the answers of the store and of other daemons while they are read

What operators saw: a store or another daemon whose answer does not end fills the daemon's memory until the call's time-out.

Cause: every chunk was kept until the end, and the only limit was 64 MB after unpacking.

Each exchange now states the longest body that it reads: 2 MiB for one item of the store, 4 MiB for a page or a watch, 64 KiB for a lease, 8 MiB for what another daemon feeds, packed and unpacked alike.

BodyBuffer moves to the kernel, which may import nothing of src/overload; that one still exports it.

--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -12,6 +12,7 @@
 export * from './log.js';
 export * from './metrics.js';
 export * from './secret.js';
+export * from './body-buffer.js';
 export * from './http-exchange.js';
 export * from './json.js';
 export * from './request-url.js';
--- a/src/overload/index.ts
+++ b/src/overload/index.ts
@@ -1,5 +1,5 @@
 /** Bounds on what clients may make a process hold and do. */
-export { BodyBuffer } from './body-buffer.js';
+export { BodyBuffer } from '../kernel/index.js';
 export { ConnectionGuard, type GuardOptions, MANY_FIELDS } from './connection-guard.js';
 export { type GuardClosure, MAX_PIPELINED_REQUESTS, hasBody } from './guarded-connection.js';
 export { MemoryAccount, MemoryBudget, type MemoryOwner } from './memory-budget.js';
--- a/src/overload/piece-joiner.ts
+++ b/src/overload/piece-joiner.ts
@@ -1,6 +1,6 @@
 /** Streams a body whose pieces may be very short. */
 import { Transform, type TransformCallback } from 'node:stream';
-import { BodyBuffer } from './body-buffer.js';
+import { BodyBuffer } from '../kernel/index.js';
 
 /** Pieces are joined up to this size, in bytes. */
 const JOINED_PIECE_BYTES = 16_384;
--- a/src/peering/feed.ts
+++ b/src/peering/feed.ts
@@ -101,6 +101,12 @@
 /** The timeout of a fetch, after which another daemon or the store is asked. */
 const FETCH_TIMEOUT_MS = 600;
 
+/**
+ * The longest response, in bytes, packed or unpacked: 10,000 targets, 2,500 daemons and a
+ * configuration of 1 MiB take half of it.
+ */
+const MAX_RESPONSE_BYTES = 8_388_608;
+
 /**
  * With this many fetches in flight no other is started until the delay below has passed. The first
  * daemon may be frozen or cut off, so a second one is asked at once; more would only transfer the
@@ -240,7 +246,7 @@
       const reply = await exchangeHttp({
         ...{ agent: this.#agent, address: { host: ip, port: this.port }, method: 'GET' },
         path: `${PATH}?${query.join('&')}`,
-        timeout: FETCH_TIMEOUT_MS,
+        ...{ timeout: FETCH_TIMEOUT_MS, maxBodyBytes: MAX_RESPONSE_BYTES },
       });
       if (reply.kind !== 'reply' || reply.status !== 200) return false;
       const response = parseFeedResponse(reply.body);
--- a/src/platform/kv-store.ts
+++ b/src/platform/kv-store.ts
@@ -210,7 +210,14 @@
   return { kind: 'held', lease: String(lease), ttl };
 }
 
+/** The longest answers, in bytes. A value of 1 MiB takes 1.4 MB in base64. */
+const MAX_ITEM_ANSWER_BYTES = 2_097_152;
+const MAX_PAGE_BYTES = 4_194_304;
+const MAX_LEASE_ANSWER_BYTES = 65_536;
+
 interface CallOptions {
+  /** Longest answer, in bytes. */
+  readonly maxBytes?: number;
   readonly wait?: number;
   readonly body?: string;
   readonly method?: 'GET' | 'POST';
@@ -233,9 +240,12 @@
 
   function call(kind: string, path: string, options: CallOptions = {}) {
     callCounts[kind] = (callCounts[kind] ?? 0) + 1;
-    const { wait = 0, body, signal } = options;
+    const { wait = 0, body, signal, maxBytes: maxBodyBytes = MAX_ITEM_ANSWER_BYTES } = options;
     const method = options.method ?? (body === undefined ? 'GET' : 'POST');
-    return exchangeHttp({ agent, address, method, path, body, signal, timeout: timeout + wait });
+    return exchangeHttp({
+      ...{ agent, address, method, path, body, signal, maxBodyBytes },
+      timeout: timeout + wait,
+    });
   }
 
   return {
@@ -253,7 +263,9 @@
       const query = new URLSearchParams({ path_prefix: prefix });
       if (after !== '') query.set('after', after);
       if (allowStale) query.set('allow_stale', '1');
-      const reply = await call(allowStale ? 'range-stale' : 'range', `/kv-range?${query}`);
+      const reply = await call(allowStale ? 'range-stale' : 'range', `/kv-range?${query}`, {
+        maxBytes: MAX_PAGE_BYTES,
+      });
       if (reply.kind !== 'reply' || reply.status !== OK) return interpretFailure(reply);
       const { items: listed, truncated, store_revision: storeRevision } = readFields(reply.body);
       const items = decodeList(listed, decodeItem);
@@ -264,7 +276,9 @@
       const query = new URLSearchParams({ path_prefix: prefix });
       query.set('after', String(after));
       query.set('wait_ms', String(Math.round(wait)));
-      const reply = await call('watch', `/kv-watch?${query}`, { wait, signal });
+      const reply = await call('watch', `/kv-watch?${query}`, {
+        ...{ wait, signal, maxBytes: MAX_PAGE_BYTES },
+      });
       if (reply.kind === 'reply' && reply.status === HISTORY_GONE) return { kind: 'history-gone' };
       if (reply.kind !== 'reply' || reply.status !== OK) return interpretFailure(reply);
       const { events: listed, store_revision: storeRevision } = readFields(reply.body);
@@ -290,11 +304,14 @@
     },
     async grantLease(ttl) {
       const body = JSON.stringify({ ttl_ms: Math.round(ttl) });
-      return interpretLease(await call('lease', '/kv-lease', { body }));
+      return interpretLease(
+        await call('lease', '/kv-lease', { body, maxBytes: MAX_LEASE_ANSWER_BYTES }),
+      );
     },
     async renewLease(lease) {
       const path = `/kv-keep/${encodeURIComponent(lease)}`;
-      return interpretLease(await call('renewal', path, { method: 'POST' }));
+      const maxBytes = MAX_LEASE_ANSWER_BYTES;
+      return interpretLease(await call('renewal', path, { method: 'POST', maxBytes }));
     },
     counts: () => ({ ...callCounts }),
     close: () => agent.destroy(),
