Give up a list of the store that does not come to an end

An empty page with `truncated` was taken as the end of the whole list, so that the targets that the list lacks were removed.

Cause: both loops over pages had no limit, and took a page without items as the end.

The gateway keeps of each item only what it needs, so a page can be freed when it is read.

A watch whose changes exceed the longest answer would fail again each time: then everything is read, in pages (`store.too-long`), with the back-off between.

--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -11,3 +11,4 @@
 export * from './documents.js';
 export { computeKeyDigest, isKeyDigest, mayHoldKeys, replaceKeys } from './organisations.js';
 export * from './kv-store.js';
+export * from './read-pages.js';
--- a/src/platform/kv-platform.ts
+++ b/src/platform/kv-platform.ts
@@ -9,6 +9,7 @@
   VmsResult,
   WriteResult,
 } from './platform.js';
+import { readAllItems } from './read-pages.js';
 import { KEYS } from './wire.js';
 
 /** How long a watch waits while nothing changes, in milliseconds; the store allows up to 30,000. */
@@ -50,21 +51,10 @@
   }
 }
 
-/**
- * Reads all pages under a prefix. `revision` is the store's revision when the first page was read.
- */
-async function readAllPages(store: KvStore, prefix: string) {
-  const items: StoredItem[] = [];
-  let revision: number | undefined;
-  for (let after = ''; ;) {
-    const page = await store.readItems(prefix, after, false);
-    if (page.kind !== 'items') return makeUnavailable(page);
-    items.push(...page.items);
-    revision ??= page.storeRevision;
-    const last = page.items.at(-1);
-    if (!page.hasMore || last === undefined) return { kind: 'all', items, revision } as const;
-    after = last.key;
-  }
+/** Reads everything under a prefix. */
+async function readRange(store: KvStore, prefix: string) {
+  const all = await readAllItems(store, { prefix, allowsStale: false, keep: (item) => item });
+  return all.kind === 'all' ? all : makeUnavailable(all);
 }
 
 function parseVm(item: StoredItem): readonly Vm[] {
@@ -86,7 +76,7 @@
       return { kind: 'found', item: makeStoredValue(answer.item) };
     },
     async range(prefix) {
-      const all = await readAllPages(store, prefix);
+      const all = await readRange(store, prefix);
       if (all.kind !== 'all') return all;
       return { kind: 'items', items: all.items.map(makeStoredValue), version: all.revision };
     },
@@ -105,6 +95,7 @@
           if (answer.events.length === 0) return { kind: 'quiet' };
           return { kind: 'changed', version: answer.storeRevision };
         case 'history-gone':
+        case 'too-long':
           return { kind: 'gap' };
         case 'not-done':
         case 'unknown':
@@ -114,7 +105,7 @@
       }
     },
     async vms(): Promise<VmsResult> {
-      const all = await readAllPages(store, KEYS.vms);
+      const all = await readRange(store, KEYS.vms);
       return all.kind === 'all' ? { kind: 'vms', vms: all.items.flatMap(parseVm) } : all;
     },
     close: () => store.close(),
--- a/src/platform/kv-store.ts
+++ b/src/platform/kv-store.ts
@@ -51,7 +51,10 @@
   readonly hasMore: boolean;
 }
 
-/** The outcome of a watch. After `history-gone` the items must be read again. */
+/**
+ * The outcome of a watch. The items must be read again after `history-gone`, and after `too-long`: the
+ * changes are more than one answer may hold.
+ */
 export type WatchAnswer =
   | {
       readonly kind: 'events';
@@ -59,6 +62,7 @@
       readonly storeRevision: number;
     }
   | { readonly kind: 'history-gone' }
+  | { readonly kind: 'too-long'; readonly reason: string }
   | NotApplied
   | OutcomeUnknown;
 
@@ -279,6 +283,9 @@
       const reply = await call('watch', `/kv-watch?${query}`, {
         ...{ wait, signal, maxBytes: MAX_PAGE_BYTES },
       });
+      if (reply.kind === 'failure' && reply.cause === 'too-long') {
+        return { kind: 'too-long', reason: reply.reason };
+      }
       if (reply.kind === 'reply' && reply.status === HISTORY_GONE) return { kind: 'history-gone' };
       if (reply.kind !== 'reply' || reply.status !== OK) return interpretFailure(reply);
       const { events: listed, store_revision: storeRevision } = readFields(reply.body);
--- a/src/view/store-reader.ts
+++ b/src/view/store-reader.ts
@@ -9,12 +9,16 @@
  */
 import type { Clock, Log, Random } from '../kernel/index.js';
 import {
+  type AllItems,
+  type DecodeFault,
   KEYS,
   type KvReader,
   type StoreEvent,
   type StoredItem,
+  type TargetRecord,
   decodeEvacuation,
   decodeTarget,
+  readAllItems,
 } from '../platform/index.js';
 import type { FleetView } from './fleet-view.js';
 
@@ -63,6 +67,26 @@
   readonly due: number;
 }
 
+/** A target's entry as it was read. */
+interface ReadTarget {
+  readonly incarnation: string;
+  readonly record: TargetRecord | DecodeFault;
+  readonly revision: number;
+}
+
+function readTarget({ key, text, revision }: StoredItem): ReadTarget {
+  const incarnation = key.slice(KEYS.targets.length);
+  return { incarnation, record: decodeTarget(incarnation, text), revision };
+}
+
+/** Keeps the text of the configuration only; of other keys, the name is all that counts. */
+function keepConfiguration(item: StoredItem): StoredItem {
+  return item.key === KEYS.configuration ? item : { ...item, text: '' };
+}
+
+/** What came of a watch, or of reading everything. */
+type ReadOutcome = 'read' | 'too-long' | 'failed';
+
 /** Exponential back-off with jitter. */
 class Backoff {
   #failures = 0;
@@ -136,12 +160,13 @@
         continue;
       }
       const startedAt = clock.now();
-      const hasRead = await this.#readChanges();
-      if (hasRead) {
+      const outcome = await this.#readChanges();
+      if (outcome === 'read') {
         backoff.clear();
         await clock.sleep(Math.max(0, startedAt + MIN_WATCH_INTERVAL_MS - clock.now()), signal);
       } else {
-        this.#recordFailure();
+        // A store whose watches are all too long would else be read whole, again and again.
+        if (outcome === 'failed') this.#recordFailure();
         await clock.sleep(backoff.next(), signal);
       }
     }
@@ -153,14 +178,11 @@
     return Math.max(1, Math.min(interval, getReadDelay()));
   }
 
-  /**
-   * Reads the changes by one watch, or everything where that is needed; false when the store did
-   * not answer.
-   */
-  async #readChanges(): Promise<boolean> {
+  /** Reads the changes by one watch, or everything where that is needed. */
+  async #readChanges(): Promise<ReadOutcome> {
     const { store, view, clock, log } = this.options;
     const after = Math.max(this.#afterRevision, Math.min(view.known.targets, view.known.operators));
-    if (after === 0) return this.#readAll(false);
+    if (after === 0) return (await this.#readAll(false)) ? 'read' : 'failed';
     const startedAt = clock.now();
     const timeout = this.#chooseWatchTimeout(startedAt);
     const answer = await store.watch(KEYS.all, after, timeout);
@@ -180,14 +202,17 @@
         // Without events the store answered at the end of the wait; with events, at an unknown
         // time.
         this.#recordProof(answer.events.length === 0 ? startedAt + timeout : startedAt);
-        return true;
+        return 'read';
       case 'history-gone':
         log.warn('store.history-gone', { after });
-        return this.#readAll(false);
+        return (await this.#readAll(false)) ? 'read' : 'failed';
+      case 'too-long':
+        log.warn('store.too-long', { after, reason: answer.reason });
+        return (await this.#readAll(false)) ? 'too-long' : 'failed';
       case 'not-done':
       case 'unknown':
         log.warn('store.unanswered', { call: 'watch', reason: answer.reason, took });
-        return false;
+        return 'failed';
       default:
         return answer satisfies never;
     }
@@ -233,11 +258,11 @@
    */
   async #readAllTargets(allowsStale: boolean): Promise<number | undefined> {
     const { view } = this.options;
-    const items = await this.#readItems(KEYS.targets, allowsStale);
+    const items = await this.#readItems(KEYS.targets, allowsStale, readTarget);
     if (items === undefined) return undefined;
     const seen = new Set<string>();
-    for (const item of items.listed) {
-      seen.add(item.key.slice(KEYS.targets.length));
+    for (const item of items.items) {
+      seen.add(item.incarnation);
       // The next watch returns the changes since the first page in order. Applying a later one
       // first would move the view's position past the earlier ones, and other daemons would never
       // fetch those.
@@ -251,26 +276,17 @@
     return items.revision;
   }
 
-  /** Reads all pages of a prefix; `revision` is the store revision of the first page. */
-  async #readItems(
+  /** Reads everything under a prefix; undefined when the store did not answer. */
+  async #readItems<T>(
     prefix: string,
     allowsStale: boolean,
-  ): Promise<{ readonly listed: readonly StoredItem[]; readonly revision: number } | undefined> {
+    keep: (item: StoredItem) => T,
+  ): Promise<AllItems<T> | undefined> {
     const { store, log } = this.options;
-    const listed: StoredItem[] = [];
-    let revision: number | undefined;
-    for (let after = ''; ;) {
-      const page = await store.readItems(prefix, after, allowsStale);
-      if (page.kind !== 'items') {
-        log.warn('store.unanswered', { call: 'range', prefix, reason: page.reason });
-        return undefined;
-      }
-      revision ??= page.storeRevision;
-      listed.push(...page.items);
-      const last = page.items.at(-1);
-      if (!page.hasMore || last === undefined) return { listed, revision };
-      after = last.key;
-    }
+    const answer = await readAllItems(store, { prefix, allowsStale, keep });
+    if (answer.kind === 'all') return answer;
+    log.warn('store.unanswered', { call: 'range', prefix, reason: answer.reason });
+    return undefined;
   }
 
   #applyEvent(event: StoreEvent): Promise<void> | undefined {
@@ -281,28 +297,26 @@
   }
 
   #applyTargetEvent(event: StoreEvent): void {
-    if (event.kind === 'written') this.#applyTarget(event.item);
+    if (event.kind === 'written') this.#applyTarget(readTarget(event.item));
     else this.#applyRemoval(event.key, event.revision);
   }
 
-  #applyTarget(item: StoredItem): void {
+  #applyTarget({ incarnation, record, revision }: ReadTarget): void {
     const { view, clock, log } = this.options;
-    const incarnation = item.key.slice(KEYS.targets.length);
-    const record = decodeTarget(incarnation, item.text);
     this.#pendingRemovals.delete(incarnation);
     if ('kind' in record) {
       // An entry that can't be decoded names no usable target. Logged once, until it can be decoded
       // again.
       if (!this.#unreadableTargets.has(incarnation)) {
         const { what, expected } = record;
-        log.warn('target.unreadable', { incarnation, what, expected, revision: item.revision });
+        log.warn('target.unreadable', { incarnation, what, expected, revision });
       }
       this.#unreadableTargets.add(incarnation);
-      view.removeTarget(incarnation, item.revision);
+      view.removeTarget(incarnation, revision);
       return;
     }
     this.#unreadableTargets.delete(incarnation);
-    view.putTarget(record, item.revision, clock.now());
+    view.putTarget(record, revision, clock.now());
   }
 
   /**
@@ -354,11 +368,11 @@
    * answer.
    */
   async #readAllOperatorKeys(allowsStale: boolean): Promise<number | undefined> {
-    const items = await this.#readItems(KEYS.operators, allowsStale);
+    const items = await this.#readItems(KEYS.operators, allowsStale, keepConfiguration);
     if (items === undefined) return undefined;
-    await Promise.all(items.listed.map((item) => this.#applyConfiguration(item)));
+    await Promise.all(items.items.map((item) => this.#applyConfiguration(item)));
     // Later pages may be newer than the first; the next watch repeats what changed since the first.
-    const domains = this.#listDomains(items.listed.map(({ key }) => key));
+    const domains = this.#listDomains(items.items.map(({ key }) => key));
     this.options.view.setEvacuations({ domains, revision: items.revision });
     return items.revision;
   }
