Keep a bounded number of targets, names and notes of a store

Names, records and the keys that could not be read had no limit.

Cause: the view, the lists of unreadable keys, removals that wait and evacuated domains only grow.

Now the view keeps 10,000 targets and 16 Mi characters of names; a further one is refused, which is logged once until there is room again (`targets.full`), and the known ones go on and change. A record of more than 65,536 characters or a name of more than 4,096 is unreadable like any other wrong one, and says so. 1,000 unreadable keys, 10,000 waiting removals and 1,000 evacuated domains are kept.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -247,6 +247,7 @@
         log.error('configuration.unreadable', { what: problem });
         this.#metrics.count('configuration_unreadable', {});
       },
+      onFull: (incarnation, kept) => log.error('targets.full', { incarnation, kept }),
     });
     this.#readerRole = new ReaderRole(
       clock,
--- a/src/platform/documents.ts
+++ b/src/platform/documents.ts
@@ -238,25 +238,42 @@
   };
 }
 
+/** The longest record of a target, and the longest name in it, in characters. */
+const MAX_RECORD_LENGTH = 65_536;
+const MAX_NAME_LENGTH = 4096;
+
+function checkLength(text: string, what: string, max: number): string {
+  if (text.length <= max) return text;
+  throw new DecodeError(`${what} of ${text.length} characters`, `at most ${max}`);
+}
+
+/** Reads one of the names in a target's record. */
+function readName(value: unknown, what: string): string {
+  return checkLength(readText(value, what), what, MAX_NAME_LENGTH);
+}
+
 /**
  * Decodes the record that a target keeps under its own key. The text may have been written by
  * anybody.
  */
 export function decodeTarget(incarnation: string, text: string): TargetRecord | DecodeFault {
-  return decode(text, (document) => {
+  const isTooLong = text.length > MAX_RECORD_LENGTH;
+  return decode(isTooLong ? '{}' : text, (document) => {
+    checkLength(text, 'record', MAX_RECORD_LENGTH);
+    checkLength(incarnation, 'key', MAX_NAME_LENGTH);
     const info = readObject(document.info, 'info');
     const status = readObject(document.status, 'status');
     const address = parseAddress(readText(document.address, 'address'));
     if (address === undefined) throw new DecodeError('address', 'a.b.c.d:port');
     return {
       ...{ incarnation, address },
-      service: readText(info.service, 'service'),
-      domain: readText(info.zone, 'zone'),
+      service: readName(info.service, 'service'),
+      domain: readName(info.zone, 'zone'),
       slots: readInteger(info.slots, 'slots', 1),
       state: readState(status.state),
       coldLeft: Math.max(0, readNumber(status.warmup_left_ms ?? 0, 'warmup_left_ms')),
       born: readInteger(document.born ?? 0, 'born', 0),
-      release: typeof info.version === 'string' ? info.version : undefined,
+      release: typeof info.version === 'string' ? readName(info.version, 'version') : undefined,
     };
   });
 }
--- a/src/view/fleet-view.ts
+++ b/src/view/fleet-view.ts
@@ -87,6 +87,20 @@
    * not.
    */
   onFault(what: string): void;
+  /** There is no room for a target; called once until there is room again. */
+  onFull?(incarnation: string, targets: number): void;
+}
+
+/** Targets that are kept, and the characters of their names; further targets get no requests. */
+const MAX_TARGETS = 10_000;
+const MAX_NAME_CHARACTERS = 16_777_216;
+
+/** No target has a longer name, in characters. */
+const MAX_NAME_LENGTH = 4096;
+
+function countCharacters({ incarnation, service, domain, release, address }: TargetRecord): number {
+  const names = [incarnation, service, domain, release ?? '', address.host];
+  return names.reduce((sum, name) => sum + name.length, 0);
 }
 
 /** Removals kept for daemons that ask what changed: a history of some minutes. */
@@ -125,6 +139,11 @@
 
   readonly #targets = new Map<string, ListedTarget>();
 
+  /** The characters of the names of all targets. */
+  #characters = 0;
+
+  #isFull = false;
+
   #removed: readonly RemovedTarget[] = [];
 
   /** The revision of each kept removal, by incarnation. */
@@ -262,6 +281,7 @@
    */
   putTarget(record: TargetRecord, revision: number, now: number): void {
     const { incarnation } = record;
+    if (incarnation.length > MAX_NAME_LENGTH) return;
     if (revision <= (this.#removedAt.get(incarnation) ?? 0)) return;
     const known = this.#targets.get(incarnation);
     if (known !== undefined && revision <= known.revision) return;
@@ -273,14 +293,30 @@
       this.#targets.set(incarnation, { ...known, coldUntil });
       return;
     }
+    if (!this.#takeRoom(record, known?.record)) return;
     this.#targets.set(incarnation, { record, revision, coldUntil });
     this.#removedAt.delete(incarnation);
     this.#advanceTargets(revision);
     this.listener.onTarget(incarnation, record, revision);
   }
 
+  /** Takes the room of a record in place of a former one; false when there is too little. */
+  #takeRoom(record: TargetRecord, former: TargetRecord | undefined): boolean {
+    const freed = former === undefined ? 0 : countCharacters(former);
+    const characters = this.#characters - freed + countCharacters(record);
+    const isNewTooMany = former === undefined && this.#targets.size >= MAX_TARGETS;
+    if (!isNewTooMany && characters <= MAX_NAME_CHARACTERS) {
+      this.#characters = characters;
+      return true;
+    }
+    if (!this.#isFull) this.listener.onFull?.(record.incarnation, this.#targets.size);
+    this.#isFull = true;
+    return false;
+  }
+
   /** Removes a target whose entry the store no longer holds. */
   removeTarget(incarnation: string, revision: number): void {
+    if (incarnation.length > MAX_NAME_LENGTH) return;
     const known = this.#targets.get(incarnation);
     if (known !== undefined && revision <= known.revision) return;
     if (revision <= (this.#removedAt.get(incarnation) ?? 0)) return;
@@ -288,7 +324,10 @@
     this.#removed = [...this.#removed, { incarnation, revision }];
     if (this.#removed.length > MAX_REMOVED_TARGETS) this.#trimRemoved();
     this.#advanceTargets(revision);
-    if (!this.#targets.delete(incarnation)) return;
+    if (known === undefined) return;
+    this.#targets.delete(incarnation);
+    this.#characters -= countCharacters(known.record);
+    this.#isFull = false;
     this.listener.onTarget(incarnation, undefined, revision);
   }
 
--- a/src/view/store-reader.ts
+++ b/src/view/store-reader.ts
@@ -62,6 +62,28 @@
 /** Entries whose leases lapsed in an outage are written again within this time, or stay removed. */
 const LAPSE_GRACE_MS = 1900;
 
+/** Entries that can't be decoded, and removals that wait, of which this many are kept. */
+const MAX_UNREADABLE = 1000;
+const MAX_PENDING_REMOVALS = 10_000;
+
+/** Characters of a key that are logged. */
+const MAX_LOGGED_KEY = 256;
+
+/** Failure domains that may be evacuated at once. */
+const MAX_EVACUATED_DOMAINS = 1000;
+
+const TOO_MANY_DOMAINS = {
+  what: 'further failure domains',
+  expected: `at most ${MAX_EVACUATED_DOMAINS}`,
+};
+
+/** Keeps a key. When there are too many, the oldest one is dropped, and may be logged again. */
+function addBounded(keys: Set<string>, key: string): void {
+  const [oldest] = keys;
+  if (keys.size >= MAX_UNREADABLE && oldest !== undefined) keys.delete(oldest);
+  keys.add(key);
+}
+
 interface PendingRemoval {
   readonly revision: number;
   readonly due: number;
@@ -309,9 +331,11 @@
       // again.
       if (!this.#unreadableTargets.has(incarnation)) {
         const { what, expected } = record;
-        log.warn('target.unreadable', { incarnation, what, expected, revision });
+        log.warn('target.unreadable', {
+          ...{ incarnation: incarnation.slice(0, MAX_LOGGED_KEY), what, expected, revision },
+        });
       }
-      this.#unreadableTargets.add(incarnation);
+      addBounded(this.#unreadableTargets, incarnation);
       view.removeTarget(incarnation, revision);
       return;
     }
@@ -327,7 +351,7 @@
     const incarnation = key.slice(KEYS.targets.length);
     this.#unreadableTargets.delete(incarnation);
     const now = this.options.clock.now();
-    if (now < this.#lapseGraceUntil) {
+    if (now < this.#lapseGraceUntil && this.#pendingRemovals.size < MAX_PENDING_REMOVALS) {
       this.#pendingRemovals.set(incarnation, { revision, due: this.#lapseGraceUntil });
       return;
     }
@@ -386,7 +410,10 @@
       const domain = this.#readDomain(key);
       if (domain !== undefined) domains.push(domain);
     }
-    return domains;
+    if (domains.length > MAX_EVACUATED_DOMAINS) {
+      this.options.log.warn('evacuation.unreadable', TOO_MANY_DOMAINS);
+    }
+    return domains.slice(0, MAX_EVACUATED_DOMAINS);
   }
 
   #readDomain(key: string): string | undefined {
@@ -397,12 +424,12 @@
       const { what, expected } = domain;
       this.options.log.warn('evacuation.unreadable', { what, expected });
     }
-    this.#unreadableKeys.add(key);
+    addBounded(this.#unreadableKeys, key);
     return undefined;
   }
 
   #applyOperatorEvent(event: StoreEvent): Promise<void> | undefined {
-    const { view } = this.options;
+    const { view, log } = this.options;
     const isWritten = event.kind === 'written';
     if (isWritten && event.item.key === KEYS.configuration) {
       return this.#applyConfiguration(event.item);
@@ -414,6 +441,10 @@
     const domain = this.#readDomain(key);
     if (domain === undefined) return undefined;
     const others = view.evacuations.domains.filter((known) => known !== domain);
+    if (isWritten && others.length >= MAX_EVACUATED_DOMAINS) {
+      log.warn('evacuation.unreadable', TOO_MANY_DOMAINS);
+      return undefined;
+    }
     view.setEvacuations({ domains: isWritten ? [...others, domain] : others, revision });
     return undefined;
   }
--- a/test/endless-store.test.ts
+++ b/test/endless-store.test.ts
@@ -6,7 +6,13 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { expect } from 'chai';
 import { type LogFields, createSeededRandom, createSystemClock } from '../src/kernel/index.js';
-import { KEYS, type KvStore, createKvPlatform, createKvStore } from '../src/platform/index.js';
+import {
+  KEYS,
+  type KvStore,
+  createKvPlatform,
+  createKvStore,
+  decodeTarget,
+} from '../src/platform/index.js';
 import { type FleetView, StoreReader } from '../src/view/index.js';
 import { writeConfiguration, writeTarget } from '../src/standin/index.js';
 import { waitUntil } from './helpers/fleet.js';
@@ -220,5 +226,39 @@
       await pause(2000);
       expect(server.watchCalls).to.be.within(1, 2 * MAX_CALLS_PER_SECOND);
     });
+    // Guards against a daemon that keeps every name that it is told of.
+    it('keeps the targets that it knows, and as many further ones as it has room for', async () => {
+      let full = 0;
+      view = createView({
+        onFull: () => {
+          full += 1;
+        },
+      });
+      const record = decodeTarget('known', writeTarget(ADDRESS));
+      if ('kind' in record) throw new Error(record.what);
+      view.putTarget(record, 1, 0);
+      const before = readMemory();
+      for (let index = 2; index < 60_000; index += 1) {
+        const incarnation = Buffer.from(`i-${index}-${'x'.repeat(4000)}`).toString();
+        view.putTarget({ ...record, incarnation }, index, 0);
+        if (index % 2 === 0) view.removeTarget(Buffer.from(`j${incarnation}`).toString(), index);
+      }
+      expect(readMemory() - before).to.be.lessThan(2 * MAX_GROWTH_MB);
+      expect(full).to.equal(1);
+      expect(view.listTargets()[0]?.record.incarnation).to.equal('known');
+      view.putTarget({ ...record, state: 'draining' }, 60_001, 0);
+      expect(view.listTargets()[0]?.record.state).to.equal('draining');
+    });
+    it('takes no record or name that is too long', () => {
+      const long = 'x'.repeat(5000);
+      for (const [key, text] of [
+        ['i', writeTarget(ADDRESS, { service: long })],
+        ['i', writeTarget(ADDRESS, { version: long })],
+        [long, writeTarget(ADDRESS)],
+        ['i', writeTarget(ADDRESS) + ' '.repeat(70_000)],
+      ] as const) {
+        expect(decodeTarget(key, text)).to.have.property('expected').that.includes('at most');
+      }
+    });
   });
 });
--- a/test/helpers/targets.ts
+++ b/test/helpers/targets.ts
@@ -2,16 +2,17 @@
 import { WindowBudget, planReachTimes } from '../../src/balance/index.js';
 import { TargetSet } from '../../src/gateway/targets/target-set.js';
 import { type Clock, createSeededRandom, openTcpSocket } from '../../src/kernel/index.js';
-import { FleetView } from '../../src/view/index.js';
+import { FleetView, type ViewListener } from '../../src/view/index.js';
 import { noopListener } from './listener.js';
 
 /** Creates an empty fleet view. */
-export function createView(): FleetView {
+export function createView(listener: Pick<ViewListener, 'onFull'> = {}): FleetView {
   return new FleetView({
     onTable: () => undefined,
     onTarget: () => undefined,
     onEvacuations: () => undefined,
     onFault: () => undefined,
+    ...listener,
   });
 }
 
