--- a/src/overload/index.ts
+++ b/src/overload/index.ts
@@ -6,7 +6,7 @@
   findAnswerMemory,
 } from './answer-guard.js';
 export { ANSWER_LIMITS, type AnswerLimits } from './answer-limits.js';
-export { BodyBuffer } from './body-buffer.js';
+export { BodyBuffer } from '../kernel/index.js';
 export { ConnectionGuard, type GuardOptions, MANY_FIELDS } from './connection-guard.js';
 export { type GuardClosure, MAX_PIPELINED_REQUESTS, hasBody } from './guarded-connection.js';
 export { MemoryAccount, MemoryBudget, type MemoryOwner } from './memory-budget.js';
