Take memory from requests that were not passed on, and refuse them

Callers saw: connections that were closed with requests that a target was at work on, or that waited, when a process held too much for its callers.

Cause: the guard of memory closed the connections that held the most, whatever their requests had come to; it refused a request only while its body was read, and only if it was alone on its connection.

Evidence: two requests at a target while 140 half heads hold the memory of a small machine: before, no answer to them; three connections with six uploads each: before, they were closed. Both tests fail on the code before and pass now.

Now requests that wait behind others, for the processor or for a target are refused with 503 first, where they hold half of the mean or more, and connections with requests that were passed on are closed last. A caller that leaves its answers unread is not spared.

--- a/src/balance/wait-queue.ts
+++ b/src/balance/wait-queue.ts
@@ -158,9 +158,9 @@
     this.#entries.set(call, { call, isAdmittedInTime, rank: RANKS.uncertain });
   }
 
-  /** Removes a call: it starts, its caller has left, or it is abandoned. */
-  remove(call: C): void {
-    this.#entries.delete(call);
+  /** Removes a call: it starts, its caller has left, or it is abandoned. Returns whether it waited. */
+  remove(call: C): boolean {
+    return this.#entries.delete(call);
   }
 
   /** Lists the calls in the order of their turns. */
--- a/src/gateway/carrying/carrying.ts
+++ b/src/gateway/carrying/carrying.ts
@@ -140,6 +140,7 @@
     const isRepeatable = request.route.kind === 'repeatable';
     progress.ledger.recordSent();
     recordForwarded(this.response);
+    memory?.recordForwarded();
     this.#running = startCarriedAttempt(
       carrier,
       { requestId, method, path, headers, body, memory },
--- a/src/gateway/requests/backlog.ts
+++ b/src/gateway/requests/backlog.ts
@@ -146,6 +146,11 @@
     this.#schedule();
   }
 
+  /** Removes a request that is answered otherwise; returns whether it waited. */
+  remove(call: BacklogCall): boolean {
+    return this.#queue.remove(call);
+  }
+
   /** Refuses all waiting requests, as this daemon stops. */
   refuseAll(wait: number): void {
     for (const call of [...this.#queue.list()]) {
--- a/src/gateway/requests/call-dispatch.ts
+++ b/src/gateway/requests/call-dispatch.ts
@@ -6,7 +6,7 @@
 import { type CallPath, chooseCallPath } from '../../balance/index.js';
 import { Carrying, type CarryingContext } from '../carrying/carrying.js';
 import { CallProgress } from './call-progress.js';
-import { Forwarding } from './forwarding.js';
+import { Forwarding, type WaitingEnd } from './forwarding.js';
 import type { ForwardingContext, RoutedRequest } from './routed-request.js';
 import { RequestLog } from './request-log.js';
 import { type UnservedAnswer, sendUnservedAnswer } from './unserved-answer.js';
@@ -38,9 +38,9 @@
 export class CallDispatch {
   readonly #progress: CallProgress;
 
-  #stage: { cancel(): void; stopWaiting(): void } | undefined;
+  #stage: { cancel(): void; stopWaiting(reason: WaitingEnd): void } | undefined;
 
-  #isWaitingOver = false;
+  #waitingEnd: WaitingEnd | undefined;
 
   constructor(
     private readonly context: DispatchContext,
@@ -57,10 +57,10 @@
     this.#stage?.cancel();
   }
 
-  /** Gives the call up as soon as it is at no target, because this daemon is about to end. */
-  stopWaiting(): void {
-    this.#isWaitingOver = true;
-    this.#stage?.stopWaiting();
+  /** Gives the call up as soon as it is at no target. */
+  stopWaiting(reason: WaitingEnd): void {
+    this.#waitingEnd = reason;
+    this.#stage?.stopWaiting(reason);
   }
 
   /**
@@ -82,8 +82,8 @@
       return;
     }
     for (;;) {
-      if (this.#isWaitingOver) {
-        this.#refuse('stopping');
+      if (this.#waitingEnd !== undefined) {
+        this.#refuse(this.#waitingEnd);
         return;
       }
       const path = this.#choosePath();
@@ -138,7 +138,7 @@
     return carrying.run();
   }
 
-  #refuse(reason: 'unreached' | 'no-retry-left' | 'stopping'): void {
+  #refuse(reason: 'unreached' | 'no-retry-left' | WaitingEnd): void {
     const { response, context } = this;
     const { counts, metrics } = context;
     const { id, service } = this.request;
--- a/src/gateway/requests/caller-server.ts
+++ b/src/gateway/requests/caller-server.ts
@@ -5,7 +5,11 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Address, Clock, Log, LogFields, TextMetrics } from '../../kernel/index.js';
-import type { ConnectionGuard, GatewayListener } from '../../overload/index.js';
+import {
+  type ConnectionGuard,
+  type GatewayListener,
+  findRequestMemory,
+} from '../../overload/index.js';
 import { type ServerProtection, createGuard } from '../../proxy/guarded-server.js';
 import { UnreadBodies } from '../../proxy/unread-body.js';
 import { HEADERS, readHeader } from '../../platform/index.js';
@@ -15,6 +19,7 @@
 import { ClosingAnswers } from './closing-answers.js';
 import { OpenRequests } from './open-requests.js';
 import { PipelinedRequests } from './pipelined-requests.js';
+import { NO_MEMORY_ANSWER } from './request-reader.js';
 
 /** Dependencies of the listener. */
 export interface CallerServerOptions {
@@ -305,8 +310,13 @@
       this.#acceptMarks.get(socket),
     );
     this.#acceptMarks.delete(socket);
-    this.#pipelinedRequests.add(socket, response, () =>
-      this.options.serve(request, response, estimatedArrivalAt),
-    );
+    const memory = findRequestMemory(request);
+    if (memory !== undefined) {
+      memory.onEvict = () => writeLocalAnswer(response, id, NO_MEMORY_ANSWER);
+    }
+    this.#pipelinedRequests.add(socket, response, () => {
+      if (memory !== undefined) memory.onEvict = undefined;
+      this.options.serve(request, response, estimatedArrivalAt);
+    });
   }
 }
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -50,8 +50,8 @@
   | { readonly kind: 'look' }
   | { readonly kind: 'targets-lost' }
   | { readonly kind: 'slow-upload' }
-  /** The daemon is about to end. */
-  | { readonly kind: 'stopping' }
+  /** Nothing but a running attempt may answer the call any more. */
+  | { readonly kind: 'waiting-over' }
   | { readonly kind: 'deadline' }
   | { readonly kind: 'gone' };
 
@@ -83,7 +83,10 @@
 type LossOutcome = Extract<AttemptOutcome, { kind: 'lost' | 'full' }>;
 
 /** Why a request ends without a target's answer. */
-type GiveUpReason = PlacementRefusal | 'timeout' | 'lost' | 'poison' | 'slow-upload' | 'stopping';
+type GiveUpReason = PlacementRefusal | 'timeout' | 'lost' | 'poison' | 'slow-upload' | WaitingEnd;
+
+/** Why a call that is at no target is given up: the daemon is about to end, or holds too much. */
+export type WaitingEnd = 'stopping' | 'no-memory';
 
 /** How forwarding ended: the call was answered or given up, or no target can be reached from here. */
 export type ForwardingEnd = 'finished' | 'unreached';
@@ -118,8 +121,8 @@
 
   #isFinished = false;
 
-  /** Whether no other attempt is started. */
-  #isWaitingOver = false;
+  /** Why no other attempt is started; undefined while one may be. */
+  #waitingEnd: WaitingEnd | undefined;
 
   /** Whether the call leaves for another path. */
   #isLeaving = false;
@@ -186,9 +189,9 @@
   }
 
   /** Gives the request up, now or when its running attempts have failed. */
-  stopWaiting(): void {
-    this.#isWaitingOver = true;
-    this.#pushEvent({ kind: 'stopping' });
+  stopWaiting(reason: WaitingEnd): void {
+    this.#waitingEnd = reason;
+    this.#pushEvent({ kind: 'waiting-over' });
   }
 
   async #handleEvents(): Promise<void> {
@@ -210,8 +213,8 @@
         case 'targets-lost':
           this.#handleTargetsLost();
           break;
-        case 'stopping':
-          if (this.#runningAttempts.size === 0) this.#giveUp('stopping');
+        case 'waiting-over':
+          if (this.#runningAttempts.size === 0) this.#giveUp(this.#waitingEnd ?? 'stopping');
           break;
         case 'slow-upload':
           this.context.metrics.count('uploads_too_slow', { service: this.request.service.name });
@@ -247,7 +250,7 @@
       case 'look':
       case 'targets-lost':
       case 'slow-upload':
-      case 'stopping':
+      case 'waiting-over':
         return true;
       case 'deadline':
       case 'gone':
@@ -276,8 +279,8 @@
   #askForTarget(): void {
     const { request } = this;
     const { clock } = this.context;
-    if (this.#isWaitingOver) {
-      this.#giveUp('stopping');
+    if (this.#waitingEnd !== undefined) {
+      this.#giveUp(this.#waitingEnd);
       return;
     }
     if (this.options.choosePath() !== 'direct') {
@@ -381,6 +384,7 @@
     this.#log.recordAttempt();
     this.options.progress.ledger.recordSent();
     recordForwarded(this.response);
+    request.memory?.recordForwarded();
     if (target.advertisedRate.isLimited) {
       this.context.metrics.count('limited_calls', { service: request.service.name });
     }
--- a/src/gateway/requests/pipelined-requests.ts
+++ b/src/gateway/requests/pipelined-requests.ts
@@ -10,10 +10,15 @@
 /** While the caller leaves more than this of its answers unread, one request after the other is started. */
 const MAX_UNSENT_BYTES = 65_536;
 
+interface WaitingRequest {
+  readonly response: ServerResponse;
+  readonly start: () => void;
+}
+
 interface Pipeline {
   /** Requests that were started and not answered. */
   running: number;
-  readonly waiting: (() => void)[];
+  readonly waiting: WaitingRequest[];
   /** Whether its requests are started at once. */
   isUnlimited: boolean;
 }
@@ -32,7 +37,7 @@
       pipeline.running -= 1;
       this.#startNext(socket, pipeline);
     });
-    pipeline.waiting.push(start);
+    pipeline.waiting.push({ response, start });
     this.#startNext(socket, pipeline);
   }
 
@@ -53,10 +58,11 @@
 
   #startNext(socket: Socket, pipeline: Pipeline): void {
     while (pipeline.isUnlimited || pipeline.running < this.#findLimit(socket)) {
-      const start = pipeline.waiting.shift();
-      if (start === undefined || socket.destroyed) return;
+      const next = pipeline.waiting.shift();
+      if (next === undefined || socket.destroyed) return;
       pipeline.running += 1;
-      start();
+      // It may have been refused while it waited.
+      if (!next.response.writableEnded) next.start();
     }
   }
 
--- a/src/gateway/requests/request-handler.ts
+++ b/src/gateway/requests/request-handler.ts
@@ -14,7 +14,7 @@
 import type { QuotaTicket } from '../quota/quota-ticket.js';
 import { type LocalAnswer, writeLocalAnswer } from './answers.js';
 import { type CallerIdentity, KeyRejectionLog, authenticate } from './authentication.js';
-import { Backlog, type BacklogOptions } from './backlog.js';
+import { Backlog, type BacklogCall, type BacklogOptions } from './backlog.js';
 import { LatencyBudgets } from './latency-budget.js';
 import { hasCallerLeft, watchDisconnect } from './caller-disconnect.js';
 import type { CarriedTerms } from '../carrying/carried-terms.js';
@@ -27,6 +27,7 @@
 } from './call-dispatch.js';
 import type { ForwardingCounts, RoutedRequest } from './routed-request.js';
 import {
+  NO_MEMORY_ANSWER,
   buildCommonHeaders,
   checkRequest,
   isContinueExpected,
@@ -177,7 +178,7 @@
   refuseWaiting(): void {
     this.#isClosing = true;
     this.#backlog.refuseAll(STOPPING_RETRY_AFTER_MS);
-    for (const dispatch of this.#dispatches) dispatch.stopWaiting();
+    for (const dispatch of this.#dispatches) dispatch.stopWaiting('stopping');
   }
 
   /** Uses the stored learned state of routes as the prior of their estimates. */
@@ -257,7 +258,8 @@
     const { route, ticket, estimatedArrivalAt, aimAt, deadline } = admitted;
     const { clock } = this.options;
     const routeTime = this.#findRouteTime(route.name);
-    this.#backlog.add({
+    const memory = findRequestMemory(request);
+    const call: BacklogCall = {
       ...{ estimatedArrivalAt, aimAt, deadline, priority: route.priority },
       isSecondary: isCostly(request),
       // Only the wait in the backlog may cause a refusal here, so a call time without evidence
@@ -271,6 +273,7 @@
       ...{ isWorkKnown: true, mayBeRefused: true },
       hasCallerLeft: () => hasCallerLeft(request, response),
       start: () => {
+        if (memory !== undefined) memory.onEvict = undefined;
         this.#serve(request, response, admitted).catch((error: Error) =>
           this.#handleError(response, error),
         );
@@ -283,7 +286,15 @@
         ticket.giveBack();
         this.#drop(response);
       },
-    });
+    };
+    if (memory !== undefined) {
+      memory.onEvict = () => {
+        if (!this.#backlog.remove(call)) return;
+        ticket.giveBack();
+        this.#sendRejection(request, response, createRejected(NO_MEMORY_ANSWER, true));
+      };
+    }
+    this.#backlog.add(call);
   }
 
   /** Ends a request whose caller has left. */
@@ -337,6 +348,7 @@
     const dispatch = new CallDispatch(context, routed, response, readOrigin(admitted.carried));
     const stopWatching = watchDisconnect(request, response, () => dispatch.cancel());
     this.#dispatches.add(dispatch);
+    if (memory !== undefined) memory.onEvict = () => dispatch.stopWaiting('no-memory');
     try {
       await dispatch.run();
     } finally {
--- a/src/gateway/requests/request-reader.ts
+++ b/src/gateway/requests/request-reader.ts
@@ -42,9 +42,14 @@
 /** Estimated memory of a body that is streamed, in bytes. */
 const STREAM_BYTES = 131_072;
 
-/** Retry-After of a request whose body this daemon has no memory for, in milliseconds. */
+/** Retry-After of a request that this daemon has no memory for, in milliseconds. */
 const NO_MEMORY_RETRY_AFTER_MS = 500;
 
+/** The answer to a request that this daemon has no memory for. */
+export const NO_MEMORY_ANSWER: LocalAnswer = {
+  ...{ kind: 'not-run', reason: 'no-memory', retryAfter: NO_MEMORY_RETRY_AFTER_MS },
+};
+
 function countHeaderBytes(request: IncomingMessage): number {
   let bytes = (request.url ?? '').length + (request.method ?? '').length;
   for (const part of request.rawHeaders) bytes += part.length;
@@ -170,8 +175,7 @@
       settle({ kind: 'read', body: forwardRest(request, buffer, options) });
     };
     if (memory !== undefined) {
-      memory.onEvict = () =>
-        refuse({ kind: 'not-run', reason: 'no-memory', retryAfter: NO_MEMORY_RETRY_AFTER_MS });
+      memory.onEvict = () => refuse(NO_MEMORY_ANSWER);
     }
     request.on('data', onData);
     request.on('end', () => settle({ kind: 'read', body: { kind: 'whole', data: buffer.take() } }));
--- a/src/overload/guarded-connection.ts
+++ b/src/overload/guarded-connection.ts
@@ -191,16 +191,37 @@
     if (!this.#isPausedByServer) this.socket.resume();
   }
 
-  /** Refuses its request, if that is all there is; else closes it. */
+  /**
+   * Refuses its requests that were not passed on. Closes it if none was, or if its client leaves
+   * answers unread.
+   */
+  shed(): boolean {
+    const memories = [...this.#open.values()];
+    const isForwarded = memories.some((memory) => memory.isForwarded);
+    if (!isForwarded || this.socket.writableLength > 0) {
+      this.evict();
+      this.#account.close();
+      return true;
+    }
+    const refused = memories.filter((memory) => memory.refuse());
+    if (refused.length > 0) this.options.onClose('memory');
+    return refused.length > 0;
+  }
+
+  /** Refuses its requests, if they are all there is and can be refused; else closes it. */
   evict(): void {
     const memories = [...this.#open.values()];
-    const [memory] = memories;
-    const refuse = memories.length === 1 ? memory?.onEvict : undefined;
-    this.#closeAccount();
-    if (refuse === undefined) this.close('memory');
-    else {
+    const mayRefuse =
+      memories.length > 0 &&
+      this.#headCharge === 0 &&
+      memories.every(({ onEvict }) => onEvict !== undefined);
+    if (mayRefuse) {
       this.options.onClose('memory');
-      refuse();
+      for (const memory of memories) memory.refuse();
+      this.#postponedCharge = 0;
+    } else {
+      this.#closeAccount();
+      this.close('memory');
     }
   }
 
--- a/src/overload/request-memory.ts
+++ b/src/overload/request-memory.ts
@@ -14,12 +14,30 @@
    */
   onEvict: (() => void) | undefined;
 
+  /** Whether the request was passed on, so that it may run whatever becomes of its connection. */
+  isForwarded = false;
+
   /** @param isPipelined whether it came with others on its connection, before they were answered */
   constructor(
     private readonly account: MemoryAccount,
     readonly isPipelined: boolean,
   ) {}
 
+  /** Records that the request is passed on. */
+  recordForwarded(): void {
+    this.isForwarded = true;
+    this.onEvict = undefined;
+  }
+
+  /** Refuses the request and gives everything back; returns false if it can't be refused. */
+  refuse(): boolean {
+    const { onEvict } = this;
+    if (onEvict === undefined) return false;
+    this.close();
+    onEvict();
+    return true;
+  }
+
   /** Adds to what is held, in bytes. */
   charge(bytes: number): void {
     if (this.#isClosed) return;
--- a/test/helpers/gateways.ts
+++ b/test/helpers/gateways.ts
@@ -98,6 +98,9 @@
   /** Further lines in section `[promises]` of daemons that are created from now on. */
   promises = '';
 
+  /** Further lines in section `[machine]` of daemons that are created from now on. */
+  machine = '';
+
   /** Whether daemons that are created from now on serve metrics. */
   hasMetrics = false;
 
@@ -189,7 +192,7 @@
       `seeds = ${(seeds.length === 0 ? [ip] : seeds).map((seed) => `${seed}:1`).join(',')}`,
       `first_start = ${this.isFirstStart}`,
       this.hasMetrics ? `metrics = ${ip}:${PORTS.metrics}` : '',
-      ...['[machine]', 'cpu_share = 0.5', '[platform]'],
+      ...['[machine]', 'cpu_share = 0.5', this.machine, '[platform]'],
       `address = ${this.#storeAddress.host}:${this.#storeAddress.port}`,
       ...['[promises]', 'grace = 6', 'answer_ttl = 5', 'retry_ratio = 0.2', 'retry_window = 10'],
       ...['retry_slack = 64', `probes_per_second = ${this.probesPerSecond}`],
--- a/test/memory-budget.test.ts
+++ b/test/memory-budget.test.ts
@@ -41,6 +41,20 @@
     expect(budget.held).to.be.at.most(LIMIT);
     expect(evicted).to.not.include('ordinary');
   });
+  // Guards against ending work that was passed on while others hold enough that was not.
+  it('ends last what was passed on, unless the others hold next to nothing', () => {
+    const openForwarded = (name: string, bytes: number) =>
+      budget.open({ evict: () => evicted.push(name), shed: () => false }).charge(bytes);
+    openForwarded('forwarded', 600);
+    for (let index = 0; index < 5; index += 1) open(`waiting ${index}`, 90);
+    expect(evicted).to.deep.equal(['waiting 0', 'waiting 1']);
+    for (let index = 0; index < 70; index += 1) open(`small ${index}`, 3);
+    expect(evicted.slice(2)).to.not.deep.equal([]);
+    expect(evicted).to.not.include('small 0');
+    openForwarded('other', 900);
+    expect(evicted).to.include('other');
+    expect(evicted).to.not.include('small 0');
+  });
   it('forgets what was given back', () => {
     const account = open('one', 900);
     account.release(2000);
--- a/test/unanswered-requests.test.ts
+++ b/test/unanswered-requests.test.ts
@@ -45,10 +45,12 @@
     });
   }
 
-  send(id: string, path = '/a/1', deadline = 4000): void {
+  send(id: string, path = '/a/1', deadline = 4000, body = ''): void {
     this.#sent.push({ id, sentAt: performance.now(), deadline });
+    const start = `${body === '' ? 'GET' : 'PUT'} ${path} HTTP/1.1\r\nHost: ${HOST}`;
+    const length = body === '' ? '' : `Content-Length: ${body.length}\r\n`;
     this.sendBytes(
-      `GET ${path} HTTP/1.1\r\nHost: ${HOST}\r\nAttempt-Id: ${id}\r\nRequest-Deadline-Ms: ${deadline}\r\n\r\n`,
+      `${start}\r\nAttempt-Id: ${id}\r\nRequest-Deadline-Ms: ${deadline}\r\n${length}\r\n${body}`,
     );
   }
 
@@ -156,6 +158,53 @@
     }).timeout(10_000);
   });
 
+  describe('while the daemon holds too much for its callers', () => {
+    /** A body that is kept whole, so that it may be sent again. */
+    const BODY = 'x'.repeat(900_000);
+
+    beforeEach(async () => {
+      site.machine = 'memory = 64\ndescriptors = 4096';
+      ip = await site.addGateway();
+      caller.close();
+      caller = new PipeliningCaller(ip);
+    });
+    // Guards against evictions that end what a target works on, while others hold as much.
+    it('are answered when they were passed on, and others hold the memory', async () => {
+      setTimes({ first: 2000, second: 2000 });
+      caller.send('first', '/a/1', 4000, BODY);
+      caller.send('second', '/a/2', 4000, BODY);
+      await pause(500);
+      const others = Array.from({ length: 140 }, () => new PipeliningCaller(ip));
+      for (const other of others) {
+        other.sendBytes(`GET /a/3 HTTP/1.1\r\nHost: ${HOST}\r\nx: ${'y'.repeat(7900)}`);
+      }
+      await waitUntil(() => caller.listAnswers().length === 2, 'both answers');
+      for (const other of others) other.close();
+      expect(caller.listAnswers()).to.deep.equal(['first 200', 'second 200']);
+      expect(countEvents('client.closed')).to.be.above(0);
+    });
+
+    // Guards against evictions that close a connection for its requests that wait for a target.
+    it('are refused where they were not passed on, and answered where they were', async () => {
+      target.behaviour = (request, response) => {
+        setTimeout(() => target.answer(request, response), 1500);
+      };
+      const callers = [0, 1, 2].map(() => new PipeliningCaller(ip));
+      for (const each of callers) {
+        for (let index = 0; index < 6; index += 1) each.send(`r${index}`, '/a/1', 4000, BODY);
+      }
+      const listAnswers = () => callers.flatMap((each) => each.listAnswers());
+      const countAnswers = (status: number) =>
+        listAnswers().filter((answer) => answer.endsWith(` ${status}`)).length;
+      await waitUntil(() => countAnswers(200) >= SLOTS, 'the answers of the target');
+      await pause(500);
+      for (const each of callers) each.close();
+      expect(countEvents('client.closed')).to.be.above(0);
+      expect(countAnswers(503)).to.be.above(0);
+      expect(countEvents('request.unanswered')).to.equal(0);
+    }).timeout(10_000);
+  });
+
   describe('behind which the caller sends what is no request', () => {
     // Guards against an error of the parser that ends requests which were passed on.
     it('are answered, and then the connection is closed', async () => {
