Close a new connection when all others of its listener have requests in progress

Callers saw: connections that were closed with a request that was passed on, when another caller connected to a listener with as many connections as it may hold.

Cause: the guard made room by closing the connection that had been active least recently, even where each had a request in progress.

Evidence: 24 connections with a request each on a listener for 28, and 20 that connect then and send one: before, requests of the first were not answered within 10 s; now all 24 are.

Now only connections without a whole request are closed for a new one, and where there is none the new one is.

--- a/src/overload/connection-guard.ts
+++ b/src/overload/connection-guard.ts
@@ -5,7 +5,9 @@
  * accepted now stays unread, so that its sender is slowed down.
  *
  * Bounds on all connections together close the worst of them: those that hold the most memory, and
- * when there are too many, those that have been idle for the longest time.
+ * when there are too many, those that have been idle for the longest time. A new connection is
+ * closed instead where all others have whole requests in
+ * progress.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
@@ -58,8 +60,12 @@
     const feed = (chunk: Buffer) => {
       for (const parse of feeds) parse.call(socket, chunk);
     };
-    this.#makeRoom();
-    this.#connections.set(socket, new GuardedConnection(socket, feed, this.options));
+    const connection = new GuardedConnection(socket, feed, this.options);
+    if (!this.#makeRoom()) {
+      connection.close('connections');
+      return;
+    }
+    this.#connections.set(socket, connection);
     socket.on('close', () => this.#forget(socket));
     this.#timer ??= this.#scheduleSweep();
   }
@@ -106,22 +112,32 @@
     });
   }
 
-  /** Closes a connection when there are too many, preferably one that has never sent a request. */
-  #makeRoom(): void {
-    if (this.#connections.size < this.options.maxConnections) return;
+  /**
+   * Closes a connection when there are too many, preferably one that has never sent a request.
+   * Returns false if all have whole requests in progress.
+   */
+  #makeRoom(): boolean {
+    if (this.#connections.size < this.options.maxConnections) return true;
     let worst: GuardedConnection | undefined;
     for (const connection of this.#connections.values()) {
       if (connection.socket.destroyed) continue;
       if (worst === undefined || isWorse(connection, worst)) worst = connection;
     }
-    worst?.close('connections');
+    if (worst === undefined) return true;
+    if (worst.hasWholeRequest) return false;
+    worst.close('connections');
+    return true;
   }
 }
 
-/** The order in which connections are closed when there are too many: the lowest first. */
-function rankConnection({ openRequests, answered }: GuardedConnection): number {
-  if (openRequests > 0) return 2;
-  return answered > 0 ? 1 : 0;
+/**
+ * The order in which connections are closed when there are too many: the lowest first, and none of
+ * the last rank.
+ */
+function rankConnection(connection: GuardedConnection): number {
+  if (connection.hasWholeRequest) return 3;
+  if (connection.openRequests > 0) return 2;
+  return connection.answered > 0 ? 1 : 0;
 }
 
 /** Whether a connection is closed before another one, when there are too many. */
--- a/src/overload/guarded-connection.ts
+++ b/src/overload/guarded-connection.ts
@@ -159,6 +159,14 @@
     return this.#open.size;
   }
 
+  /** Whether a request was received whole, or passed on, and is not answered. */
+  get hasWholeRequest(): boolean {
+    for (const [{ req: request }, { isForwarded }] of this.#open) {
+      if (request.complete || isForwarded) return true;
+    }
+    return false;
+  }
+
   /** Starts to account for a request that has just been received. */
   watchRequest(request: IncomingMessage, response: ServerResponse): void {
     this.#lastRequest = request;
--- a/test/unanswered-requests.test.ts
+++ b/test/unanswered-requests.test.ts
@@ -205,6 +205,32 @@
     }).timeout(10_000);
   });
 
+  describe('while there are too many connections', () => {
+    // Guards against a connection that is closed with its request for the sake of a new one.
+    it('are answered, and new connections are closed', async () => {
+      site.machine = 'descriptors = 256';
+      ip = await site.addGateway();
+      target.behaviour = (request, response) => {
+        setTimeout(() => target.answer(request, response), 400);
+      };
+      const callers = Array.from({ length: 24 }, () => new PipeliningCaller(ip));
+      for (const [place, each] of callers.entries()) each.send(`r${place}`);
+      await pause(300);
+      const late: PipeliningCaller[] = [];
+      for (let index = 0; index < 20; index += 1) {
+        const each = new PipeliningCaller(ip);
+        each.send('late');
+        late.push(each);
+        await pause(10);
+      }
+      const countAnswers = () => callers.flatMap((each) => each.listAnswers()).length;
+      await waitUntil(() => countAnswers() === callers.length, 'all answers');
+      for (const each of [...callers, ...late]) each.close();
+      expect(late.filter(({ closedAt }) => closedAt !== undefined).length).to.be.above(0);
+      expect(countEvents('request.unanswered')).to.equal(0);
+    }).timeout(10_000);
+  });
+
   describe('behind which the caller sends what is no request', () => {
     // Guards against an error of the parser that ends requests which were passed on.
     it('are answered, and then the connection is closed', async () => {
