Answer a request whose handling threw, and keep its connection

Callers saw: all requests of a connection that ended without an answer, when the work on one of them failed.

Cause: the handler closed the connection of that request.

Evidence: the second of three requests sent ahead fails while the others are at a target: before, none of them is answered in 10 s; now they get 200, 502, 200. The test fails on the code before.

Now it is answered with 502, as it may have run. An answer that has begun is still ended by the close of its connection.

--- a/src/gateway/requests/request-handler.ts
+++ b/src/gateway/requests/request-handler.ts
@@ -275,7 +275,7 @@
       start: () => {
         if (memory !== undefined) memory.onEvict = undefined;
         this.#serve(request, response, admitted).catch((error: Error) =>
-          this.#handleError(response, error),
+          this.#handleError(response, admitted.id, error),
         );
       },
       refuse: (wait) => {
@@ -304,10 +304,10 @@
   }
 
   /**
-   * Ends a request whose handling threw. The requests of other callers go on, unless an invariant
-   * is broken.
+   * Ends a request whose handling threw. Other requests go on, those of its connection included,
+   * unless its answer has begun or an invariant is broken.
    */
-  #handleError(response: ServerResponse, error: Error): void {
+  #handleError(response: ServerResponse, id: string, error: Error): void {
     const { log, metrics, onInvariantViolation } = this.options;
     if (error instanceof InvariantError) {
       onInvariantViolation(error);
@@ -315,7 +315,13 @@
     }
     log.error('request.broken', { error: error.stack ?? error.message });
     metrics.count('requests_broken');
-    response.destroy();
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+    // It may have run.
+    this.counts.unknown += 1;
+    writeLocalAnswer(response, id, { kind: 'unknown', reason: 'lost' });
   }
 
   /** Reads the body and serves the request until it is answered or given up. */
--- a/test/unanswered-requests.test.ts
+++ b/test/unanswered-requests.test.ts
@@ -231,6 +231,29 @@
     }).timeout(10_000);
   });
 
+  describe('beside a request whose handling fails', () => {
+    // Guards against an error in the work on one request that ends the others of its connection.
+    it('are answered, and so is that request', async () => {
+      setTimes({ first: 800, third: 400 });
+      const { behaviour } = target;
+      target.behaviour = (request, response) => {
+        if (request.headers['attempt-id'] === 'second') request.socket.destroy();
+        else behaviour?.(request, response);
+      };
+      // A log that throws stands for any fault in this code.
+      const push = site.events.push.bind(site.events);
+      site.events.push = (...entries) => {
+        if (entries.some(({ event }) => event === 'attempt.failed')) throw new Error('broken');
+        return push(...entries);
+      };
+      for (const id of ['first', 'second', 'third']) caller.send(id);
+      await waitUntil(() => caller.listAnswers().length === 3, 'all answers');
+      expect(caller.listAnswers()).to.deep.equal(['first 200', 'second 502', 'third 200']);
+      expect(countEvents('request.broken')).to.equal(1);
+      expect(countEvents('request.unanswered')).to.equal(0);
+    });
+  });
+
   describe('behind which the caller sends what is no request', () => {
     // Guards against an error of the parser that ends requests which were passed on.
     it('are answered, and then the connection is closed', async () => {
