Announce the close at a stop of an entry only in the answer whose turn it is

Callers saw: calls that were sent ahead on a connection of a stopping entry were run and not answered.

Cause: the drain of the listener had every open answer announce the close, also those with others behind them.

The test fails on the code before.

Now entries use the same rule as gateways; its module is shared.

--- a/src/gateway/requests/answers.ts
+++ b/src/gateway/requests/answers.ts
@@ -2,12 +2,12 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock } from '../../kernel/index.js';
 import { abortAnswer, setResetOnClose } from '../../proxy/answer-abort.js';
+import { cancelClose } from '../../proxy/closing-answers.js';
 import type { AnswerEnd, AnswerFault } from '../../proxy/answer-end.js';
 import { listPairs } from '../../proxy/headers.js';
 import { closeAfterLongBody } from '../../proxy/unread-body.js';
 import { HEADERS } from '../../platform/index.js';
 import type { TargetAnswer } from './answer-reader.js';
-import { cancelClose } from './closing-answers.js';
 
 /** Why a request is not identified: it has no key, or one that no organisation holds. */
 export type KeyRejectionReason = 'missing-key' | 'unknown-key';
--- a/src/gateway/requests/caller-server.ts
+++ b/src/gateway/requests/caller-server.ts
@@ -10,13 +10,13 @@
   type GatewayListener,
   findRequestMemory,
 } from '../../overload/index.js';
+import { ClosingAnswers } from '../../proxy/closing-answers.js';
 import { type ServerProtection, createGuard } from '../../proxy/guarded-server.js';
 import { UnreadBodies } from '../../proxy/unread-body.js';
 import { HEADERS, readHeader } from '../../platform/index.js';
 import type { RequestLimits } from '../../routing/index.js';
 import type { AcceptMark, EventLoopMonitor } from '../event-loop-monitor.js';
 import { writeLocalAnswer } from './answers.js';
-import { ClosingAnswers } from './closing-answers.js';
 import { OpenRequests } from './open-requests.js';
 import { PipelinedRequests } from './pipelined-requests.js';
 import { NO_MEMORY_ANSWER } from './request-reader.js';
--- a/src/proxy/http-listener.ts
+++ b/src/proxy/http-listener.ts
@@ -5,6 +5,7 @@
 import type { Address, Clock, KeyPair, Listener, Network } from '../kernel/index.js';
 import { type HeadRefusal, checkHead, normalizeTarget } from './head-check.js';
 import type { EntryListener } from '../overload/index.js';
+import { ClosingAnswers } from './closing-answers.js';
 import { type ServerProtection, createGuard } from './guarded-server.js';
 import { createNotRun } from './outcome.js';
 import { UnreadBodies, type UnreadBodyOutcome } from './unread-body.js';
@@ -83,7 +84,7 @@
 
 /** Starts a listener. */
 export async function startHttpListener(options: HttpListenerOptions): Promise<HttpListener> {
-  const sockets = new Set<Duplex>();
+  const sockets = new Set<Socket>();
   const openResponses = new Set<ServerResponse>();
   const unreadBodies = new UnreadBodies({
     clock: options.clock,
@@ -91,7 +92,7 @@
     readMaxBodyBytes: () => Infinity,
   });
   const guard = createGuard(options.name, options.protection, () => options.bodyTimeout);
-  let isDraining = false;
+  const closingAnswers = new ClosingAnswers();
 
   function serveRequest(request: IncomingMessage, response: ServerResponse): void {
     if (unreadBodies.isClosing(request.socket)) {
@@ -102,6 +103,7 @@
     // The request may have been the one that its connection was closed for.
     if (request.socket.destroyed) return;
     unreadBodies.watchRequest(request, response);
+    if (!closingAnswers.add(request.socket, response)) return;
     normalizeTarget(request);
     const refusal = mayServe ? checkHead(request) : COSTLY_REFUSAL;
     if (refusal !== undefined) {
@@ -111,7 +113,6 @@
     }
     openResponses.add(response);
     response.on('close', () => openResponses.delete(response));
-    if (isDraining) response.shouldKeepAlive = false;
     options.handle(request, response);
   }
 
@@ -167,12 +168,13 @@
   const listener: Listener = await options.network.listen({
     address: options.address,
     keys: options.keys,
-    onConnection: (socket) => {
+    onConnection: (connection) => {
+      const socket = connection as Socket;
       sockets.add(socket);
-      unreadBodies.watchConnection(socket as Socket);
+      unreadBodies.watchConnection(socket);
       socket.on('close', () => sockets.delete(socket));
       server.emit('connection', socket);
-      guard.watchConnection(socket as Socket);
+      guard.watchConnection(socket);
     },
   });
 
@@ -181,8 +183,7 @@
     countConnections: () => sockets.size,
     replaceKeys: (keys) => listener.replaceKeys(keys),
     async drain() {
-      isDraining = true;
-      for (const response of openResponses) response.shouldKeepAlive = false;
+      closingAnswers.start(sockets);
       await listener.close();
       const busySockets = new Set<Duplex>(
         [...openResponses].map((response) => response.req.socket),
--- a/test/entry.test.ts
+++ b/test/entry.test.ts
@@ -260,6 +260,27 @@
       expect((await send(other.callersAddress)).status).to.equal(200);
     });
 
+    // Guards against an answer that announces the close while others of its connection are due.
+    it('answers all calls that were sent ahead on one connection', async () => {
+      await open(1, '', LIMITS, 1200);
+      const [entry] = entries as [Entry];
+      const { host, port } = entry.callersAddress;
+      const socket = net.connect(port, host);
+      let received = '';
+      socket.on('data', (data: Buffer) => {
+        received += data.toString('latin1');
+      });
+      const call = 'GET /1 HTTP/1.1\r\nHost: test.example\r\nx-token: t\r\n\r\n';
+      socket.write(call.repeat(2));
+      await waitUntil(() => target.counts.calls === 2, 'the calls arrived');
+      const stopped = entry.stop();
+      await pause(500);
+      socket.write(call);
+      await stopped;
+      socket.destroy();
+      expect(received.match(/HTTP\/1\.1 \d+/g)).to.deep.equal(Array(3).fill('HTTP/1.1 200'));
+    });
+
     it('reports the outcome of calls that are still running when the grace period ends', async () => {
       await open(1, 'deadline = 60s', LIMITS);
       const [entry] = entries as [Entry];
