Keep a bounded number of daemons, and forget who no longer polls

What operators saw: any datagram and any list of members adds daemons for ever. A member's `ip` could be any text of any length, also in the list in the store. A response of another daemon that was not valid was dropped without a word.

Cause: the roster, the seeds, the pollers and the times of polls only grow, and names are not checked.

Now 10,000 daemons, seeds and pollers are kept (four times the largest fleet); a further one is refused, which is logged (`members.full`, `seeds.full`), and the known ones go on. Pollers and times older than 10 s are dropped. Members need an IPv4 address and a domain of at most 1,024 characters, and a response may hold 4,000 removals, twice as many as a daemon keeps. A response that is too long or not valid is logged with its sender (`feed.refused`).

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -196,6 +196,7 @@
     this.#roster = new Roster({
       ...{ clock, self: readSelf(), readSelfState },
       ...{ minHomes: tuning.homes, minHomeCapacity: tuning.home_capacity },
+      onFull: (kept) => log.error('members.full', { kept }),
     });
     this.#directory = new AddressDirectory({
       ...{ roster: this.#roster, fleetRole: this.#fleetRole, random },
@@ -311,11 +312,16 @@
         }
       },
     });
-    this.#feedClient = new FeedClient(clock, port, ({ delta, members }) => {
-      const pending = this.#view.applyDelta(delta, clock.now());
-      for (const member of members) this.#roster.addMember(member);
-      return pending;
-    });
+    this.#feedClient = new FeedClient(
+      clock,
+      port,
+      ({ delta, members }) => {
+        const pending = this.#view.applyDelta(delta, clock.now());
+        for (const member of members) this.#roster.addMember(member);
+        return pending;
+      },
+      (from, reason) => log.warn('feed.refused', { from, reason }),
+    );
     this.#knowledgeExchange = new KnowledgeExchange({
       ...{
         clock,
--- a/src/peering/datagram.ts
+++ b/src/peering/datagram.ts
@@ -8,7 +8,7 @@
 import type { KnownRevisions, ViewPosition } from '../view/index.js';
 import { type QuotaMessages, decodeQuotaMessages, encodeQuotaMessages } from './quota-datagram.js';
 import { isPackedWhole } from './packed-size.js';
-import type { MemberState, MemberStatus, Presence } from './roster.js';
+import { MAX_DOMAIN_LENGTH, type MemberState, type MemberStatus, type Presence } from './roster.js';
 
 /** What a daemon reports of itself in each poll and each reply. */
 export interface SelfStatus extends MemberStatus {
@@ -268,6 +268,7 @@
   if (typeof domain !== 'string' || typeof capacity !== 'number' || decodedState === undefined) {
     return undefined;
   }
+  if (domain.length > MAX_DOMAIN_LENGTH) return undefined;
   if (typeof utilisation !== 'number' || typeof pollers !== 'number') return undefined;
   return {
     ...{ domain, capacity, isSenior: isSenior === true, state: decodedState },
--- a/src/peering/feed.ts
+++ b/src/peering/feed.ts
@@ -3,6 +3,7 @@
  * on.
  */
 import http from 'node:http';
+import { isIPv4 } from 'node:net';
 import { promisify } from 'node:util';
 import { constants, gzip } from 'node:zlib';
 import {
@@ -17,7 +18,7 @@
 import { type ServerProtection, createGuardedServer } from '../proxy/guarded-server.js';
 import type { Evacuations, RemovedTarget, ViewDelta, ViewPosition } from '../view/index.js';
 import type { TargetRecord } from '../platform/index.js';
-import type { MemberInfo } from './roster.js';
+import { MAX_DOMAIN_LENGTH, type MemberInfo } from './roster.js';
 
 /** What the requesting daemon knows already. */
 export interface FeedRequest {
@@ -33,6 +34,9 @@
   readonly members: readonly MemberInfo[];
 }
 
+/** Removals in one response; a daemon keeps half as many. */
+const MAX_REMOVED_TARGETS = 4000;
+
 function isNumber(value: unknown): value is number {
   return typeof value === 'number' && Number.isFinite(value);
 }
@@ -60,7 +64,9 @@
 
 function isMemberInfo(value: unknown): value is MemberInfo {
   if (!isJsonObject(value) || typeof value.isSenior !== 'boolean') return false;
-  return isString(value.ip) && isString(value.domain) && isNumber(value.capacity);
+  const { ip, domain, capacity } = value;
+  if (!isString(ip) || !isIPv4(ip) || !isString(domain)) return false;
+  return domain.length <= MAX_DOMAIN_LENGTH && isNumber(capacity);
 }
 
 function isConfiguration(value: unknown): value is NonNullable<ViewDelta['configuration']> {
@@ -83,6 +89,7 @@
   if (configuration !== undefined && !isConfiguration(configuration)) return false;
   if (evacuations !== undefined && !isEvacuations(evacuations)) return false;
   if (!Array.isArray(targets) || !Array.isArray(left) || typeof isWhole !== 'boolean') return false;
+  if (left.length > MAX_REMOVED_TARGETS) return false;
   return targets.every(isTargetChange) && left.every(isRemovedTarget);
 }
 
@@ -212,6 +219,8 @@
     private readonly port: number,
     /** Applies a response; a fetch ends when its result has resolved. */
     private readonly onResponse: (response: FeedResponse) => unknown,
+    /** Called when a daemon's response is too long or not valid, so that nothing of it is used. */
+    private readonly onRefused: (ip: string, reason: string) => void = () => undefined,
   ) {}
 
   /** Fetches the members from another daemon, unless the last such fetch was too recent. */
@@ -248,9 +257,13 @@
         path: `${PATH}?${query.join('&')}`,
         ...{ timeout: FETCH_TIMEOUT_MS, maxBodyBytes: MAX_RESPONSE_BYTES },
       });
+      if (reply.kind === 'failure' && reply.cause !== undefined) this.onRefused(ip, reply.reason);
       if (reply.kind !== 'reply' || reply.status !== 200) return false;
       const response = parseFeedResponse(reply.body);
-      if (response === undefined) return false;
+      if (response === undefined) {
+        this.onRefused(ip, 'changes and members expected');
+        return false;
+      }
       await this.onResponse(response);
       return true;
     } finally {
--- a/src/peering/member-registry.ts
+++ b/src/peering/member-registry.ts
@@ -5,6 +5,7 @@
  * no lease, and a few writes a day suffice: only the first home writes, and only when the members
  * have changed.
  */
+import { isIPv4 } from 'node:net';
 import type { Clock, Log } from '../kernel/index.js';
 import { KEYS, type KvStore } from '../platform/index.js';
 import type { Roster } from './roster.js';
@@ -41,7 +42,9 @@
 function parseMembers(text: string): readonly string[] {
   try {
     const { members } = JSON.parse(text) as WrittenMembers;
-    return Array.isArray(members) ? members.filter((ip) => typeof ip === 'string') : [];
+    return Array.isArray(members)
+      ? members.filter((ip) => typeof ip === 'string' && isIPv4(ip))
+      : [];
   } catch {
     return [];
   }
--- a/src/peering/peer-link.ts
+++ b/src/peering/peer-link.ts
@@ -20,7 +20,7 @@
 import type { QuotaMessages } from './quota-datagram.js';
 import type { PropagationTimes } from '../view/index.js';
 import { type OwnPolls, PollerTable } from './poller-table.js';
-import type { MemberInfo, MemberState, Roster } from './roster.js';
+import { MAX_MEMBERS, type MemberInfo, type MemberState, type Roster } from './roster.js';
 
 /** The dependencies of the link. */
 export interface PeerLinkOptions {
@@ -122,6 +122,7 @@
       if (now >= forgetAt) {
         forgetAt = now + FORGET_INTERVAL_MS;
         roster.forgetSilent(new Set(this.#seeds));
+        this.#forgetPolls(now);
       }
       for (const ip of polled) this.#poll(ip);
       const { nearPollInterval, remotePollInterval } = this.options.readTimes();
@@ -131,6 +132,14 @@
     this.#socket.close();
   }
 
+  /** Drops what is no longer used of the polls in both directions. */
+  #forgetPolls(now: number): void {
+    this.#pollers.forget(now, FORGET_INTERVAL_MS);
+    for (const [ip, at] of this.#polledAt) {
+      if (now - at >= FORGET_INTERVAL_MS) this.#polledAt.delete(ip);
+    }
+  }
+
   /** Whether another daemon has answered, or no seed is left to poll. */
   get hasJoined(): boolean {
     return this.#hasReply || this.#seeds.length === 0;
@@ -140,7 +149,11 @@
   addSeeds(ips: readonly string[]): void {
     const own = this.options.readSelf().ip;
     const others = ips.filter((ip) => ip !== own);
-    this.#seeds = [...new Set([...this.#seeds, ...others])];
+    const seeds = [...new Set([...this.#seeds, ...others])];
+    this.#seeds = seeds.slice(0, MAX_MEMBERS);
+    if (seeds.length > MAX_MEMBERS) {
+      this.options.log.warn('seeds.full', { left_out: seeds.length - MAX_MEMBERS });
+    }
   }
 
   /** Returns the next seeds to poll and moves them to the end of the list. */
--- a/src/peering/poller-table.ts
+++ b/src/peering/poller-table.ts
@@ -27,6 +27,9 @@
 /** ...and for this long after its last poll. */
 const YOUNG_WINDOW_MS = 400;
 
+/** Pollers that are kept: four times the largest fleet. */
+const MAX_POLLERS = 10_000;
+
 interface Poller {
   readonly at: number;
   /** How many daemons it polls in all, itself included. */
@@ -57,11 +60,22 @@
     this.#startedAt = now;
   }
 
+  /** Drops the daemons that have not polled for `age` milliseconds. */
+  forget(now: number, age: number): void {
+    for (const [ip, { at }] of this.#pollers) if (now - at >= age) this.#pollers.delete(ip);
+  }
+
+  /** The number of daemons that are kept. */
+  get size(): number {
+    return this.#pollers.size;
+  }
+
   /** Records a poll, and how many daemons the poller polls in all, itself included. */
   record(ip: string, polledCount: number, now: number): void {
     const isYoung = this.#isYoung(now);
     const window = isYoung ? YOUNG_WINDOW_MS : POLLER_WINDOW_MS;
     const known = this.#pollers.get(ip);
+    if (known === undefined && this.#pollers.size >= MAX_POLLERS) return;
     const current = known !== undefined && now - known.at < window ? known : undefined;
     const since = current?.since ?? now;
     const isSettled =
--- a/src/peering/roster.ts
+++ b/src/peering/roster.ts
@@ -76,8 +76,16 @@
   readonly minHomes: number;
   /** The least number of cores that the homes have together. */
   readonly minHomeCapacity: number;
+  /** There is no room for another daemon; called once until there is room again. */
+  readonly onFull?: (members: number) => void;
 }
 
+/** The longest name of a daemon's failure domain, in characters. */
+export const MAX_DOMAIN_LENGTH = 1024;
+
+/** Daemons that are kept: four times the largest fleet. */
+export const MAX_MEMBERS = 10_000;
+
 /**
  * A daemon that has not answered for this long counts as silent: five polls, as datagrams get lost.
  */
@@ -132,6 +140,8 @@
 
   #ranked: readonly MemberInfo[] | undefined;
 
+  #isFull = false;
+
   #plannedHomes = 0;
 
   #fingerprint = 0;
@@ -162,6 +172,7 @@
   addMember(info: MemberInfo): void {
     const known = this.#members.get(info.ip);
     if (known === undefined) {
+      if (!this.#hasRoom()) return;
       this.#ranked = undefined;
       this.#fingerprint += hashMember(info.ip);
       this.#members.set(info.ip, {
@@ -175,6 +186,13 @@
     known.info = info;
   }
 
+  #hasRoom(): boolean {
+    if (this.#members.size < MAX_MEMBERS) return true;
+    if (!this.#isFull) this.options.onFull?.(this.#members.size);
+    this.#isFull = true;
+    return false;
+  }
+
   /** Records that a daemon answered, with the status that it reported. */
   recordStatus(info: MemberInfo, { state, utilisation, pollers }: MemberStatus): void {
     this.addMember(info);
@@ -366,6 +384,7 @@
       this.#members.delete(ip);
       this.#fingerprint -= hashMember(ip);
       this.#ranked = undefined;
+      this.#isFull = false;
     }
   }
 
