--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -202,6 +202,7 @@
     this.#roster = new Roster({
       ...{ clock, self: readSelf(), readSelfState },
       ...{ minHomes: tuning.homes, minHomeCapacity: tuning.home_capacity },
+      onFull: (kept) => log.error('members.full', { kept }),
     });
     this.#directory = new AddressDirectory({
       ...{ roster: this.#roster, fleetRole: this.#fleetRole, random },
@@ -322,7 +323,10 @@
       for (const member of members) this.#roster.addMember(member);
       return pending;
     };
-    this.#feedClient = new FeedClient(clock, port, applyResponse, answerGuard);
+    this.#feedClient = new FeedClient(clock, port, applyResponse, {
+      guard: answerGuard,
+      onRefused: (from, reason) => log.warn('feed.refused', { from, reason }),
+    });
     this.#knowledgeExchange = new KnowledgeExchange({
       ...{
         clock,
--- a/src/overload/guarded-connection.ts
+++ b/src/overload/guarded-connection.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Clock } from '../kernel/index.js';
+import { InputPace, MAX_PIECE_BYTES, MIN_PIECE_BYTES } from './input-pace.js';
 import type { MemoryAccount, MemoryBudget, MemoryOwner } from './memory-budget.js';
 import type { ReadTurns, Reader } from './read-turns.js';
 import { RequestMemory, setRequestMemory } from './request-memory.js';
@@ -43,21 +44,6 @@
 /** While this many bytes of answers wait to be sent on a connection, nothing more is read from it. */
 const MAX_UNSENT_BYTES = 262_144;
 
-/** The parser gets the input of a connection in pieces; each one may be twice as long as the last. */
-const MIN_PIECE_BYTES = 1024;
-const MAX_PIECE_BYTES = 16_384;
-
-/** How long the input of one connection is handled before others get their turn, in milliseconds. */
-const MAX_TURN_MS = 0.5;
-
-/**
- * A connection whose input took longer than this within the window, in milliseconds, is read only
- * in its turns. The second value holds while other connections wait for theirs.
- */
-const MAX_UNSHARED_MS = 1;
-const MAX_UNSHARED_IN_CROWD_MS = 0.1;
-const SHARE_WINDOW_MS = 100;
-
 /** Estimated memory of a request and its response, without header fields and body, in bytes. */
 const REQUEST_BYTES = 8192;
 
@@ -91,6 +77,8 @@
 export class GuardedConnection implements MemoryOwner, Reader {
   readonly #account: MemoryAccount;
 
+  readonly #pace: InputPace;
+
   /** Requests that are accepted and not answered. */
   readonly #open = new Map<ServerResponse, RequestMemory>();
 
@@ -130,9 +118,6 @@
 
   #isDraining = false;
 
-  /** How long its input took in the current window, in milliseconds, and when the window began. */
-  #spent = { time: 0, since: 0 };
-
   /** Bytes that its client had not read when that was last checked, and since when it reads none. */
   #unsent = { bytes: 0, since: 0 };
 
@@ -142,6 +127,7 @@
     private readonly options: GuardedConnectionOptions,
   ) {
     this.#account = options.budget.open(this);
+    this.#pace = new InputPace(options);
     this.openedAt = options.clock.now();
     this.lastActiveAt = this.openedAt;
     socket.on('data', (chunk: Buffer) => this.#handleInput(chunk));
@@ -264,28 +250,19 @@
     this.#postponedCharge = 0;
     this.#parseInput(chunk, startedAt);
     if (this.#isRejected || this.socket.destroyed) return;
-    if (this.#recordTime(clock.now() - startedAt, startedAt)) return;
+    if (this.#pace.recordTime(startedAt)) return;
     if (this.#postponedCharge === 0) this.#pause(0);
     this.#waitForTurn();
   }
 
-  /** Records how long some input took; returns whether the connection may be read out of turn. */
-  #recordTime(took: number, now: number): boolean {
-    if (now - this.#spent.since > SHARE_WINDOW_MS) this.#spent = { time: 0, since: now };
-    this.#spent.time += took;
-    const isCrowded = this.options.turns.size > 0;
-    return this.#spent.time <= (isCrowded ? MAX_UNSHARED_IN_CROWD_MS : MAX_UNSHARED_MS);
-  }
-
   #parseInput(chunk: Buffer, startedAt: number): void {
-    const { clock } = this.options;
     let offset = 0;
     for (let size = MIN_PIECE_BYTES; offset < chunk.length; size *= 2) {
       if (this.#mayNotRead()) {
         this.#postpone(chunk.subarray(offset));
         return;
       }
-      if (offset > 0 && clock.now() - startedAt > MAX_TURN_MS) {
+      if (offset > 0 && this.#pace.isTurnOver(startedAt)) {
         this.#postpone(chunk.subarray(offset));
         this.#waitForTurn();
         return;
