--- a/src/proxy/answer-meter.ts
+++ b/src/proxy/answer-meter.ts
@@ -45,10 +45,10 @@
 const MAX_PIECE_TIME_MS = 0.2;
 
 /**
- * Lines before the body, of all heads together. The parser keeps an object for each field, whose
+ * Lines before the body, of all heads together, and lines of trailers. The parser keeps an object for each field, whose
  * name and value it counts without their framing.
  */
-const MAX_LEAD_LINES = 2000;
+const MAX_FIELD_LINES = 2000;
 
 /** Pieces before the body are short, as their lines are counted when they have been handled. */
 const MAX_LEAD_PIECE_BYTES = 4096;
@@ -68,13 +68,15 @@
 
 /** Input that the parser handles; `startedAt` is undefined when it handles none. */
 interface Piece {
+  readonly chunk: Buffer;
+  /** Without what the parser has given back. */
   readonly bytes: number;
-  /** Lines that end in it; counted only before the body. */
-  readonly lines: number;
+  /** Bytes of the body that arrived before it. */
+  readonly bodyBytes: number;
   readonly startedAt: number | undefined;
 }
 
-const NO_PIECE: Piece = { bytes: 0, lines: 0, startedAt: undefined };
+const NO_PIECE: Piece = { chunk: Buffer.alloc(0), bytes: 0, bodyBytes: 0, startedAt: undefined };
 
 function countLines(chunk: Buffer): number {
   let lines = 0;
@@ -95,7 +97,7 @@
 
   #bodyBytes = 0;
 
-  #leadLines = 0;
+  #fieldLines = 0;
 
   /** What the parser handles now, and since when. */
   #piece: Piece = NO_PIECE;
@@ -179,7 +181,7 @@
     this.#interimAnswers = 0;
     this.#received = 0;
     this.#bodyBytes = 0;
-    this.#leadLines = 0;
+    this.#fieldLines = 0;
   }
 
   #recordHead(status: number): void {
@@ -206,23 +208,21 @@
       return null;
     }
     if (this.#mustWait()) return null;
-    const isLead = this.#phase === 'lead';
-    const maxBytes = isLead ? MAX_LEAD_PIECE_BYTES : MAX_PIECE_BYTES;
+    const maxBytes = this.#phase === 'lead' ? MAX_LEAD_PIECE_BYTES : MAX_PIECE_BYTES;
     const chunk = read(Math.min(readableLength, this.#maxPieceBytes, maxBytes));
-    this.#piece = {
-      ...{ bytes: chunk?.length ?? 0, startedAt: this.options.clock.now() },
-      lines: isLead && chunk !== null ? countLines(chunk) : 0,
-    };
+    if (chunk === null) return null;
+    const startedAt = this.options.clock.now();
+    this.#piece = { chunk, bytes: chunk.length, bodyBytes: this.#bodyBytes, startedAt };
     return chunk;
   }
 
   /** Records what the parser has handled, and how long that took. */
   #finishPiece(): void {
-    const { bytes, lines, startedAt } = this.#piece;
+    const { chunk, bytes, bodyBytes, startedAt } = this.#piece;
     if (startedAt === undefined) return;
     this.#received += bytes;
-    // The lines of a piece in which the body begins may be those of the body.
-    if (this.#phase === 'lead') this.#leadLines += lines;
+    // Other lines may be those of the body.
+    if (bodyBytes === this.#bodyBytes) this.#fieldLines += countLines(chunk);
     const now = this.options.clock.now();
     const took = now - startedAt;
     this.#startWindow(now);
@@ -239,13 +239,13 @@
 
   #findFault(): string | undefined {
     const { leadBytes, framingBytes, framingPerBodyByte } = this.#limits;
+    if (this.#phase !== 'idle' && this.#fieldLines > MAX_FIELD_LINES) {
+      return `more than ${MAX_FIELD_LINES} lines of fields`;
+    }
     switch (this.#phase) {
       case 'idle':
         return 'bytes that belong to no answer';
       case 'lead':
-        if (this.#leadLines > MAX_LEAD_LINES) {
-          return `more than ${MAX_LEAD_LINES} lines before the body`;
-        }
         return this.#received > leadBytes
           ? `more than ${leadBytes} bytes before the answer`
           : undefined;
--- a/test/answer-meter.test.ts
+++ b/test/answer-meter.test.ts
@@ -90,7 +90,20 @@
       socket.write('A:\r\n'.repeat(100));
       read(socket);
     }
-    expect(overruns).to.deep.equal(['more than 2000 lines before the body']);
+    expect(overruns).to.deep.equal(['more than 2000 lines of fields']);
+  });
+
+  it('closes a connection that sends very many lines behind a body', () => {
+    const answer = meter.observe(handler);
+    const socket = open();
+    answer.onConnect?.(() => undefined);
+    answer.onHeaders?.(200, [], () => undefined, 'OK');
+    answer.onData?.(PIECE);
+    for (let part = 0; part < 30; part += 1) {
+      socket.write('A:\r\n'.repeat(100));
+      read(socket);
+    }
+    expect(overruns).to.deep.equal(['more than 2000 lines of fields']);
   });
 
   it('counts no lines of a body', () => {
