--- a/src/entry/clients.ts
+++ b/src/entry/clients.ts
@@ -12,7 +12,7 @@
 export interface ClientsOptions {
   readonly network: Network;
   readonly clock: Clock;
-  /** The turns in which the connections of this process are read. */
+  /** The turns in which the connections of these clients are read. */
   readonly turns: ReadTurns;
   /** Called when a connection is closed for what its peer sends. */
   readonly onOverrun: (peer: string, detail: string) => void;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -15,7 +15,7 @@
 import { ConfigStore, type Manifest } from '../config/index.js';
 import { DEFAULT_MEMBERSHIP_TIMES, Membership, type MembershipTimes } from '../member/index.js';
 import { Claims } from '../once/index.js';
-import type { EntryListener } from '../overload/index.js';
+import { type EntryListener, ReadTurns } from '../overload/index.js';
 import type { ServerProtection } from '../proxy/guarded-server.js';
 import {
   type ExchangeMessage,
@@ -358,9 +358,13 @@
     const { kernel } = this;
     const log = kernel.find(logService);
     const metrics = kernel.find(metricsService);
+    const clock = kernel.find(clockService);
     return new Clients({
-      ...{ network: kernel.find(networkService), clock: kernel.find(clockService) },
-      turns: this.protection.turns,
+      ...{ network: kernel.find(networkService), clock },
+      // Answers do not wait behind a crowd of callers, as they give slots back.
+      turns: new ReadTurns({
+        ...{ clock, scheduleAfterIteration: setImmediate, isAccepting: () => false },
+      }),
       onOverrun: (peer, detail) => {
         metrics.count('answer.overrun', 1, { peer });
         log.info('answer.overrun', { peer, detail });
