Run no request behind a rejection that closes its connection

Callers saw: requests that were run and not answered, behind one on their connection that was rejected by its head.

Cause: only closes because of a stop were known to the check that leaves such requests unread.

Evidence: a request at a target, one with a path that is rejected, and a third: before, the target ran the third, which got no answer; now it does not reach the target. The test fails on the code before.

Now every answer that this code has close its connection counts.

--- a/src/gateway/carrying/carry-service.ts
+++ b/src/gateway/carrying/carry-service.ts
@@ -3,6 +3,7 @@
 import type { Clock, Log, Random } from '../../kernel/index.js';
 import type { Roster } from '../../peering/index.js';
 import { HEADERS, type KvStore, readHeader } from '../../platform/index.js';
+import { announceClose } from '../../proxy/closing-answers.js';
 import { type LocalAnswer, writeLocalAnswer } from '../requests/answers.js';
 import {
   CARRIED_HEADER,
@@ -102,7 +103,7 @@
       ...{ from: request.socket.remoteAddress, path: request.url },
       has_key: this.fleetKey.value !== undefined,
     });
-    response.shouldKeepAlive = false;
+    announceClose(response);
     writeLocalAnswer(response, '', NOT_A_DAEMON);
   }
 
--- a/src/gateway/requests/request-handler.ts
+++ b/src/gateway/requests/request-handler.ts
@@ -10,6 +10,7 @@
 import { RouteTime, type RouteTimeState } from '../../balance/index.js';
 import { findRequestMemory } from '../../overload/index.js';
 import { HEADERS, readHeader } from '../../platform/index.js';
+import { announceClose } from '../../proxy/closing-answers.js';
 import { type Route, type RouteTable, TrafficSplitter } from '../../routing/index.js';
 import type { QuotaTicket } from '../quota/quota-ticket.js';
 import { type LocalAnswer, writeLocalAnswer } from './answers.js';
@@ -463,7 +464,7 @@
     const { answer, keepsConnection } = rejected;
     // A caller that waits for `100 Continue` may send the body or not, so that its next request
     // could not be told from the body.
-    if (!keepsConnection || isContinueExpected(request)) response.shouldKeepAlive = false;
+    if (!keepsConnection || isContinueExpected(request)) announceClose(response);
     this.options.log.info('request.refused', { id, told: answer.kind, path: request.url });
     writeLocalAnswer(response, id, answer);
   }
--- a/src/proxy/closing-answers.ts
+++ b/src/proxy/closing-answers.ts
@@ -3,7 +3,8 @@
  *
  * Only an answer whose turn it is announces it, and only if no request has been received behind it.
  * Answers are written when they are ready, which may be before their turn; a request that arrives
- * until then could not be answered any more behind an announcement.
+ * until then could not be answered any more behind an announcement. Where an answer has to close its
+ * connection nevertheless, requests behind it count as not read.
  */
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
@@ -11,7 +12,8 @@
 /** Responses that announce the close; their heads have not been written, or were the last. */
 const announcing = new WeakSet<ServerResponse>();
 
-function announceClose(response: ServerResponse): void {
+/** Has an answer announce the close of its connection. Called before its head is written. */
+export function announceClose(response: ServerResponse): void {
   if (response.headersSent || !response.shouldKeepAlive) return;
   response.shouldKeepAlive = false;
   announcing.add(response);
--- a/src/proxy/http-listener.ts
+++ b/src/proxy/http-listener.ts
@@ -5,7 +5,7 @@
 import type { Address, Clock, KeyPair, Listener, Network } from '../kernel/index.js';
 import { type HeadRefusal, checkHead, normalizeTarget } from './head-check.js';
 import type { EntryListener } from '../overload/index.js';
-import { ClosingAnswers } from './closing-answers.js';
+import { ClosingAnswers, announceClose } from './closing-answers.js';
 import { type ServerProtection, createGuard } from './guarded-server.js';
 import { createNotRun } from './outcome.js';
 import { UnreadBodies, type UnreadBodyOutcome } from './unread-body.js';
@@ -71,7 +71,7 @@
 
 function refuseRequest(response: ServerResponse, refusal: HeadRefusal): void {
   // The framing of a rejected request cannot be trusted, so its connection closes after the answer.
-  response.shouldKeepAlive = false;
+  announceClose(response);
   const outcome = createNotRun('bad-request', refusal.detail);
   const body = JSON.stringify({ ...outcome, outcome: 'not-run', status: refusal.status });
   response.writeHead(refusal.status, {
--- a/test/unanswered-requests.test.ts
+++ b/test/unanswered-requests.test.ts
@@ -254,6 +254,20 @@
     });
   });
 
+  describe('behind one whose rejection closes the connection', () => {
+    // Guards against requests that run although nothing can be answered behind a rejection.
+    it('do not run', async () => {
+      setTimes({ first: 500 });
+      caller.send('first');
+      caller.sendBytes(`GET /a/../b HTTP/1.1\r\nHost: ${HOST}\r\n\r\n`);
+      caller.send('third');
+      await waitUntil(() => caller.closedAt !== undefined, 'the connection is closed');
+      expect(caller.listAnswers()).to.deep.equal(['first 200', 'undefined 400']);
+      const seen = target.seenHeaders.map((headers) => headers['attempt-id']);
+      expect(seen).to.include('first').and.not.include('third');
+    });
+  });
+
   describe('behind which the caller sends what is no request', () => {
     // Guards against an error of the parser that ends requests which were passed on.
     it('are answered, and then the connection is closed', async () => {
