Watch the answers of the own daemon's store as well, and take no signal for an end at the start

A SIGHUP that came before the handler was installed ended the process, as Node does without one; nothing was held then.

--- a/src/bin/entry.ts
+++ b/src/bin/entry.ts
@@ -21,6 +21,7 @@
 import { STRATEGIES, type Strategy } from '../balance/index.js';
 import { Entry } from '../entry/index.js';
 import { type PeerKeyFiles, createGrpcTransport, peerTransportService } from '../peer/index.js';
+import { computeAnswerBytes, createAnswerGuard } from '../overload/index.js';
 import { createKvPlatform, createKvStore, platformService } from '../platform/index.js';
 import { type EntrySettings, checkEntrySettings, formatMistake } from '../settings/index.js';
 
@@ -66,8 +67,11 @@
   const { platform, security, log, metrics, entry } = settings;
   const { address, timeout } = platform;
   const statsd = metrics.statsd === 'none' ? undefined : metrics.statsd;
+  const clock = createSystemClock();
+  const guard = createAnswerGuard(clock, computeAnswerBytes(settings.limits.memory));
+  const store = createKvStore(address, timeout, STORE_SOCKETS, guard);
   return new Kernel()
-    .provide(clockService, createSystemClock())
+    .provide(clockService, clock)
     .provide(randomService, createSystemRandom())
     .provide(networkService, network)
     .provide(logService, createLog(log.level, { entry: entry.name }))
@@ -77,7 +81,7 @@
         ? createSilentMetrics()
         : createStatsdMetrics(statsd, { entry: entry.name }),
     )
-    .provide(platformService, createKvPlatform(createKvStore(address, timeout, STORE_SOCKETS)))
+    .provide(platformService, createKvPlatform(store))
     .provide(
       peerTransportService,
       createGrpcTransport(security.peer_secret, findPeerKeys(settings)),
--- a/src/bin/gateway-process.ts
+++ b/src/bin/gateway-process.ts
@@ -60,6 +60,8 @@
   if (file === undefined) fail(EXIT_SETTINGS, `usage: --settings FILE, or ${SETTINGS_VARIABLE}`);
   let text = readText(file) ?? fail(EXIT_SETTINGS, `${file}: cannot be read; expected settings`);
   const settings = readSettings(file, text);
+  // Without a handler a signal ends the process.
+  process.on('SIGHUP', () => undefined);
   const { address, timeout } = settings.platform;
   const clock = createSystemClock();
   const log = createRateLimitedLog(clock, settings.log.level, { vm: settings.gateway.name });
--- a/src/overload/limits.ts
+++ b/src/overload/limits.ts
@@ -51,13 +51,13 @@
   return Math.min(MAX_HELD_MB, Math.max(MIN_HELD_MB, heldMb)) * BYTES_PER_MB;
 }
 
-/** The part of a gateway's memory for answers that are being received, and its bounds in MB. */
+/** The part of a daemon's memory for answers that are being received, and its bounds in MB. */
 const ANSWERS_PART = 0.1;
 const MIN_ANSWERS_MB = 8;
 const MAX_ANSWERS_MB = 32;
 
 /**
- * Computes what a gateway daemon may hold of answers that it receives, in bytes.
+ * Computes what a daemon may hold of answers that it receives, in bytes.
  *
  * @param memory of the machine, in MB
  */
--- a/src/proxy/answer-meter.ts
+++ b/src/proxy/answer-meter.ts
@@ -45,8 +45,8 @@
 const MAX_PIECE_TIME_MS = 0.2;
 
 /**
- * Lines before the body, of all heads together, and lines of trailers. The parser keeps an object for each field, whose
- * name and value it counts without their framing.
+ * Lines before the body, of all heads together, and lines of trailers. The parser keeps an object
+ * for each field, whose name and value it counts without their framing.
  */
 const MAX_FIELD_LINES = 2000;
 
@@ -108,7 +108,6 @@
   #turnTime: number | undefined;
 
   /** How long its input took in the current window, in milliseconds, and when the window began. */
-
   #spent = { time: 0, since: 0 };
 
   #isWaitingForTurn = false;
