--- a/src/overload/connection-guard.ts
+++ b/src/overload/connection-guard.ts
@@ -6,8 +6,7 @@
  *
  * Bounds on all connections together close the worst of them: those that hold the most memory, and
  * when there are too many, those that have been idle for the longest time. A new connection is
- * closed instead where all others have whole requests in
- * progress.
+ * closed instead where all others have whole requests in progress.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
