Close the connection of a caller that leaves in the middle of a body

The end of a caller's side within a body is an error of the parser. The connection then waited for an answer to the request whose body broke off, which nobody gives, so that it stayed open, kept others out and made a stop last 5.3 s.

Now a caller that has ended its side has left, and only requests that were received whole are waited for. Both tests fail on the code before.

--- a/src/gateway/requests/caller-server.ts
+++ b/src/gateway/requests/caller-server.ts
@@ -266,7 +266,8 @@
    * before it on the connection are answered first.
    */
   #handleInputError({ code = '' }: NodeJS.ErrnoException, socket: Socket): void {
-    if (!socket.writable || code === 'ECONNRESET') {
+    // A caller that ends its side within a request has left.
+    if (!socket.writable || socket.readableEnded || code === 'ECONNRESET') {
       socket.destroy();
       return;
     }
@@ -275,12 +276,14 @@
     this.#refused.add(socket);
     this.#guard.reject(socket);
     const hasInput = socket.bytesRead !== (this.#bytesReadAtIdle.get(socket) ?? 0);
-    this.#requests.callWhenIdle(socket, () => {
+    this.#requests.callWhenAnswered(socket, () => {
       const closure = status === REQUEST_TIMEOUT ? 'header-timeout' : 'malformed-input';
       this.#requests.recordClosure(socket, closure);
       this.options.clock.schedule(REJECTED_LINGER_MS, () => socket.destroy());
       // A connection on which no request has begun is closed without an answer.
       if (status === REQUEST_TIMEOUT && !hasInput) socket.end();
+      // A request whose body broke off is still there, and may have an answer that has begun.
+      else if (this.#requests.count(socket) > 0) socket.destroy();
       else rejectInput(socket, status);
     });
   }
--- a/src/gateway/requests/open-requests.ts
+++ b/src/gateway/requests/open-requests.ts
@@ -42,11 +42,18 @@
 interface OpenConnection {
   readonly open: Map<ServerResponse, OpenRequest>;
   received: number;
-  /** Called when no request is open. */
-  onIdle: (() => void) | undefined;
+  /** Called when all requests that were received whole have been answered. */
+  onAnswered: (() => void) | undefined;
   closure: ConnectionClosure | undefined;
 }
 
+function hasWholeRequest({ open }: OpenConnection): boolean {
+  for (const { response } of open.values()) {
+    if (response.req.complete) return true;
+  }
+  return false;
+}
+
 /** Responses to requests that may have reached a target. */
 const forwarded = new WeakSet<ServerResponse>();
 
@@ -88,7 +95,7 @@
     this.#connections.set(socket, {
       open: new Map(),
       received: 0,
-      onIdle: undefined,
+      onAnswered: undefined,
       closure: undefined,
     });
     socket.on('close', () => {
@@ -107,16 +114,19 @@
     response.on('close', () => {
       connection.open.delete(response);
       onAnswered();
-      if (connection.open.size === 0) connection.onIdle?.();
+      if (!hasWholeRequest(connection)) connection.onAnswered?.();
     });
   }
 
-  /** Calls an action when all requests of a connection have been answered, at once if they are. */
-  callWhenIdle(socket: Socket, action: () => void): void {
+  /**
+   * Calls an action when all requests of a connection that were received whole have been answered,
+   * at once if they are.
+   */
+  callWhenAnswered(socket: Socket, action: () => void): void {
     const connection = this.#connections.get(socket);
     if (connection === undefined) return;
-    if (connection.open.size === 0) action();
-    else connection.onIdle = action;
+    if (hasWholeRequest(connection)) connection.onAnswered = action;
+    else action();
   }
 
   /** Records why a connection is being closed; the first reason counts. */
--- a/test/unanswered-requests.test.ts
+++ b/test/unanswered-requests.test.ts
@@ -268,6 +268,31 @@
     });
   });
 
+  describe('whose caller leaves in the middle of a body', () => {
+    // Guards against connections of callers that have left, which then keep others out.
+    for (const [how, length] of [
+      ['buffered', 100_000],
+      ['streamed', 4_000_000],
+    ] as const) {
+      it(`are forgotten with their connection (${how})`, async () => {
+        const socket = net.connect({ host: ip, port: callersPort });
+        socket.on('error', () => undefined);
+        socket.write(
+          `PUT /a/1 HTTP/1.1\r\nHost: ${HOST}\r\nAttempt-Id: left\r\nRequest-Deadline-Ms: 2000\r\nContent-Length: ${length}\r\n\r\n`,
+        );
+        socket.write('x'.repeat(length / 2));
+        await pause(100);
+        socket.destroy();
+        caller.close();
+        await pause(200);
+        const startedAt = performance.now();
+        await site.gateways[0].gateway.stop();
+        expect(performance.now() - startedAt).to.be.lessThan(3000);
+        expect(countEvents('request.unanswered')).to.equal(0);
+      }).timeout(10_000);
+    }
+  });
+
   describe('behind which the caller sends what is no request', () => {
     // Guards against an error of the parser that ends requests which were passed on.
     it('are answered, and then the connection is closed', async () => {
