Charge a connection for what it may hold while paused only until it is read again

Callers saw: connections closed over memory, their requests at targets.

Cause: 64 KB stayed charged from one wait for a turn until the next input, so through the whole request and while the connection was idle; 480 requests in progress reach the limit of a machine of 250 MB (computed).

An answer that is given up for the memory of this daemon is also not held against its target any more.

--- a/src/gateway/requests/outgoing-request.ts
+++ b/src/gateway/requests/outgoing-request.ts
@@ -134,7 +134,14 @@
   request.on('error', ({ code = '', message }: NodeJS.ErrnoException) =>
     fail({ kind: 'disconnected', code, reason: code || message }),
   );
-  guard?.watch(request, { onExcess: (reason) => fail({ kind: 'malformed', reason }) });
+  guard?.watch(request, {
+    onExcess: (reason, cause) =>
+      fail(
+        cause === 'memory'
+          ? { kind: 'disconnected', code: '', reason }
+          : { kind: 'malformed', reason },
+      ),
+  });
   request.on('response', (response) => {
     hasResponse = true;
     // Without a listener, the error of an answer that nobody reads would be thrown.
--- a/src/kernel/http-exchange.ts
+++ b/src/kernel/http-exchange.ts
@@ -6,12 +6,15 @@
 import { scheduleLagTolerantTimeout } from './lag-tolerant-timeout.js';
 import { type Address, formatAddress } from './network.js';
 
+/** What is exceeded: the limits of one answer, or the memory for all of them. */
+export type AnswerExcess = 'answer' | 'memory';
+
 /** How the answer to one request is watched. */
 export interface AnswerWatch {
   /** Longest body, in bytes; unlimited unless given. */
   readonly maxBodyBytes?: number;
-  /** Called when the answer exceeds a limit; its connection is closed after that. */
-  readonly onExcess: (reason: string) => void;
+  /** Called when the answer is given up; its connection is closed after that. */
+  readonly onExcess: (reason: string, cause: AnswerExcess) => void;
 }
 
 /** Bounds what answers make this process read and hold. */
--- a/src/overload/answer-guard.ts
+++ b/src/overload/answer-guard.ts
@@ -9,6 +9,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import {
+  type AnswerExcess,
   type AnswerWatch,
   type AnswerWatcher,
   type Clock,
@@ -125,11 +126,14 @@
 
   readNext(): void {
     this.#isWaitingForTurn = false;
+    this.#postponed = this.socket.readableLength;
+    this.#updateAccount();
+    if (this.#hasEnded) return;
     if (!this.#isHeldByReader) this.socket.resume();
   }
 
   evict(): void {
-    this.#fail('too much memory is held for answers');
+    this.#fail('too much memory is held for answers', 'memory');
   }
 
   /** Whether the reader of the answer takes no more for now. */
@@ -240,10 +244,10 @@
     return undefined;
   }
 
-  #fail(reason: string): void {
+  #fail(reason: string, cause: AnswerExcess = 'answer'): void {
     if (this.#hasEnded) return;
     this.#detach();
-    this.watch.onExcess(reason);
+    this.watch.onExcess(reason, cause);
     this.socket.destroy();
   }
 
--- a/src/overload/guarded-connection.ts
+++ b/src/overload/guarded-connection.ts
@@ -133,6 +133,11 @@
     socket.on('data', (chunk: Buffer) => this.#handleInput(chunk));
     socket.on('resume', () => {
       this.#isPausedByServer = false;
+      // A socket that is read again holds what has arrived, and no more.
+      const excess = this.#postponedCharge - socket.readableLength;
+      if (excess <= 0) return;
+      this.#postponedCharge -= excess;
+      this.#account.release(excess);
     });
     socket.on('close', () => {
       options.turns.remove(this);
