Judge by the clock whether a stopping daemon still accepts a request, and hedge nothing at its end

A request may have been sent after the middle of the interval in which it is estimated to have arrived, so on a late event loop some that were sent after half of the grace period were accepted. A refusal is true whenever it is given.

--- a/src/gateway/graceful-stop.ts
+++ b/src/gateway/graceful-stop.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../kernel/index.js';
 
 /**
- * Parts of the grace period: requests that arrive in the first one are accepted, those that nobody
+ * Parts of the grace period: requests that are handled in the first one are accepted, those that nobody
  * has begun to run at the end of the second are refused, and connections are closed at the end of
  * the third. The rest is headroom for a busy machine.
  */
@@ -22,7 +22,7 @@
   readonly countActive: () => number;
   /** Counts the open connections of callers. */
   readonly countConnections: () => number;
-  /** Requests that arrive after this time of the clock are refused. */
+  /** Requests that are handled after this time of the clock are refused. */
   readonly acceptUntil: (time: number) => void;
   /** Refuses the requests that are at no target, from now on. */
   readonly refuseWaiting: () => void;
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -595,6 +595,7 @@
     const { route, service, aimAt, deadline, bodyBytes } = this.request;
     const [attempt] = this.#runningAttempts;
     if (this.#runningAttempts.size !== 1 || attempt === undefined) return;
+    if (this.#waitingEnd !== undefined) return;
     if (
       this.options.progress.attemptCount >= route.maxAttempts ||
       this.#suspectConstraints !== undefined
--- a/src/gateway/requests/request-handler.ts
+++ b/src/gateway/requests/request-handler.ts
@@ -152,7 +152,7 @@
 
   #learnedRoutes: LearnedState['routes'] = new Map();
 
-  /** Requests that arrive later are refused. */
+  /** Requests that are handled later are refused. */
   #acceptedUntil = Infinity;
 
   /** Whether requests that are at no target are refused. */
@@ -168,7 +168,7 @@
   }
 
   /**
-   * Refuses requests that arrive after a time of the clock, so that callers use another daemon,
+   * Refuses requests that are handled after a time of the clock, so that callers use another daemon,
    * because this one stops.
    */
   acceptUntil(time: number): void {
@@ -233,7 +233,7 @@
     estimatedArrivalAt: number,
     carried?: CarriedTerms,
   ): void {
-    const admission = this.#findRoute(request, estimatedArrivalAt, carried);
+    const admission = this.#findRoute(request, carried);
     if (admission.kind === 'turned-away') {
       this.#sendRejection(request, response, admission);
       return;
@@ -411,7 +411,6 @@
   /** Finds the route and the service of a request, by its head alone. */
   #findRoute(
     request: IncomingMessage,
-    estimatedArrivalAt: number,
     carried: CarriedTerms | undefined,
   ): AdmittedRequest | RejectedRequest {
     const table = this.options.readTable();
@@ -423,7 +422,8 @@
       } as const;
       return createRejected(answer, true);
     }
-    if (this.#isClosing || estimatedArrivalAt > this.#acceptedUntil) {
+    // What is handled later may have been sent later, however late this daemon is.
+    if (this.#isClosing || this.options.clock.now() > this.#acceptedUntil) {
       return createRejected(STOPPING_ANSWER, true);
     }
     const refusal = checkRequest(request, table.limits, carried !== undefined);
