Ask the memory of a request whether it was passed on, in place of a second record

Each request was recorded as passed on twice, in its memory and in a set of responses for the log. The log reads the first one now.

--- a/src/gateway/carrying/carrying.ts
+++ b/src/gateway/carrying/carrying.ts
@@ -12,7 +12,6 @@
 import { type KeyRejectionReason, forwardAnswer, writeLocalAnswer } from '../requests/answers.js';
 import { MIN_FAILURE_STATUS, findMaxIdle } from '../requests/attempt.js';
 import type { CallProgress } from '../requests/call-progress.js';
-import { recordForwarded } from '../requests/open-requests.js';
 import { isResendable } from '../requests/outgoing-request.js';
 import type { ForwardingCounts, RoutedRequest } from '../requests/routed-request.js';
 import { RequestLog } from '../requests/request-log.js';
@@ -139,7 +138,6 @@
     ]);
     const isRepeatable = request.route.kind === 'repeatable';
     progress.ledger.recordSent();
-    recordForwarded(this.response);
     memory?.recordForwarded();
     this.#running = startCarriedAttempt(
       carrier,
--- a/src/gateway/requests/forwarding.ts
+++ b/src/gateway/requests/forwarding.ts
@@ -27,7 +27,6 @@
   startTargetAttempt,
 } from './attempt.js';
 import type { CallProgress } from './call-progress.js';
-import { recordForwarded } from './open-requests.js';
 import { isResendable } from './outgoing-request.js';
 import { type RefusalBasis, RequestLog } from './request-log.js';
 import { type UnservedAnswer, sendUnservedAnswer } from './unserved-answer.js';
@@ -383,7 +382,6 @@
     this.options.progress.attemptCount += 1;
     this.#log.recordAttempt();
     this.options.progress.ledger.recordSent();
-    recordForwarded(this.response);
     request.memory?.recordForwarded();
     if (target.advertisedRate.isLimited) {
       this.context.metrics.count('limited_calls', { service: request.service.name });
--- a/src/gateway/requests/open-requests.ts
+++ b/src/gateway/requests/open-requests.ts
@@ -5,7 +5,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Clock, Log, LogFields, TextMetrics } from '../../kernel/index.js';
-import type { GuardClosure } from '../../overload/index.js';
+import { type GuardClosure, findRequestMemory } from '../../overload/index.js';
 
 /** Why this daemon has closed a connection of a caller. */
 export type ConnectionClosure =
@@ -54,14 +54,6 @@
   return false;
 }
 
-/** Responses to requests that may have reached a target. */
-const forwarded = new WeakSet<ServerResponse>();
-
-/** Records that a request is sent to a target, or to a daemon that carries it. */
-export function recordForwarded(response: ServerResponse): void {
-  forwarded.add(response);
-}
-
 /** The connections of one listener, with their requests. */
 export class OpenRequests {
   readonly #connections = new Map<Socket, OpenConnection>();
@@ -142,7 +134,7 @@
     const { clock, log, metrics, listener, describeChanges } = this.options;
     for (const { id, response, receivedAt, place } of open.values()) {
       if (response.writableFinished) continue;
-      const isForwarded = forwarded.has(response);
+      const isForwarded = findRequestMemory(response.req)?.isForwarded === true;
       metrics.count('requests_unanswered', { listener, closure, forwarded: String(isForwarded) });
       log.warn('request.unanswered', {
         ...{ id, listener, closure, forwarded: isForwarded, place, open: open.size },
