Share one pace of input between callers, answers and the own daemon's meter

The meter had the window and the shares of InputPace as constants and state of its own, and the guards each the size of a paused socket; the limit of field lines stands with the other limits of answers. The guard of answers keeps how a piece is passed on, in place of a replaced closure. No limit changes.

--- a/src/overload/answer-guard.ts
+++ b/src/overload/answer-guard.ts
@@ -18,7 +18,7 @@
 import { ANSWER_LIMITS } from './answer-limits.js';
 import { type MemoryAccount, MemoryBudget, type MemoryOwner } from './memory-budget.js';
 import type { Feed } from './guarded-connection.js';
-import { InputPace } from './input-pace.js';
+import { InputPace, PAUSED_SOCKET_BYTES } from './input-pace.js';
 import { ReadTurns, type Reader } from './read-turns.js';
 
 /** Dependencies of the guard. */
@@ -36,9 +36,6 @@
   releaseAll(): void;
 }
 
-/** What a paused socket may still hold, in bytes. */
-const PAUSED_SOCKET_BYTES = 65_536;
-
 /** Closes a connection on which bytes arrive while no answer is expected. */
 function closeOnStrayBytes(this: Socket): void {
   this.destroy();
@@ -69,14 +66,17 @@
 
   #interimAnswers = 0;
 
-  /** Bytes that were parsed, in all and until the head of the answer was complete. */
+  /** Bytes that were parsed, of heads and framing as well. */
   #parsed = 0;
 
   #bodyBytes = 0;
 
-  /** Pieces of the body that were parsed in this turn. */
+  /** Pieces of the body that were parsed since some were last passed on. */
   #pieces: Buffer[] = [];
 
+  /** Passes a piece of the body on to its reader; undefined before the answer's head. */
+  #push: ((piece: Buffer) => boolean) | undefined;
+
   #hasEnded = false;
 
   readonly #onData = (chunk: Buffer) => this.#handleInput(chunk);
@@ -147,6 +147,7 @@
     this.#response = response;
     memories.set(response, this);
     const push = response.push.bind(response);
+    this.#push = push;
     Object.assign(response, {
       push: (piece: Buffer | null, encoding?: BufferEncoding) => {
         if (piece !== null) {
@@ -154,21 +155,18 @@
           this.#pieces.push(piece);
           return true;
         }
-        this.#pushPieces(push);
+        this.#pushJoined();
         return push(null, encoding);
       },
     });
-    this.#pushJoined = () => this.#pushPieces(push);
   }
 
-  #pushJoined: () => void = () => undefined;
-
-  #pushPieces(push: (piece: Buffer) => boolean): void {
-    const pieces = this.#pieces;
-    const [first] = pieces;
+  #pushJoined(): void {
+    const [first] = this.#pieces;
     if (first === undefined) return;
+    const joined = this.#pieces.length === 1 ? first : Buffer.concat(this.#pieces);
     this.#pieces = [];
-    if (!push(pieces.length === 1 ? first : Buffer.concat(pieces))) this.socket.pause();
+    if (this.#push?.(joined) === false) this.socket.pause();
   }
 
   #handleInput(chunk: Buffer): void {
--- a/src/overload/guarded-connection.ts
+++ b/src/overload/guarded-connection.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Clock } from '../kernel/index.js';
-import { InputPace, MAX_PIECE_BYTES, MIN_PIECE_BYTES } from './input-pace.js';
+import { InputPace, MAX_PIECE_BYTES, MIN_PIECE_BYTES, PAUSED_SOCKET_BYTES } from './input-pace.js';
 import type { MemoryAccount, MemoryBudget, MemoryOwner } from './memory-budget.js';
 import type { ReadTurns, Reader } from './read-turns.js';
 import { RequestMemory, setRequestMemory } from './request-memory.js';
@@ -56,9 +56,6 @@
 /** What a connection may send after its input was rejected, until it is closed, in bytes. */
 const MAX_REJECTED_BYTES = 1_048_576;
 
-/** What a socket may still receive while it is paused, in bytes. */
-const PAUSED_SOCKET_BYTES = 65_536;
-
 function estimateRequestBytes({ rawHeaders }: IncomingMessage): number {
   let bytes = REQUEST_BYTES + (rawHeaders.length / 2) * FIELD_BYTES;
   for (const part of rawHeaders) bytes += part.length;
--- a/src/overload/index.ts
+++ b/src/overload/index.ts
@@ -20,4 +20,5 @@
   computeEntryLimits,
   computeGatewayLimits,
 } from './limits.js';
+export { InputPace, MAX_TURN_MS } from './input-pace.js';
 export { PieceJoiner } from './piece-joiner.js';
--- a/src/overload/input-pace.ts
+++ b/src/overload/input-pace.ts
@@ -6,8 +6,11 @@
 export const MIN_PIECE_BYTES = 1024;
 export const MAX_PIECE_BYTES = 16_384;
 
+/** What a socket may still receive while it is paused, in bytes. */
+export const PAUSED_SOCKET_BYTES = 65_536;
+
 /** How long the input of one connection is handled before others get their turn, in milliseconds. */
-const MAX_TURN_MS = 0.5;
+export const MAX_TURN_MS = 0.5;
 
 /**
  * A connection whose input took longer than this within the window, in milliseconds, is read only
@@ -51,9 +54,27 @@
    * the connection may be read out of turn.
    */
   recordTime(startedAt: number): boolean {
-    if (startedAt - this.#spent.since > SHARE_WINDOW_MS)
-      this.#spent = { time: 0, since: startedAt };
-    this.#spent.time += this.options.clock.now() - startedAt;
+    this.add(this.options.clock.now() - startedAt, startedAt);
+    return this.#isWithinShare;
+  }
+
+  /** Adds time that was spent on input, in the window of `now`. */
+  add(time: number, now: number): void {
+    this.#startWindow(now);
+    this.#spent.time += time;
+  }
+
+  /** Whether the connection may be read out of turn. */
+  mayReadAt(now: number): boolean {
+    this.#startWindow(now);
+    return this.#isWithinShare;
+  }
+
+  #startWindow(now: number): void {
+    if (now - this.#spent.since > SHARE_WINDOW_MS) this.#spent = { time: 0, since: now };
+  }
+
+  get #isWithinShare(): boolean {
     const isCrowded = this.options.turns.size > 0;
     return this.#spent.time <= (isCrowded ? MAX_UNSHARED_IN_CROWD_MS : MAX_UNSHARED_MS);
   }
--- a/src/proxy/answer-meter.ts
+++ b/src/proxy/answer-meter.ts
@@ -9,6 +9,8 @@
 import {
   ANSWER_LIMITS,
   type AnswerLimits,
+  InputPace,
+  MAX_TURN_MS,
   type ReadTurns,
   type Reader,
 } from '../overload/index.js';
@@ -44,28 +46,11 @@
 const MAX_PIECE_BYTES = 65_536;
 const MAX_PIECE_TIME_MS = 0.2;
 
-/**
- * Lines before the body, of all heads together, and lines of trailers. The parser keeps an object
- * for each field, whose name and value it counts without their framing.
- */
-const MAX_FIELD_LINES = 2000;
-
 /** Pieces before the body are short, as their lines are counted when they have been handled. */
 const MAX_LEAD_PIECE_BYTES = 4096;
 
 const LINE_END = 0x0a;
 
-/** How long the input of one connection is handled before others get their turn, in milliseconds. */
-const MAX_TURN_MS = 0.5;
-
-/**
- * A connection whose input took longer than this within the window, in milliseconds, is read only
- * in its turns. The second value holds while other connections wait for theirs.
- */
-const MAX_UNSHARED_MS = 1;
-const MAX_UNSHARED_IN_CROWD_MS = 0.1;
-const SHARE_WINDOW_MS = 100;
-
 /** Input that the parser handles; `startedAt` is undefined when it handles none. */
 interface Piece {
   readonly chunk: Buffer;
@@ -97,6 +82,7 @@
 
   #bodyBytes = 0;
 
+  /** The parser keeps an object for each field, whose name and value it counts without framing. */
   #fieldLines = 0;
 
   /** What the parser handles now, and since when. */
@@ -107,8 +93,7 @@
   /** How long its current turn has taken, in milliseconds; undefined out of turn. */
   #turnTime: number | undefined;
 
-  /** How long its input took in the current window, in milliseconds, and when the window began. */
-  #spent = { time: 0, since: 0 };
+  readonly #pace: InputPace;
 
   #isWaitingForTurn = false;
 
@@ -116,6 +101,7 @@
 
   constructor(private readonly options: AnswerMeterOptions) {
     this.#limits = options.limits ?? ANSWER_LIMITS;
+    this.#pace = new InputPace(options);
   }
 
   /** Puts the meter between a new connection and the parser, which reads it by `read`. */
@@ -224,22 +210,17 @@
     if (bodyBytes === this.#bodyBytes) this.#fieldLines += countLines(chunk);
     const now = this.options.clock.now();
     const took = now - startedAt;
-    this.#startWindow(now);
-    this.#spent.time += took;
+    this.#pace.add(took, now);
     if (this.#turnTime !== undefined) this.#turnTime += took;
     const size = this.#maxPieceBytes * (took > MAX_PIECE_TIME_MS ? 0.5 : 2);
     this.#maxPieceBytes = Math.min(Math.max(size, MIN_PIECE_BYTES), MAX_PIECE_BYTES);
     this.#piece = NO_PIECE;
   }
 
-  #startWindow(now: number): void {
-    if (now - this.#spent.since > SHARE_WINDOW_MS) this.#spent = { time: 0, since: now };
-  }
-
   #findFault(): string | undefined {
-    const { leadBytes, framingBytes, framingPerBodyByte } = this.#limits;
-    if (this.#phase !== 'idle' && this.#fieldLines > MAX_FIELD_LINES) {
-      return `more than ${MAX_FIELD_LINES} lines of fields`;
+    const { leadBytes, fieldLines, framingBytes, framingPerBodyByte } = this.#limits;
+    if (this.#phase !== 'idle' && this.#fieldLines > fieldLines) {
+      return `more than ${fieldLines} lines of fields`;
     }
     switch (this.#phase) {
       case 'idle':
@@ -263,10 +244,10 @@
   #mustWait(): boolean {
     if (this.#isWaitingForTurn) return true;
     const { turns, clock } = this.options;
-    this.#startWindow(clock.now());
-    const unshared = turns.size > 0 ? MAX_UNSHARED_IN_CROWD_MS : MAX_UNSHARED_MS;
     const mayRead =
-      this.#turnTime === undefined ? this.#spent.time <= unshared : this.#turnTime <= MAX_TURN_MS;
+      this.#turnTime === undefined
+        ? this.#pace.mayReadAt(clock.now())
+        : this.#turnTime <= MAX_TURN_MS;
     if (mayRead) return false;
     this.#isWaitingForTurn = true;
     turns.add(this);
