Count the pieces of a buffered answer, not only their bytes

Callers saw: nothing yet; found by reading the change once more. What is parsed together is joined, but a target that sends byte by byte, each in a segment of its own, still makes a buffer of some 376 bytes (measured) for each, of which one byte was counted, up to 262,144 in one answer.

No limit is raised.

--- a/src/gateway/requests/answer-reader.ts
+++ b/src/gateway/requests/answer-reader.ts
@@ -24,6 +24,9 @@
 /** Longest answer that is buffered, in bytes: many times the users' longest. */
 const MAX_BUFFERED_ANSWER_BYTES = 262_144;
 
+/** Estimated memory of a piece of the body besides its bytes, in bytes. */
+const PIECE_BYTES = 384;
+
 /** Receives an answer, or learns why it is not whole. */
 export interface AnswerListener {
   onAnswer(answer: TargetAnswer): void;
@@ -68,7 +71,7 @@
   const onData = (chunk: Buffer) => {
     chunks.push(chunk);
     end.observe(chunk);
-    answerMemory?.charge(chunk.length);
+    answerMemory?.charge(chunk.length + PIECE_BYTES);
     if (end.hasSecondAnswer) {
       response.destroy();
       onBroken('second-answer');
